Serve a pipeline through entries and sidecars as separate processes

Cause: nothing existed. Change: a workspace of six packages, the wharfd and wharfctl binaries, stand-ins of the platform and of upstreams, and a demo.

--- /dev/null
+++ b/packages/control/src/wharf_control/__init__.py
@@ -0,0 +1,1 @@
+"""The wharfctl tool with which operators drive the system."""
--- /dev/null
+++ b/packages/coordination/src/wharf_coordination/__init__.py
@@ -0,0 +1,29 @@
+"""Coordination parts for others to embed: pure decisions and state machines.
+
+Nothing here does I/O, reads a clock or draws randomness of its own; the present
+time and a seeded generator are arguments.
+"""
+
+from wharf_coordination.answer import AnswerAssembler
+from wharf_coordination.candidate import Candidate
+from wharf_coordination.chooser import Chooser
+from wharf_coordination.code import Code
+from wharf_coordination.deadline import Deadline
+from wharf_coordination.gate import Gate
+from wharf_coordination.monotone import Monotone
+from wharf_coordination.priority import Priority
+from wharf_coordination.ran import Ran
+from wharf_coordination.refusal import Refusal
+
+__all__ = [
+    "AnswerAssembler",
+    "Candidate",
+    "Chooser",
+    "Code",
+    "Deadline",
+    "Gate",
+    "Monotone",
+    "Priority",
+    "Ran",
+    "Refusal",
+]
--- /dev/null
+++ b/packages/coordination/src/wharf_coordination/monotone.py
@@ -0,0 +1,32 @@
+"""A value that only moves to a higher revision."""
+
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+__all__ = ["Monotone"]
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True)
+class Monotone(Generic[T]):
+    """Keep the value with the highest revision offered so far.
+
+    Offers may arrive late, doubled or out of order; the result is the same.
+    """
+
+    revision: int = 0
+    value: T | None = None
+
+    def offer(self, revision, value):
+        """Adopt `value` if its revision is higher; return whether it was.
+
+        >>> held = Monotone()
+        >>> held.offer(2, "b"), held.offer(1, "a"), held.value
+        (True, False, 'b')
+        """
+        if revision <= self.revision:
+            return False
+        self.revision = revision
+        self.value = value
+        return True
--- /dev/null
+++ b/packages/daemon/src/wharf_daemon/__main__.py
@@ -0,0 +1,8 @@
+"""Start of the command line by `python -m wharf_daemon`."""
+
+from wharf_daemon.main import main
+
+__all__ = []
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/daemon/src/wharf_daemon/configuration_feed.py
@@ -0,0 +1,75 @@
+"""The configuration in force in this process, and how it learns newer ones."""
+
+import asyncio
+
+import structlog
+from pydantic import ValidationError
+from reactivex.subject import BehaviorSubject
+from result import Err, Ok, Result
+
+from wharf_coordination import Monotone
+from wharf_platform import StoredObject
+from wharf_platform.configuration import CONFIGURATION_KEY, Document
+
+__all__ = ["ConfigurationFeed"]
+
+FIRST_RETRY_SECONDS = 0.1
+MAX_RETRY_SECONDS = 2.0
+
+log = structlog.get_logger(__name__)
+
+
+class ConfigurationFeed:
+    """Hold the newest document offered by the store or by any peer.
+
+    Subscribers to `documents` see each adopted document, the present one first.
+    """
+
+    def __init__(self, metrics):
+        self._held = Monotone(0, Document(revision=0))
+        self._json = b""
+        self._metrics = metrics
+        self.documents = BehaviorSubject(self._held.value)
+
+    @property
+    def document(self) -> Document:
+        """Return the document in force; revision 0 means none yet."""
+        return self._held.value
+
+    @property
+    def json(self):
+        """Return the document in force as it was received."""
+        return self._json
+
+    def offer(self, text, source) -> Result[bool, str]:
+        """Adopt the document in `text` if it is newer; return whether it was."""
+        try:
+            document = Document.from_json(text)
+        except ValidationError as error:
+            log.warning("configuration_rejected", source=source, errors=str(error))
+            return Err(str(error))
+        if not self._held.offer(document.revision, document):
+            return Ok(False)
+        self._json = text
+        self._metrics.revision.set(document.revision)
+        log.info("configuration_adopted", revision=document.revision, source=source)
+        self.documents.on_next(document)
+        return Ok(True)
+
+    async def follow(self, client, rng):
+        """Watch the store for newer documents until cancelled."""
+        version, failures = 0, 0
+        while True:
+            match await client.watch(CONFIGURATION_KEY, version):
+                case Ok(StoredObject(version=newer, value=value)):
+                    failures = 0
+                    if newer != version and value:
+                        self.offer(value, "store")
+                    elif newer == version == 0:
+                        await asyncio.sleep(FIRST_RETRY_SECONDS)
+                    version = newer
+                case Err():
+                    failures += 1
+                    bound = FIRST_RETRY_SECONDS * 2 ** min(failures, 10)
+                    delay = rng.uniform(0.5, 1.0) * min(MAX_RETRY_SECONDS, bound)
+                    await asyncio.sleep(delay)
--- /dev/null
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -0,0 +1,150 @@
+"""The entry: the process that callers reach through the balancer."""
+
+import asyncio
+from contextlib import contextmanager
+from itertools import count
+from random import Random
+
+import aiohttp
+import structlog
+from result import Err, Ok
+
+from wharf_coordination import Chooser, Code, Refusal
+from wharf_daemon.configuration_feed import ConfigurationFeed
+from wharf_daemon.entry.caller_api import CallerApi
+from wharf_daemon.entry.link_set import LinkSet
+from wharf_daemon.entry.pipeline_runner import PipelineRunner
+from wharf_daemon.entry.request_reader import RequestReader
+from wharf_daemon.entry.stage_runner import StageRunner
+from wharf_daemon.http_site import HttpSite
+from wharf_daemon.metrics import Metrics
+from wharf_daemon.operators_api import OperatorsApi
+from wharf_platform import ObjectClient
+from wharf_wire import Hello
+
+__all__ = ["Entry"]
+
+log = structlog.get_logger(__name__)
+
+
+class Entry:
+    """Take callers' requests and answer for their outcome."""
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.metrics = Metrics()
+        self.feed = ConfigurationFeed(self.metrics)
+        self.stopping = False
+        self._rng = Random(settings.seed)
+        self._incarnation = f"{self._rng.getrandbits(48):012x}"
+        self._request_numbers = count()
+        self._running = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
+        self.links = LinkSet(self, self._rng)
+
+    async def start(self):
+        """Listen for callers and operators, follow the store, open links."""
+        self._session = aiohttp.ClientSession()
+        self.store = ObjectClient(self._session, self.settings.platform)
+        self._callers = HttpSite(self._caller_application(), self.settings.listen)
+        self._operators = HttpSite(
+            OperatorsApi(self, self.metrics).application(),
+            self.settings.operators_listen,
+        )
+        await self._callers.start()
+        await self._operators.start()
+        self.feed.documents.subscribe(self._on_document)
+        self._follower = asyncio.create_task(self.feed.follow(self.store, self._rng))
+
+    @property
+    def port(self):
+        """Return the port on which callers connect."""
+        return self._callers.port
+
+    @property
+    def operators_port(self):
+        """Return the port of the operators' endpoints."""
+        return self._operators.port
+
+    async def stop(self):
+        """Show not ready, finish what runs, then leave."""
+        self.stopping = True
+        log.info("stopping", running=self._running)
+        try:
+            await asyncio.wait_for(self._idle.wait(), self.settings.stop_grace)
+        except TimeoutError:
+            log.warning("stop_grace_spent", running=self._running)
+        await self._callers.stop()
+        self._follower.cancel()
+        self.links.close()
+        await self._session.close()
+        await self._operators.stop()
+
+    def is_ready(self):
+        """Return whether the balancer may send callers here."""
+        return not self.stopping and self.feed.document.revision > 0
+
+    def hello(self):
+        """Return the first message of a link."""
+        settings = self.settings
+        return Hello(settings.name, settings.data_centre, self.feed.document.revision)
+
+    def next_request_id(self):
+        """Return an id that no other request of any entry has."""
+        return f"{self.settings.name}-{self._incarnation}-{next(self._request_numbers)}"
+
+    @contextmanager
+    def request(self):
+        """Count a request while it runs; yield a refusal when there is no room."""
+        if self._running >= self.settings.max_requests:
+            yield Err(Refusal.not_run(Code.ENTRY_FULL, f"{self._running} requests"))
+            return
+        self._running += 1
+        self._idle.clear()
+        try:
+            yield Ok(None)
+        finally:
+            self._running -= 1
+            if self._running == 0:
+                self._idle.set()
+
+    def dump(self):
+        """Return the process's state for operators."""
+        return {
+            "name": self.settings.name,
+            "data_centre": self.settings.data_centre,
+            "revision": self.feed.document.revision,
+            "stopping": self.stopping,
+            "running": self._running,
+            "store_calls": self.store.calls_by_kind,
+            "links": [
+                {
+                    "address": address,
+                    "upstream": link.name,
+                    "open": link.is_open,
+                    "in_flight": link.in_flight,
+                    "revision": link.peer_revision,
+                }
+                for address, link in sorted(self.links.by_address.items())
+            ],
+        }
+
+    def _caller_application(self):
+        settings = self.settings
+        stage_runner = StageRunner(
+            self.links,
+            Chooser(self._rng, settings.data_centre),
+            self.feed,
+            self.metrics,
+            settings.max_answer,
+        )
+        runner = PipelineRunner(stage_runner, self.feed, self.metrics)
+        reader = RequestReader(self.feed, settings.max_body)
+        return CallerApi(self, reader, runner, settings.max_body).application()
+
+    def _on_document(self, document):
+        upstreams = document.folder.upstreams.values()
+        addresses = {upstream.address for upstream in upstreams}
+        self.links.reconcile(addresses or self.settings.peers)
+        asyncio.ensure_future(self.links.offer_configuration())
--- /dev/null
+++ b/packages/daemon/src/wharf_daemon/entry/pipeline_runner.py
@@ -0,0 +1,61 @@
+"""Running of the stages of a request, one after the other."""
+
+import asyncio
+import json
+
+from result import Err, Ok, Result
+
+from wharf_coordination import Ran, Refusal
+from wharf_daemon.entry.request import Request
+from wharf_daemon.entry.stage_task import StageTask
+
+__all__ = ["PipelineRunner"]
+
+
+class PipelineRunner:
+    """Feed each stage the caller's input and the answers of the stages before."""
+
+    def __init__(self, stage_runner, feed, metrics):
+        self._stage_runner = stage_runner
+        self._feed = feed
+        self._metrics = metrics
+
+    async def run(self, request: Request, on_chunk=None) -> Result[bytes, Refusal]:
+        """Return the last stage's answer, or the first refusal.
+
+        With `on_chunk`, the last stage's chunks are also passed on as they come.
+        """
+        stages = self._feed.document.folder.pipelines[request.pipeline].stages
+        answers = {}
+        outcome = Ok(request.body)
+        for stage in stages:
+            is_last = stage is stages[-1]
+            body = self._input(request, answers)
+            task = StageTask(request, stage, body, on_chunk if is_last else None)
+            outcome = await self._run_stage(task)
+            if outcome.is_err():
+                return Err(self._refusal(outcome.unwrap_err(), answers))
+            answers[stage.name] = outcome.unwrap()
+        return outcome
+
+    async def _run_stage(self, task):
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        try:
+            return await self._stage_runner.run(task)
+        finally:
+            labels = (task.request.pipeline, task.stage.name)
+            elapsed = loop.time() - begin
+            self._metrics.stage_seconds.labels(*labels).observe(elapsed)
+
+    def _input(self, request, answers):
+        stages = b",".join(
+            json.dumps(name).encode() + b":" + answer
+            for name, answer in answers.items()
+        )
+        return b'{"input":' + request.body + b',"stages":{' + stages + b"}}"
+
+    def _refusal(self, refusal, answers):
+        # An earlier stage that answered has run, so the whole may not claim "no".
+        ran = Ran.UNKNOWN if answers else refusal.ran
+        return Refusal(refusal.code, ran, refusal.detail)
--- /dev/null
+++ b/packages/daemon/src/wharf_daemon/http_site.py
@@ -0,0 +1,46 @@
+"""A listening HTTP server that can be stopped."""
+
+from aiohttp import web
+
+__all__ = ["HttpSite", "split_address"]
+
+SHUTDOWN_SECONDS = 5.0
+
+
+def split_address(address):
+    """Return the host and port of a HOST:PORT address.
+
+    >>> split_address("127.0.0.1:80")
+    ('127.0.0.1', 80)
+    """
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class HttpSite:
+    """Serve one aiohttp application at one address."""
+
+    def __init__(self, application, address):
+        self._runner = web.AppRunner(
+            application,
+            access_log=None,
+            handler_cancellation=True,
+            shutdown_timeout=SHUTDOWN_SECONDS,
+        )
+        self._address = address
+
+    async def start(self):
+        """Start to listen."""
+        await self._runner.setup()
+        host, port = split_address(self._address)
+        site = web.TCPSite(self._runner, host, port)
+        await site.start()
+
+    @property
+    def port(self):
+        """Return the port in use, also when the settings asked for any."""
+        return self._runner.addresses[0][1]
+
+    async def stop(self):
+        """Stop to listen and close the connections."""
+        await self._runner.cleanup()
--- /dev/null
+++ b/packages/daemon/src/wharf_daemon/metrics.py
@@ -0,0 +1,48 @@
+"""Counters and histograms of one process."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+__all__ = ["Metrics"]
+
+STAGE_SECONDS_BUCKETS = (
+    *(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5),
+    *(1.0, 2.5, 5.0, 10.0, 30.0),
+)
+
+
+class Metrics:
+    """The metrics of one daemon, in a registry of its own."""
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self.requests = self._counter(
+            "wharf_requests", "Requests by outcome", ["pipeline", "code"]
+        )
+        self.attempts = self._counter(
+            "wharf_attempts", "Attempts of stages by outcome", ["stage", "code"]
+        )
+        self.dropped_frames = self._counter(
+            "wharf_dropped_frames", "Frames of attempts that are over", []
+        )
+        self.bad_messages = self._counter(
+            "wharf_bad_messages", "Malformed messages that closed a link", []
+        )
+        self.store_calls = self._counter(
+            "wharf_store_calls", "Calls of the platform's store", ["kind"]
+        )
+        self.stage_seconds = Histogram(
+            "wharf_stage_seconds",
+            "Time of a stage, retries included",
+            ["pipeline", "stage"],
+            buckets=STAGE_SECONDS_BUCKETS,
+            registry=self.registry,
+        )
+        self.links = Gauge("wharf_links", "Open links", registry=self.registry)
+        self.revision = Gauge(
+            "wharf_configuration_revision",
+            "Revision of the configuration in force",
+            registry=self.registry,
+        )
+
+    def _counter(self, name, text, labels):
+        return Counter(name, text, labels, registry=self.registry)
--- /dev/null
+++ b/packages/daemon/src/wharf_daemon/operators_api.py
@@ -0,0 +1,38 @@
+"""HTTP endpoints for operators: health, metrics and the state dump."""
+
+from aiohttp import web
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+__all__ = ["OperatorsApi"]
+
+
+class OperatorsApi:
+    """Serve /livez, /readyz, /metrics and /dump of one daemon."""
+
+    def __init__(self, daemon, metrics):
+        self._daemon = daemon
+        self._metrics = metrics
+
+    def application(self):
+        """Return the aiohttp application with the endpoints."""
+        application = web.Application()
+        application.router.add_get("/livez", self._livez)
+        application.router.add_get("/readyz", self._readyz)
+        application.router.add_get("/metrics", self._serve_metrics)
+        application.router.add_get("/dump", self._dump)
+        return application
+
+    async def _livez(self, request):
+        return web.Response(text="ok\n")
+
+    async def _readyz(self, request):
+        if self._daemon.is_ready():
+            return web.Response(text="ready\n")
+        return web.Response(status=503, text="not ready\n")
+
+    async def _serve_metrics(self, request):
+        body = generate_latest(self._metrics.registry)
+        return web.Response(body=body, headers={"Content-Type": CONTENT_TYPE_LATEST})
+
+    async def _dump(self, request):
+        return web.json_response(self._daemon.dump())
--- /dev/null
+++ b/packages/daemon/src/wharf_daemon/sidecar/__init__.py
@@ -0,0 +1,6 @@
+"""The process beside each upstream."""
+
+from wharf_daemon.sidecar.settings import SidecarSettings
+from wharf_daemon.sidecar.sidecar import Sidecar
+
+__all__ = ["Sidecar", "SidecarSettings"]
--- /dev/null
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -0,0 +1,176 @@
+"""The sidecar: one small process beside each upstream."""
+
+import asyncio
+from random import Random
+
+import aiohttp
+import structlog
+from result import Err, Result
+from websockets.asyncio.server import serve
+
+from wharf_coordination import Code, Gate, Refusal
+from wharf_daemon.configuration_feed import ConfigurationFeed
+from wharf_daemon.http_site import HttpSite, split_address
+from wharf_daemon.metrics import Metrics
+from wharf_daemon.operators_api import OperatorsApi
+from wharf_daemon.sidecar.link_server import LinkServer
+from wharf_daemon.sidecar.upstream_client import UpstreamClient
+from wharf_wire import MAX_FRAME_BYTES, Hello, Load
+from wharf_wire.limits import MAX_QUEUED_FRAMES
+
+__all__ = ["Sidecar"]
+
+SERVICE_TIME_WEIGHT = 0.2
+
+log = structlog.get_logger(__name__)
+
+
+class Sidecar:
+    """Guard one upstream: admit, run, answer, and report its load."""
+
+    def __init__(self, settings):
+        self.settings = settings
+        self.metrics = Metrics()
+        self.feed = ConfigurationFeed(self.metrics)
+        self.gate = Gate(settings.cold_limit, settings.max_limit)
+        self.links = set()
+        self.leaving = False
+        self._rng = Random(settings.seed)
+        self._service_time = 0.0
+        self._idle = asyncio.Event()
+        self._idle.set()
+
+    async def start(self):
+        """Listen for entries and operators and start to report load."""
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
+        )
+        self.upstream = UpstreamClient(
+            self._session, self.settings.upstream_url, self._observe_incarnation
+        )
+        self._operators = HttpSite(
+            OperatorsApi(self, self.metrics).application(),
+            self.settings.operators_listen,
+        )
+        await self._operators.start()
+        host, port = split_address(self.settings.listen)
+        self._server = await serve(
+            self._serve_link,
+            host,
+            port,
+            compression=None,
+            max_size=MAX_FRAME_BYTES,
+            max_queue=MAX_QUEUED_FRAMES,
+        )
+        self.feed.documents.subscribe(self._on_document)
+        self._reporter = asyncio.create_task(self._report_load())
+
+    @property
+    def port(self):
+        """Return the port on which entries connect."""
+        return self._server.sockets[0].getsockname()[1]
+
+    @property
+    def operators_port(self):
+        """Return the port of the operators' endpoints."""
+        return self._operators.port
+
+    async def stop(self):
+        """Refuse new calls, finish those that run, then leave."""
+        self.leaving = True
+        log.info("stopping", in_flight=self.gate.in_flight)
+        await self._broadcast_load()
+        try:
+            await asyncio.wait_for(self._idle.wait(), self.settings.stop_grace)
+        except TimeoutError:
+            log.warning("stop_grace_spent", in_flight=self.gate.in_flight)
+        self._reporter.cancel()
+        self._server.close()
+        await self._server.wait_closed()
+        await self._session.close()
+        await self._operators.stop()
+
+    def is_ready(self):
+        """Return whether the sidecar takes calls."""
+        return not self.leaving
+
+    def hello(self):
+        """Return the first message of a link."""
+        settings = self.settings
+        revision = self.feed.document.revision
+        return Hello(settings.upstream, settings.data_centre, revision)
+
+    def load(self):
+        """Return the present load report."""
+        return Load(
+            in_flight=self.gate.in_flight,
+            limit=self.gate.limit,
+            service_time=self._service_time,
+            leaving=self.leaving,
+            version="",
+            revision=self.feed.document.revision,
+        )
+
+    def admit(self, call) -> Result[None, Refusal]:
+        """Admit `call` to the upstream or refuse it as not run."""
+        if self.leaving:
+            return Err(Refusal.not_run(Code.UPSTREAM_LEAVING))
+        if self.settings.data_centre in self.feed.document.out_data_centres:
+            return Err(Refusal.not_run(Code.DATA_CENTRE_OUT))
+        admitted = self.gate.enter(self._now())
+        if admitted.is_ok():
+            self._idle.clear()
+        return admitted
+
+    def release(self, service_time, succeeded):
+        """Count an admitted call as ended."""
+        self.gate.leave(service_time, succeeded, self._now())
+        gain = SERVICE_TIME_WEIGHT * (service_time - self._service_time)
+        self._service_time += gain
+        if self.gate.in_flight == 0:
+            self._idle.set()
+
+    def dump(self):
+        """Return the process's state for operators."""
+        return {
+            "name": self.settings.name,
+            "upstream": self.settings.upstream,
+            "data_centre": self.settings.data_centre,
+            "revision": self.feed.document.revision,
+            "leaving": self.leaving,
+            "in_flight": self.gate.in_flight,
+            "limit": self.gate.limit,
+            "incarnation": self.gate.incarnation,
+            "service_time": self._service_time,
+            "links": sorted(link.peer for link in self.links),
+        }
+
+    async def _serve_link(self, socket):
+        link = LinkServer(socket, self)
+        self.links.add(link)
+        self.metrics.links.set(len(self.links))
+        try:
+            await link.serve()
+        finally:
+            self.links.discard(link)
+            self.metrics.links.set(len(self.links))
+
+    async def _report_load(self):
+        while True:
+            await asyncio.sleep(self.settings.load_interval)
+            await self._broadcast_load()
+
+    async def _broadcast_load(self):
+        report = self.load()
+        sends = (link.send(report) for link in tuple(self.links))
+        await asyncio.gather(*sends, return_exceptions=True)
+
+    def _on_document(self, document):
+        for link in tuple(self.links):
+            asyncio.ensure_future(link.offer_configuration())
+
+    def _observe_incarnation(self, incarnation):
+        self.gate.observe_incarnation(incarnation, self._now())
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/daemon/src/wharf_daemon/sidecar/upstream_client.py
@@ -0,0 +1,98 @@
+"""HTTP client of the upstream beside a sidecar."""
+
+import json
+from dataclasses import dataclass
+
+import aiohttp
+
+from wharf_coordination import Code, Refusal
+
+__all__ = ["UpstreamClient", "UpstreamError"]
+
+ATTEMPT_HEADER = "Attempt"
+REQUEST_HEADER = "Request"
+VERSION_HEADER = "Version"
+CUSTOMER_HEADER = "Customer"
+PRIORITY_HEADER = "Priority"
+RESUME_HEADER = "Resume-From"
+INCARNATION_HEADER = "Incarnation"
+
+
+@dataclass(frozen=True)
+class UpstreamError(Exception):
+    """The upstream gave no whole answer."""
+
+    refusal: Refusal
+
+
+class UpstreamClient:
+    """Run calls on one upstream and stream their answers."""
+
+    def __init__(self, session, base_url, on_incarnation):
+        self._session = session
+        self._base_url = base_url.rstrip("/")
+        self._on_incarnation = on_incarnation
+
+    async def run(self, call):
+        """Yield the chunks of the answer to `call`; raise UpstreamError."""
+        timeout = aiohttp.ClientTimeout(total=call.time_left)
+        path = "/v1/stream" if call.streaming else "/v1/run"
+        try:
+            async with self._session.post(
+                self._base_url + path,
+                data=call.body,
+                headers=self._headers(call),
+                timeout=timeout,
+            ) as response:
+                self._on_incarnation(response.headers.get(INCARNATION_HEADER, ""))
+                self._check_status(response)
+                if not call.streaming:
+                    yield await response.read()
+                    return
+                async for chunk in self._chunks(response):
+                    yield chunk
+        except aiohttp.ClientConnectorError as error:
+            failure = Refusal.not_run(Code.UPSTREAM_FAILED, str(error))
+            raise UpstreamError(failure) from error
+        except TimeoutError as error:
+            failure = Refusal.unknown(Code.DEADLINE_PASSED, "upstream timed out")
+            raise UpstreamError(failure) from error
+        except (aiohttp.ClientError, ValueError, KeyError) as error:
+            failure = Refusal.unknown(Code.UPSTREAM_FAILED, repr(error))
+            raise UpstreamError(failure) from error
+
+    def _headers(self, call):
+        return {
+            ATTEMPT_HEADER: call.attempt,
+            REQUEST_HEADER: call.request,
+            VERSION_HEADER: call.version,
+            CUSTOMER_HEADER: call.customer,
+            PRIORITY_HEADER: str(int(call.priority)),
+            RESUME_HEADER: str(call.resume_from),
+        }
+
+    def _check_status(self, response):
+        if response.status == 200:
+            return
+        detail = f"upstream answered status {response.status}"
+        if response.status in (429, 503):
+            raise UpstreamError(Refusal.not_run(Code.UPSTREAM_FULL, detail))
+        raise UpstreamError(Refusal.unknown(Code.UPSTREAM_FAILED, detail))
+
+    async def _chunks(self, response):
+        count = 0
+        async for line in response.content:
+            part = json.loads(line)
+            if "end" in part:
+                self._check_count(count, part["end"])
+                return
+            count += 1
+            yield part["text"].encode()
+        raise UpstreamError(
+            Refusal.unknown(Code.ANSWER_BROKEN, "stream ended without its last line")
+        )
+
+    def _check_count(self, count, declared):
+        if count != declared:
+            detail = f"stream declares {declared} chunks, sent {count}"
+            raise UpstreamError(Refusal.unknown(Code.ANSWER_BROKEN, detail))
--- /dev/null
+++ b/packages/platform/src/wharf_platform/conditional_update.py
@@ -0,0 +1,74 @@
+"""A read-modify-write of one object that settles lost answers."""
+
+import asyncio
+from dataclasses import dataclass
+from typing import Protocol
+
+from result import Err, Ok, Result
+
+from wharf_platform.object_client import ObjectClient
+from wharf_platform.store_error import (
+    Conflict,
+    StoreError,
+    Unavailable,
+    UnknownOutcome,
+)
+from wharf_platform.stored_object import StoredObject
+
+__all__ = ["Change", "ConditionalUpdate"]
+
+FIRST_DELAY_SECONDS = 0.05
+MAX_DELAY_SECONDS = 1.0
+
+
+class Change(Protocol):
+    """A change that a conditional update applies."""
+
+    def apply(self, stored: StoredObject) -> Result[bytes, object]:
+        """Return the new value, or why the change must not be made."""
+
+    def is_applied(self, stored: StoredObject) -> bool:
+        """Return whether `stored` shows that this change took effect."""
+
+
+@dataclass(slots=True)
+class ConditionalUpdate:
+    """Apply a change until it is written, rejected, or `attempts` are used up.
+
+    After a lost answer the object is read back and the change's own operation
+    id decides whether it took effect.
+    """
+
+    client: ObjectClient
+    rng: object
+    attempts: int = 6
+
+    async def run(self, key, change) -> Result[StoredObject, object]:
+        """Return the written object, or the last error."""
+        outcome: StoreError = Unavailable(key, "not tried")
+        may_be_written = False
+        for attempt in range(self.attempts):
+            if attempt:
+                await asyncio.sleep(self._delay(attempt))
+            read = await self.client.get(key)
+            if read.is_err():
+                outcome = read.unwrap_err()
+                continue
+            stored = read.unwrap()
+            if may_be_written and change.is_applied(stored):
+                return Ok(stored)
+            value = change.apply(stored)
+            if value.is_err():
+                return value
+            written = await self.client.put(key, value.unwrap(), stored.version)
+            if written.is_ok():
+                return written
+            outcome = written.unwrap_err()
+            may_be_written |= not isinstance(outcome, Conflict | Unavailable)
+        if may_be_written:
+            return Err(UnknownOutcome(key, "the answer of a write was lost"))
+        return Err(outcome)
+
+    def _delay(self, attempt):
+        bound = min(MAX_DELAY_SECONDS, FIRST_DELAY_SECONDS * 2**attempt)
+        return self.rng.uniform(0, bound)
--- /dev/null
+++ b/packages/platform/src/wharf_platform/configuration/__init__.py
@@ -0,0 +1,30 @@
+"""Validated models of the configuration that operators apply."""
+
+from wharf_platform.configuration.customer import Customer
+from wharf_platform.configuration.data_centre import DataCentre
+from wharf_platform.configuration.document import CONFIGURATION_KEY, Document
+from wharf_platform.configuration.fault import Fault
+from wharf_platform.configuration.folder import Folder
+from wharf_platform.configuration.jsonc import read_model, read_object, validate
+from wharf_platform.configuration.pipeline import Pipeline
+from wharf_platform.configuration.pool import Pool
+from wharf_platform.configuration.reader import read_folder
+from wharf_platform.configuration.stage import Stage
+from wharf_platform.configuration.upstream import Upstream
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "Customer",
+    "DataCentre",
+    "Document",
+    "Fault",
+    "Folder",
+    "Pipeline",
+    "Pool",
+    "Stage",
+    "Upstream",
+    "read_folder",
+    "read_model",
+    "read_object",
+    "validate",
+]
--- /dev/null
+++ b/packages/platform/src/wharf_platform/configuration/document.py
@@ -0,0 +1,41 @@
+"""The configuration in force, as the platform's store keeps it."""
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from wharf_platform.configuration.folder import Folder
+
+__all__ = ["CONFIGURATION_KEY", "Document"]
+
+CONFIGURATION_KEY = "configuration/current"
+
+
+class Document(BaseModel):
+    """One accepted configuration.
+
+    `revision` grows by one with each accepted change; `operation` is the id of
+    the write, by which its writer recognises it after a lost answer. What
+    operators command rather than declare, such as data centres taken out, stays
+    when a folder is applied.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    revision: int = Field(ge=0)
+    operation: str = ""
+    folder: Folder = Field(default_factory=Folder)
+    out_data_centres: frozenset[str] = frozenset()
+
+    @classmethod
+    def from_json(cls, text):
+        """Return the validated document in `text`; raise ValidationError."""
+        return cls.model_validate_json(text)
+
+    def to_json(self):
+        """Return the document as JSON bytes."""
+        return self.model_dump_json().encode()
+
+    def successor(self, operation, **changes):
+        """Return the next revision with `changes`, validated as a whole."""
+        fields = dict(self) | changes
+        fields |= {"revision": self.revision + 1, "operation": operation}
+        return type(self).model_validate(fields)
--- /dev/null
+++ b/packages/platform/src/wharf_platform/configuration/pool.py
@@ -0,0 +1,19 @@
+"""Settings of one pool of equal upstreams."""
+
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, Field
+
+__all__ = ["Pool"]
+
+
+class Pool(BaseModel):
+    """A pool of upstreams that run the same model or service.
+
+    `version` is the version that traffic uses while no rollout is under way.
+    """
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+    kind: Literal["engine", "service"] = "engine"
+    version: str = Field(default="1", min_length=1, max_length=100)
--- /dev/null
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -0,0 +1,13 @@
+"""The command line of the stand-ins."""
+
+import sys
+
+import defopt
+
+from wharf_standins.demo import demo
+from wharf_standins.serve import engine, platform
+
+__all__ = []
+
+if __name__ == "__main__":
+    sys.exit(defopt.run([demo, engine, platform], no_negated_flags=True))
--- /dev/null
+++ b/packages/standins/src/wharf_standins/loopback.py
@@ -0,0 +1,134 @@
+"""A whole system in one process on loopback."""
+
+import asyncio
+from contextlib import AsyncExitStack
+
+import aiohttp
+
+from wharf_daemon import Entry, EntrySettings, Sidecar, SidecarSettings
+from wharf_daemon.http_site import HttpSite
+from wharf_platform import ObjectClient
+from wharf_platform.configuration import CONFIGURATION_KEY, Document, Folder
+from wharf_standins.engine import Engine
+from wharf_standins.platform import Platform
+
+__all__ = ["Loopback"]
+
+ANY_PORT = "127.0.0.1:0"
+
+
+class Loopback:
+    """Stand-ins, sidecars and entries on free ports, stopped on exit.
+
+    `shape` maps a pool's name to its upstreams' data centres.
+    """
+
+    def __init__(self, shape, pipelines, entries=1, customers=("acme",), seed=1):
+        self._shape = shape
+        self._pipelines = pipelines
+        self._entry_count = entries
+        self._customers = customers
+        self._seed = seed
+        self._stack = AsyncExitStack()
+        self.engine_by_name = {}
+        self.sidecar_by_name = {}
+        self.entries = []
+        self.platform = Platform()
+
+    async def __aenter__(self):
+        self.session = await self._stack.enter_async_context(aiohttp.ClientSession())
+        site = await self._site(self.platform.application())
+        self.platform_url = f"http://127.0.0.1:{site.port}"
+        self.store = ObjectClient(self.session, self.platform_url)
+        for pool, data_centres in self._shape.items():
+            for number, data_centre in enumerate(data_centres):
+                await self._start_upstream(f"{pool}-{number}", data_centre)
+        await self.publish(Document(revision=1, folder=self.folder()))
+        for number in range(self._entry_count):
+            await self._start_entry(f"entry-{number}")
+        await self._until_linked()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._stack.aclose()
+
+    def folder(self):
+        """Return the operators' folder for what runs here."""
+        names = {name for zone in self._shape.values() for name in zone}
+        upstreams = {
+            name: {
+                "pool": name.rpartition("-")[0],
+                "data_centre": sidecar.settings.data_centre,
+                "address": f"127.0.0.1:{sidecar.port}",
+            }
+            for name, sidecar in self.sidecar_by_name.items()
+        }
+        return Folder.model_validate(
+            {
+                "data_centres": {name: {} for name in names},
+                "customers": {name: {} for name in self._customers},
+                "pools": {name: {} for name in self._shape},
+                "upstreams": upstreams,
+                "pipelines": self._pipelines,
+            }
+        )
+
+    async def publish(self, document):
+        """Write `document` over whatever the store holds."""
+        stored = (await self.store.get(CONFIGURATION_KEY)).unwrap()
+        value = document.to_json()
+        (await self.store.put(CONFIGURATION_KEY, value, stored.version)).unwrap()
+
+    def entry_url(self, number=0):
+        """Return the callers' URL of an entry."""
+        return f"http://127.0.0.1:{self.entries[number].port}"
+
+    async def _start_upstream(self, name, data_centre):
+        engine = Engine(name, data_centre)
+        site = await self._site(engine.application())
+        settings = SidecarSettings(
+            name=f"sidecar-{name}",
+            data_centre=data_centre,
+            listen=ANY_PORT,
+            operators_listen=ANY_PORT,
+            platform=self.platform_url,
+            upstream=name,
+            upstream_url=f"http://127.0.0.1:{site.port}",
+            seed=self._seed,
+        )
+        sidecar = Sidecar(settings)
+        await sidecar.start()
+        self._stack.push_async_callback(sidecar.stop)
+        self.engine_by_name[name] = engine
+        self.sidecar_by_name[name] = sidecar
+
+    async def _start_entry(self, name):
+        settings = EntrySettings(
+            name=name,
+            data_centre=next(iter(self._shape.values()))[0],
+            listen=ANY_PORT,
+            operators_listen=ANY_PORT,
+            platform=self.platform_url,
+            seed=self._seed,
+        )
+        entry = Entry(settings)
+        await entry.start()
+        self._stack.push_async_callback(entry.stop)
+        self.entries.append(entry)
+
+    async def _site(self, application):
+        site = HttpSite(application, ANY_PORT)
+        await site.start()
+        self._stack.push_async_callback(site.stop)
+        return site
+
+    async def _until_linked(self):
+        async with asyncio.timeout(10):
+            while not all(self._is_linked(entry) for entry in self.entries):
+                await asyncio.sleep(0.01)
+
+    def _is_linked(self, entry):
+        links = entry.links.by_address.values()
+        return len(links) == len(self.sidecar_by_name) and all(
+            link.is_open for link in links
+        )
--- /dev/null
+++ b/packages/wire/src/wharf_wire/__init__.py
@@ -0,0 +1,28 @@
+"""Validated messages between vanillawharf's own processes, as CBOR frames."""
+
+from wharf_wire.call import Call
+from wharf_wire.cancel import Cancel
+from wharf_wire.chunk import Chunk
+from wharf_wire.codec import Message, decode, encode
+from wharf_wire.configuration_offer import ConfigurationOffer
+from wharf_wire.end import End
+from wharf_wire.failed import Failed
+from wharf_wire.hello import Hello
+from wharf_wire.limits import MAX_FRAME_BYTES, PROTOCOL_VERSION
+from wharf_wire.load import Load
+
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "PROTOCOL_VERSION",
+    "Call",
+    "Cancel",
+    "Chunk",
+    "ConfigurationOffer",
+    "End",
+    "Failed",
+    "Hello",
+    "Load",
+    "Message",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/packages/wire/src/wharf_wire/call.py
@@ -0,0 +1,34 @@
+"""A call of one stage, from an entry to a sidecar."""
+
+from typing import Literal
+
+from pydantic.dataclasses import dataclass
+
+from wharf_coordination import Priority
+from wharf_wire.fields import Body, Count, Name, Seconds
+
+__all__ = ["Call"]
+
+
+@dataclass(frozen=True, slots=True)
+class Call:
+    """Ask the sidecar to run one attempt of a stage.
+
+    `time_left` is in seconds; `attempt` is unique for each attempt; `resume_from`
+    is the first chunk that the entry still needs.
+    """
+
+    attempt: Name
+    request: Name
+    pipeline: Name
+    stage: Name
+    customer: Name
+    version: Name
+    priority: Priority
+    time_left: Seconds
+    idempotent: bool
+    streaming: bool
+    body: Body
+    revision: Count
+    resume_from: Count = 0
+    kind: Literal["call"] = "call"
--- /dev/null
+++ b/packages/wire/src/wharf_wire/hello.py
@@ -0,0 +1,21 @@
+"""The first message on a link, sent by both sides."""
+
+from typing import Literal
+
+from pydantic.dataclasses import dataclass
+
+from wharf_wire.fields import Count, Name
+from wharf_wire.limits import PROTOCOL_VERSION
+
+__all__ = ["Hello"]
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """Name the sender, its data centre and the configuration it holds."""
+
+    name: Name
+    data_centre: Name
+    revision: Count
+    protocol: Literal[PROTOCOL_VERSION] = PROTOCOL_VERSION
+    kind: Literal["hello"] = "hello"
--- /dev/null
+++ b/packages/wire/src/wharf_wire/limits.py
@@ -0,0 +1,17 @@
+"""Bounds on what one process accepts from another."""
+
+__all__ = [
+    "MAX_BODY_BYTES",
+    "MAX_DOCUMENT_BYTES",
+    "MAX_FRAME_BYTES",
+    "MAX_NAME_LENGTH",
+    "MAX_QUEUED_FRAMES",
+    "PROTOCOL_VERSION",
+]
+
+PROTOCOL_VERSION = 1
+MAX_NAME_LENGTH = 200
+MAX_BODY_BYTES = 1 << 20
+MAX_DOCUMENT_BYTES = 1 << 20
+MAX_FRAME_BYTES = MAX_BODY_BYTES + (64 << 10)
+MAX_QUEUED_FRAMES = 64
