Spread facts from entry to entry through the sidecars

Cause: vetoes and condemnations must travel while the store is down. Change: a set of expiring facts that only grows, passed on over every link; attempts publish their outcome to subscribers.

--- a/packages/coordination/src/wharf_coordination/__init__.py
+++ b/packages/coordination/src/wharf_coordination/__init__.py
@@ -9,6 +9,8 @@
 from wharf_coordination.chooser import Chooser
 from wharf_coordination.code import Code
 from wharf_coordination.deadline import Deadline
+from wharf_coordination.fact import Fact, FactKind
+from wharf_coordination.fact_set import FactSet
 from wharf_coordination.gate import Gate
 from wharf_coordination.monotone import Monotone
 from wharf_coordination.priority import Priority
@@ -21,6 +23,9 @@
     "Chooser",
     "Code",
     "Deadline",
+    "Fact",
+    "FactKind",
+    "FactSet",
     "Gate",
     "Monotone",
     "Priority",
--- /dev/null
+++ b/packages/coordination/src/wharf_coordination/fact_set.py
@@ -0,0 +1,70 @@
+"""A set of facts that only grows until its members expire."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from wharf_coordination.fact import Fact, FactKind
+
+__all__ = ["FactSet"]
+
+LIFETIME_SECONDS = 24 * 3600.0
+MAX_FACTS = 10_000
+
+
+@dataclass(slots=True)
+class FactSet:
+    """Accumulate facts; adding is idempotent and its order does not matter.
+
+    Merging needs no agreement, so facts may travel by any path. `max_facts`
+    bounds the memory: the oldest fact is dropped first.
+    """
+
+    lifetime: float = LIFETIME_SECONDS
+    max_facts: int = MAX_FACTS
+    _fact_by_id: dict[tuple[FactKind, str], Fact] = field(default_factory=dict)
+    _expiry_by_id: dict[tuple[FactKind, str], float] = field(default_factory=dict)
+
+    def add(self, facts: Iterable[Fact], now, lifetime=None) -> list[Fact]:
+        """Add facts for `lifetime` seconds; return those that were new.
+
+        >>> held = FactSet()
+        >>> veto = Fact(FactKind.VETO, "model@2", "errors")
+        >>> held.add([veto], now=0.0) == [veto], held.add([veto], now=1.0)
+        (True, [])
+        """
+        self._expire(now)
+        fresh = [fact for fact in facts if fact.id not in self._fact_by_id]
+        for fact in fresh:
+            self._fact_by_id[fact.id] = fact
+            self._expiry_by_id[fact.id] = now + (lifetime or self.lifetime)
+        while len(self._fact_by_id) > self.max_facts:
+            self._drop(next(iter(self._fact_by_id)))
+        return fresh
+
+    def holds(self, kind, subject, now):
+        """Return whether the fact is held."""
+        expiry = self._expiry_by_id.get((kind, subject))
+        return expiry is not None and now < expiry
+
+    def find(self, kind, subject, now) -> Fact | None:
+        """Return the held fact, or None."""
+        if not self.holds(kind, subject, now):
+            return None
+        return self._fact_by_id[kind, subject]
+
+    def remaining(self, now) -> list[tuple[Fact, float]]:
+        """Return each held fact with the seconds it still holds."""
+        self._expire(now)
+        return [
+            (fact, self._expiry_by_id[fact.id] - now)
+            for fact in self._fact_by_id.values()
+        ]
+
+    def _expire(self, now):
+        expired = [id for id, expiry in self._expiry_by_id.items() if expiry <= now]
+        for id in expired:
+            self._drop(id)
+
+    def _drop(self, id):
+        del self._fact_by_id[id]
+        del self._expiry_by_id[id]
--- /dev/null
+++ b/packages/daemon/src/wharf_daemon/entry/attempt_runner.py
@@ -0,0 +1,84 @@
+"""Running of one attempt of a stage on a chosen upstream."""
+
+import asyncio
+
+from reactivex.subject import Subject
+from result import Err, Result
+
+from wharf_coordination import AnswerAssembler, Code, Refusal
+from wharf_daemon.entry.attempt_outcome import AttemptOutcome
+from wharf_wire import Call, Chunk, Failed
+
+__all__ = ["AttemptRunner"]
+
+MIN_TIME_LEFT_SECONDS = 0.001
+
+
+class AttemptRunner:
+    """Send one call over a link and collect its answer.
+
+    Each ended attempt is published to the subscribers of `outcomes`.
+    """
+
+    def __init__(self, links, feed):
+        self._links = links
+        self._feed = feed
+        self.outcomes = Subject()
+
+    async def run(
+        self, task, candidate, number, answer: AnswerAssembler
+    ) -> Result[bytes, Refusal]:
+        """Return the whole answer of attempt `number`, or why there is none."""
+        call = self._call(task, candidate, number, answer)
+        upstream = self._feed.document.folder.upstreams[candidate.upstream]
+        link = self._links.by_address[upstream.address]
+        begin = self._now()
+        try:
+            async with asyncio.timeout(call.time_left):
+                result = await self._collect(task, link, call, answer)
+        except TimeoutError:
+            result = Err(Refusal.unknown(Code.DEADLINE_PASSED))
+        now = self._now()
+        outcome = AttemptOutcome(task, candidate, result.err(), now - begin, now)
+        self.outcomes.on_next(outcome)
+        return result
+
+    async def _collect(self, task, link, call, answer):
+        frames = link.attempt(call)
+        try:
+            async for frame in frames:
+                match frame:
+                    case Failed():
+                        return Err(frame.to_refusal())
+                    case Chunk(sequence=sequence, body=body):
+                        added = answer.add(sequence, body)
+                        if added.is_err():
+                            return added
+                        if added.unwrap() and task.on_chunk:
+                            await task.on_chunk(body)
+                    case end:
+                        return answer.close(end.count)
+        finally:
+            await frames.aclose()
+        return Err(Refusal.unknown(Code.LINK_LOST))
+
+    def _call(self, task, candidate, number, answer):
+        request = task.request
+        return Call(
+            attempt=f"{request.id}/{task.stage.name}/{number}",
+            request=request.id,
+            pipeline=request.pipeline,
+            stage=task.stage.name,
+            customer=request.customer,
+            version=candidate.version,
+            priority=request.priority,
+            time_left=max(request.deadline.left(self._now()), MIN_TIME_LEFT_SECONDS),
+            idempotent=task.stage.idempotent,
+            streaming=task.streaming,
+            body=task.body,
+            revision=self._feed.document.revision,
+            resume_from=answer.next_sequence,
+        )
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -11,11 +11,13 @@
 
 from wharf_coordination import Chooser, Code, Refusal
 from wharf_daemon.configuration_feed import ConfigurationFeed
+from wharf_daemon.entry.attempt_runner import AttemptRunner
 from wharf_daemon.entry.caller_api import CallerApi
 from wharf_daemon.entry.link_set import LinkSet
 from wharf_daemon.entry.pipeline_runner import PipelineRunner
 from wharf_daemon.entry.request_reader import RequestReader
 from wharf_daemon.entry.stage_runner import StageRunner
+from wharf_daemon.fact_feed import FactFeed
 from wharf_daemon.http_site import HttpSite
 from wharf_daemon.metrics import Metrics
 from wharf_daemon.operators_api import OperatorsApi
@@ -34,6 +36,7 @@
         self.settings = settings
         self.metrics = Metrics()
         self.feed = ConfigurationFeed(self.metrics)
+        self.facts = FactFeed()
         self.stopping = False
         self._rng = Random(settings.seed)
         self._incarnation = f"{self._rng.getrandbits(48):012x}"
@@ -55,6 +58,7 @@
         await self._callers.start()
         await self._operators.start()
         self.feed.documents.subscribe(self._on_document)
+        self.facts.news.subscribe(self._broadcast_facts)
         self._follower = asyncio.create_task(self.feed.follow(self.store, self._rng))
 
     @property
@@ -118,6 +122,7 @@
             "stopping": self.stopping,
             "running": self._running,
             "store_calls": self.store.calls_by_kind,
+            "facts": self.facts.dump(),
             "links": [
                 {
                     "address": address,
@@ -132,17 +137,26 @@
 
     def _caller_application(self):
         settings = self.settings
+        attempt_runner = AttemptRunner(self.links, self.feed)
+        attempt_runner.outcomes.subscribe(self._count_attempt)
         stage_runner = StageRunner(
             self.links,
             Chooser(self._rng, settings.data_centre),
             self.feed,
-            self.metrics,
+            attempt_runner,
             settings.max_answer,
         )
         runner = PipelineRunner(stage_runner, self.feed, self.metrics)
         reader = RequestReader(self.feed, settings.max_body)
         return CallerApi(self, reader, runner, settings.max_body).application()
 
+    def _count_attempt(self, outcome):
+        labels = (outcome.task.stage.name, outcome.code.label)
+        self.metrics.attempts.labels(*labels).inc()
+
+    def _broadcast_facts(self, message):
+        asyncio.ensure_future(self.links.send_all(message))
+
     def _on_document(self, document):
         upstreams = document.folder.upstreams.values()
         addresses = {upstream.address for upstream in upstreams}
--- a/packages/daemon/src/wharf_daemon/entry/link_set.py
+++ b/packages/daemon/src/wharf_daemon/entry/link_set.py
@@ -59,6 +59,10 @@
         offers = (link.offer_configuration() for link in self.by_address.values())
         await asyncio.gather(*offers)
 
+    async def send_all(self, message):
+        """Send a message over every open link."""
+        await asyncio.gather(*(link.send(message) for link in self.by_address.values()))
+
     def close(self):
         """Close all links."""
         self.reconcile(())
--- a/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
+++ b/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
@@ -16,6 +16,7 @@
     Chunk,
     ConfigurationOffer,
     End,
+    Facts,
     Failed,
     Hello,
     Load,
@@ -100,19 +101,25 @@
         finally:
             self._queue_by_attempt.pop(call.attempt, None)
             if not ended:
-                await self._cancel(call.attempt)
+                await self.send(Cancel(call.attempt))
 
     async def offer_configuration(self):
         """Hand the held configuration to the sidecar if it is behind."""
         feed = self._entry.feed
         if self._socket and feed.document.revision > self.peer_revision:
             self.peer_revision = feed.document.revision
-            offer = ConfigurationOffer(feed.document.revision, feed.json)
+            await self.send(ConfigurationOffer(feed.document.revision, feed.json))
+
+    async def send(self, message):
+        """Send a message unless the link is lost."""
+        if self._socket:
             with suppress(ConnectionClosed):
-                await self._socket.send(encode(offer))
+                await self._socket.send(encode(message))
 
     async def _serve(self, socket):
         await socket.send(encode(self._entry.hello()))
+        for message in self._entry.facts.messages():
+            await socket.send(encode(message))
         self._socket = socket
         log.info("link_opened", address=self.address)
         try:
@@ -151,6 +158,8 @@
             case ConfigurationOffer(revision=revision, document=document):
                 self.peer_revision = max(self.peer_revision, revision)
                 self._entry.feed.offer(document, self.name)
+            case Facts():
+                self._entry.facts.receive(message)
             case _:
                 self._entry.metrics.bad_messages.inc()
                 await self._socket.close(1002, f"unexpected {message.kind}")
@@ -169,10 +178,5 @@
             message = Failed.from_refusal(attempt, broken)
         queue.put_nowait(message)
 
-    async def _cancel(self, attempt):
-        if self._socket:
-            with suppress(ConnectionClosed):
-                await self._socket.send(encode(Cancel(attempt)))
-
     def _failed(self, call, refusal):
         return Failed.from_refusal(call.attempt, refusal)
--- a/packages/daemon/src/wharf_daemon/sidecar/link_server.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/link_server.py
@@ -15,6 +15,7 @@
     Chunk,
     ConfigurationOffer,
     End,
+    Facts,
     Failed,
     Hello,
     decode,
@@ -44,6 +45,8 @@
         try:
             await self.send(self._sidecar.hello())
             await self.send(self._sidecar.load())
+            for message in self._sidecar.facts.messages():
+                await self.send(message)
             async for frame in self._socket:
                 match decode(frame):
                     case Ok(message):
@@ -61,6 +64,11 @@
         """Send a message; wait while the peer reads too slowly."""
         await self._socket.send(encode(message))
 
+    async def send_quietly(self, message):
+        """Send a message unless the link is lost."""
+        with suppress(ConnectionClosed):
+            await self.send(message)
+
     async def _handle(self, message):
         match message:
             case Call():
@@ -75,6 +83,8 @@
             case ConfigurationOffer(revision=revision, document=document):
                 self.peer_revision = max(self.peer_revision, revision)
                 self._sidecar.feed.offer(document, self.peer)
+            case Facts():
+                self._sidecar.facts.receive(message)
             case _:
                 self._sidecar.metrics.bad_messages.inc()
                 await self._socket.close(1002, f"unexpected {message.kind}")
@@ -84,7 +94,9 @@
         revision = self._sidecar.feed.document.revision
         if revision > self.peer_revision:
             self.peer_revision = revision
-            await self.send(ConfigurationOffer(revision, self._sidecar.feed.json))
+            await self.send_quietly(
+                ConfigurationOffer(revision, self._sidecar.feed.json)
+            )
 
     def _start(self, call):
         if call.attempt in self._seen:
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -10,6 +10,7 @@
 
 from wharf_coordination import Code, Gate, Refusal
 from wharf_daemon.configuration_feed import ConfigurationFeed
+from wharf_daemon.fact_feed import FactFeed
 from wharf_daemon.http_site import HttpSite, split_address
 from wharf_daemon.metrics import Metrics
 from wharf_daemon.operators_api import OperatorsApi
@@ -32,6 +33,7 @@
         self.settings = settings
         self.metrics = Metrics()
         self.feed = ConfigurationFeed(self.metrics)
+        self.facts = FactFeed()
         self.gate = Gate(settings.cold_limit, settings.max_limit)
         self.links = set()
         self.leaving = False
@@ -63,6 +65,7 @@
             max_queue=MAX_QUEUED_FRAMES,
         )
         self.feed.documents.subscribe(self._on_document)
+        self.facts.news.subscribe(self._broadcast_facts)
         self._reporter = asyncio.create_task(self._report_load())
 
     @property
@@ -142,6 +145,7 @@
             "limit": self.gate.limit,
             "incarnation": self.gate.incarnation,
             "service_time": self._service_time,
+            "facts": self.facts.dump(),
             "links": sorted(link.peer for link in self.links),
         }
 
@@ -165,6 +169,10 @@
         sends = (link.send(report) for link in tuple(self.links))
         await asyncio.gather(*sends, return_exceptions=True)
 
+    def _broadcast_facts(self, message):
+        for link in tuple(self.links):
+            asyncio.ensure_future(link.send_quietly(message))
+
     def _on_document(self, document):
         for link in tuple(self.links):
             asyncio.ensure_future(link.offer_configuration())
--- a/packages/wire/src/wharf_wire/__init__.py
+++ b/packages/wire/src/wharf_wire/__init__.py
@@ -6,6 +6,7 @@
 from wharf_wire.codec import Message, decode, encode
 from wharf_wire.configuration_offer import ConfigurationOffer
 from wharf_wire.end import End
+from wharf_wire.facts import FactItem, Facts
 from wharf_wire.failed import Failed
 from wharf_wire.hello import Hello
 from wharf_wire.limits import MAX_FRAME_BYTES, PROTOCOL_VERSION
@@ -19,6 +20,8 @@
     "Chunk",
     "ConfigurationOffer",
     "End",
+    "FactItem",
+    "Facts",
     "Failed",
     "Hello",
     "Load",
--- a/packages/wire/src/wharf_wire/codec.py
+++ b/packages/wire/src/wharf_wire/codec.py
@@ -12,6 +12,7 @@
 from wharf_wire.chunk import Chunk
 from wharf_wire.configuration_offer import ConfigurationOffer
 from wharf_wire.end import End
+from wharf_wire.facts import Facts
 from wharf_wire.failed import Failed
 from wharf_wire.hello import Hello
 from wharf_wire.limits import MAX_FRAME_BYTES
@@ -20,7 +21,7 @@
 __all__ = ["Message", "decode", "encode"]
 
 Message = Annotated[
-    Call | Cancel | Chunk | ConfigurationOffer | End | Failed | Hello | Load,
+    Call | Cancel | Chunk | ConfigurationOffer | End | Facts | Failed | Hello | Load,
     Field(discriminator="kind"),
 ]
 _ADAPTER = TypeAdapter(Message)
