--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -17,6 +17,7 @@
 from wharf_daemon.entry.pipeline_runner import PipelineRunner
 from wharf_daemon.entry.request_reader import RequestReader
 from wharf_daemon.entry.stage_runner import StageRunner
+from wharf_daemon.entry.version_router import VersionRouter
 from wharf_daemon.fact_feed import FactFeed
 from wharf_daemon.http_site import HttpSite
 from wharf_daemon.metrics import Metrics
@@ -143,6 +144,7 @@
             self.links,
             Chooser(self._rng, settings.data_centre),
             self.feed,
+            VersionRouter(self.feed),
             attempt_runner,
             settings.max_answer,
         )
--- a/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
+++ b/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
@@ -118,9 +118,9 @@
 
     async def _serve(self, socket):
         await socket.send(encode(self._entry.hello()))
-        for message in self._entry.facts.messages():
-            await socket.send(encode(message))
         self._socket = socket
+        for message in self._entry.facts.messages():
+            await self.send(message)
         log.info("link_opened", address=self.address)
         try:
             async for frame in socket:
--- a/packages/daemon/src/wharf_daemon/entry/stage_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/stage_runner.py
@@ -15,10 +15,11 @@
 class StageRunner:
     """Choose an upstream for each attempt and decide whether to try again."""
 
-    def __init__(self, links, chooser, feed, attempt_runner, max_answer):
+    def __init__(self, links, chooser, feed, versions, attempt_runner, max_answer):
         self._links = links
         self._chooser = chooser
         self._feed = feed
+        self._versions = versions
         self._attempt_runner = attempt_runner
         self._max_answer = max_answer
 
@@ -46,9 +47,10 @@
     def _choose(self, task, tried):
         document = self._feed.document
         pool = task.stage.pool
-        version = document.folder.pools[pool].version
+        now = self._now()
+        version = self._versions.version_for(task, now)
         candidates = self._links.candidates(document, pool, version, tried)
-        return self._chooser.choose(candidates, self._now())
+        return self._chooser.choose(candidates, now)
 
     def _may_retry(self, task, refusal):
         return refusal.ran is Ran.NO or task.stage.idempotent
