Measure the routing policy against two baselines on real daemons

Cause: no later change to routing could be judged without a measurement. Change: make bench starts three entries and 18 sidecars on loopback before upstreams that slow down under load, are slow when cold and fall over above what they bear. Open-loop seeded arrivals with bursts; round robin and least in flight without a gate run side by side with the project's policy. The entry's chooser and the sidecar's gate became replaceable for that.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,10 @@
 PACKAGES := coordination wire platform daemon control standins
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 
-.PHONY: demo test lint setup
+.PHONY: bench demo test lint setup
+
+bench: setup
+	$(BIN)/python -m wharf_standins bench
 
 demo: setup
 	$(BIN)/python -m wharf_standins demo
--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -9,12 +9,13 @@
 import structlog
 from result import Err, Ok
 
-from wharf_coordination import Chooser, Code, Refusal
+from wharf_coordination import Code, Refusal
 from wharf_daemon.configuration_feed import ConfigurationFeed
 from wharf_daemon.entry.attempt_runner import AttemptRunner
 from wharf_daemon.entry.caller_api import CallerApi
 from wharf_daemon.entry.link_set import LinkSet
 from wharf_daemon.entry.pipeline_runner import PipelineRunner
+from wharf_daemon.entry.policy import EntryPolicy
 from wharf_daemon.entry.request_reader import RequestReader
 from wharf_daemon.entry.stage_runner import StageRunner
 from wharf_daemon.entry.version_router import VersionRouter
@@ -33,13 +34,14 @@
 class Entry:
     """Take callers' requests and answer for their outcome."""
 
-    def __init__(self, settings):
+    def __init__(self, settings, policy=None):
         self.settings = settings
         self.metrics = Metrics()
         self.feed = ConfigurationFeed(self.metrics)
         self.facts = FactFeed()
         self.stopping = False
         self._rng = Random(settings.seed)
+        self._policy = policy or EntryPolicy.standard(self._rng, settings.data_centre)
         self._incarnation = f"{self._rng.getrandbits(48):012x}"
         self._request_numbers = count()
         self._running = 0
@@ -139,10 +141,11 @@
     def _caller_application(self):
         settings = self.settings
         attempt_runner = AttemptRunner(self.links, self.feed)
-        attempt_runner.outcomes.subscribe(self._count_attempt)
+        self.outcomes = attempt_runner.outcomes
+        self.outcomes.subscribe(self._count_attempt)
         stage_runner = StageRunner(
             self.links,
-            Chooser(self._rng, settings.data_centre),
+            self._policy.chooser,
             self.feed,
             VersionRouter(self.feed),
             attempt_runner,
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -29,12 +29,12 @@
 class Sidecar:
     """Guard one upstream: admit, run, answer, and report its load."""
 
-    def __init__(self, settings):
+    def __init__(self, settings, gate=None):
         self.settings = settings
         self.metrics = Metrics()
         self.feed = ConfigurationFeed(self.metrics)
         self.facts = FactFeed()
-        self.gate = Gate(settings.cold_limit, settings.max_limit)
+        self.gate = gate or Gate(settings.cold_limit, settings.max_limit)
         self.links = set()
         self.leaving = False
         self._rng = Random(settings.seed)
@@ -93,6 +93,11 @@
         await self._session.close()
         await self._operators.stop()
 
+    def abort(self):
+        """Drop all links at once, as the loss of the host would."""
+        self.leaving = True
+        self._server.close()
+
     def is_ready(self):
         """Return whether the sidecar takes calls."""
         return not self.leaving
--- /dev/null
+++ b/packages/standins/src/wharf_standins/bench/arrival.py
@@ -0,0 +1,45 @@
+"""Open-loop arrivals with bursts."""
+
+from dataclasses import dataclass
+from random import Random
+
+from wharf_standins.bench.request_class import REQUEST_CLASSES, RequestClass
+
+__all__ = ["Arrival", "arrivals"]
+
+BURST_PERIOD_SECONDS = 4.0
+BURST_SECONDS = 0.5
+BURST_FACTOR = 2.0
+CALM_FACTOR = (BURST_PERIOD_SECONDS - BURST_FACTOR * BURST_SECONDS) / (
+    BURST_PERIOD_SECONDS - BURST_SECONDS
+)
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request, sent `at` seconds after the start whatever came before."""
+
+    number: int
+    at: float
+    kind: RequestClass
+    customer: str
+
+
+def arrivals(shape, load, seconds, seed):
+    """Return the arrivals at `load` times the capacity of `shape`."""
+    rng = Random(seed)
+    rate = shape.capacity() * load
+    customers = tuple(shape.share_by_customer)
+    weights = tuple(shape.share_by_customer.values())
+    shares = tuple(kind.share for kind in REQUEST_CLASSES)
+    result, at = [], 0.0
+    while (at := at + rng.expovariate(rate * _factor(at))) < seconds:
+        kind = rng.choices(REQUEST_CLASSES, shares)[0]
+        customer = rng.choices(customers, weights)[0]
+        result.append(Arrival(len(result), at, kind, customer))
+    return result
+
+
+def _factor(at):
+    is_burst = at % BURST_PERIOD_SECONDS < BURST_SECONDS
+    return BURST_FACTOR if is_burst else CALM_FACTOR
--- /dev/null
+++ b/packages/standins/src/wharf_standins/bench/variant.py
@@ -0,0 +1,67 @@
+"""The policies that one run of the bench compares."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from wharf_coordination import Candidate, Gate
+from wharf_daemon.entry.policy import EntryPolicy
+
+__all__ = ["Variant"]
+
+UNBOUNDED = 10_000
+
+
+class Variant(StrEnum):
+    """The project's own policy and the two baselines."""
+
+    OWN = "own"
+    ROUND_ROBIN = "round-robin"
+    LEAST_IN_FLIGHT = "least-in-flight"
+
+    def entry_policy(self, rng, data_centre):
+        """Return the policy of an entry."""
+        match self:
+            case Variant.OWN:
+                return EntryPolicy.standard(rng, data_centre)
+            case Variant.ROUND_ROBIN:
+                return EntryPolicy.plain(_RoundRobin())
+            case Variant.LEAST_IN_FLIGHT:
+                return EntryPolicy.plain(_LeastInFlight())
+
+    def gate(self):
+        """Return the gate of a sidecar, or None for the standard one."""
+        if self is Variant.OWN:
+            return None
+        return _OpenGate(UNBOUNDED, UNBOUNDED)
+
+
+@dataclass
+class _RoundRobin:
+    """Choose the upstreams of each pool in turn."""
+
+    turn_by_pool: dict[str, int] = field(default_factory=dict)
+
+    def choose(self, candidates, now) -> Candidate | None:
+        """Return the next candidate in the order of the names."""
+        if not candidates:
+            return None
+        ordered = sorted(candidates, key=lambda candidate: candidate.upstream)
+        pool = ordered[0].upstream.rpartition("-")[0]
+        turn = self.turn_by_pool[pool] = self.turn_by_pool.get(pool, -1) + 1
+        return ordered[turn % len(ordered)]
+
+
+@dataclass
+class _LeastInFlight:
+    """Choose the candidate with the fewest calls in flight."""
+
+    def choose(self, candidates, now) -> Candidate | None:
+        """Return the least loaded candidate."""
+        return min(candidates, key=lambda each: each.in_flight, default=None)
+
+
+class _OpenGate(Gate):
+    """A gate that admits all."""
+
+    def observe_incarnation(self, incarnation, now):
+        """Ignore that the engine was started anew."""
