Learn each upstream's limit and let calls wait in the entry for room

Cause: a full gate made the entry give up; the limit grew blindly to its maximum, and a cold engine was known only by its incarnation. Ruled out: a queue in each sidecar (its calls can't move to an upstream that frees up first); growth by bare success (it passes what a cold engine bears). Change: the gate learns usual service times by kind of call, grows while they hold, shrinks as they rise, and falls back to the cold limit on a new incarnation, failures or a jump, stalled running calls included. The entry queues by priority, fair share and deadline, refuses early what can't be in time, retries within a budget, sets outliers aside, links to a subset.

--- a/packages/coordination/src/wharf_coordination/__init__.py
+++ b/packages/coordination/src/wharf_coordination/__init__.py
@@ -9,13 +9,25 @@
 from wharf_coordination.chooser import Chooser
 from wharf_coordination.code import Code
 from wharf_coordination.deadline import Deadline
+from wharf_coordination.drain_rate import DrainRate
 from wharf_coordination.fact import Fact, FactKind
 from wharf_coordination.fact_set import FactSet
+from wharf_coordination.fair_queue import FairQueue
 from wharf_coordination.gate import Gate
+from wharf_coordination.gate_pass import GatePass
+from wharf_coordination.headroom import bound_for
 from wharf_coordination.monotone import Monotone
+from wharf_coordination.outliers import Outliers
 from wharf_coordination.priority import Priority
+from wharf_coordination.queued_call import QueuedCall
 from wharf_coordination.ran import Ran
 from wharf_coordination.refusal import Refusal
+from wharf_coordination.rendezvous import ranked, subset
+from wharf_coordination.retry_budget import RetryBudget
+from wharf_coordination.service_times import ServiceTimes
+from wharf_coordination.stage_times import StageTimes
+from wharf_coordination.upstream_view import UpstreamView
+from wharf_coordination.warm_up import WarmUp
 
 __all__ = [
     "AnswerAssembler",
@@ -23,12 +35,25 @@
     "Chooser",
     "Code",
     "Deadline",
+    "DrainRate",
     "Fact",
     "FactKind",
     "FactSet",
+    "FairQueue",
     "Gate",
+    "GatePass",
     "Monotone",
+    "Outliers",
     "Priority",
+    "QueuedCall",
     "Ran",
     "Refusal",
+    "RetryBudget",
+    "ServiceTimes",
+    "StageTimes",
+    "UpstreamView",
+    "WarmUp",
+    "bound_for",
+    "ranked",
+    "subset",
 ]
--- a/packages/coordination/src/wharf_coordination/candidate.py
+++ b/packages/coordination/src/wharf_coordination/candidate.py
@@ -7,7 +7,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """One upstream that could run a call now."""
+    """One upstream that could run a call now.
+
+    `in_flight` estimates all entries' calls there, `limit` is the gate's as last
+    reported, and `service_time` the reported mean in seconds.
+    """
 
     upstream: str
     data_centre: str
@@ -15,3 +19,8 @@
     in_flight: int
     limit: int
     service_time: float
+
+    @property
+    def has_room(self):
+        """Return whether its gate would probably admit one more call."""
+        return self.in_flight < self.limit
--- a/packages/coordination/src/wharf_coordination/gate.py
+++ b/packages/coordination/src/wharf_coordination/gate.py
@@ -1,44 +1,181 @@
 """Concurrency limit of one upstream, owned by the sidecar beside it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from itertools import count
 
 from result import Err, Ok, Result
 
 from wharf_coordination.code import Code
+from wharf_coordination.gate_pass import GatePass
+from wharf_coordination.headroom import bound_for
+from wharf_coordination.priority import Priority
 from wharf_coordination.refusal import Refusal
+from wharf_coordination.service_times import ServiceTimes
+from wharf_coordination.warm_up import WarmUp
 
 __all__ = ["Gate"]
 
+RATIO_WEIGHT = 0.3
+GROW_RATIO = 1.25
+SHRINK_RATIO = 1.5
+SHRINK_FACTOR = 0.9
+COLD_RATIO = 2.2
+STALL_RATIO = 1.0
+BUSY_SHARE = 0.8
+WARM_UP_ROUNDS = 2
+FAILURES_TO_PAUSE = 2
+FIRST_PAUSE_SECONDS = 0.1
+MAX_PAUSE_SECONDS = 2.0
+
 
 @dataclass(slots=True)
 class Gate:
-    """Admit at most `limit` calls at a time to one upstream."""
+    """Admit as many calls at a time as the upstream has shown that it can bear.
+
+    A cold upstream gets `cold_limit`. Once calls take their usual time the
+    limit grows, doubling at first, until they slow down. It falls back to
+    `cold_limit` when the engine is a new one, when calls fail, or when they
+    take far longer than usual, running ones included. After repeated failures
+    it admits single calls, further and further apart, until one succeeds.
+    """
 
     cold_limit: int
     max_limit: int
-    limit: int = 0
     in_flight: int = 0
     incarnation: str = ""
+    usual: ServiceTimes = field(default_factory=ServiceTimes)
+    _limit: float = 0.0
+    _ratio: float = 1.0
+    _warm_up: WarmUp | None = None
+    _is_doubling: bool = True
+    _until_shrink: int = 0
+    _failures: int = 0
+    _paused_until: float = 0.0
+    _pass_by_id: dict[int, GatePass] = field(default_factory=dict)
+    _ids: count = field(default_factory=count)
 
     def __post_init__(self):
-        self.limit = self.limit or self.cold_limit
+        self.fall_back()
+
+    @property
+    def limit(self):
+        """Return the present limit in whole calls."""
+        return int(self._limit)
+
+    @property
+    def is_cold(self):
+        """Return whether the upstream has yet to show that it is warm."""
+        return self._warm_up is not None
 
-    def enter(self, now) -> Result[None, Refusal]:
-        """Admit a call or refuse it as not run."""
-        if self.in_flight >= self.limit:
-            detail = f"{self.in_flight} calls run under a limit of {self.limit}"
+    def open_slots(self, now):
+        """Return the number of urgent calls that `enter` would admit now."""
+        return max(0, self._bound(Priority.URGENT, now) - self.in_flight)
+
+    def enter(self, kind, priority, now) -> Result[GatePass, Refusal]:
+        """Admit a call of `kind` or refuse it as not run."""
+        bound = self._bound(priority, now)
+        if self.in_flight >= bound:
+            detail = f"{self.in_flight} calls run under a limit of {bound}"
             return Err(Refusal.not_run(Code.UPSTREAM_FULL, detail))
+        admitted = GatePass(next(self._ids), kind, now, self._warm_up)
+        self._pass_by_id[admitted.id] = admitted
         self.in_flight += 1
-        return Ok(None)
+        return Ok(admitted)
 
-    def leave(self, service_time, succeeded, now):
-        """Count a call as ended after `service_time` seconds."""
+    def leave(self, admitted: GatePass, succeeded, now):
+        """Count a call as ended; `succeeded` is None when it proves nothing."""
+        was_busy = self.in_flight >= BUSY_SHARE * self.limit
+        del self._pass_by_id[admitted.id]
         self.in_flight -= 1
-        if succeeded and self.limit < self.max_limit:
-            self.limit += 1
+        match succeeded:
+            case True:
+                self._failures = 0
+                self._observe(admitted, now - admitted.begin, was_busy)
+            case False:
+                self._observe_failure(now)
 
     def observe_incarnation(self, incarnation, now):
         """Fall back to the cold limit when the engine was started anew."""
-        if incarnation != self.incarnation:
-            self.incarnation = incarnation
-            self.limit = self.cold_limit
+        if incarnation == self.incarnation:
+            return
+        is_first = not self.incarnation
+        self.incarnation = incarnation
+        if not is_first:
+            self.fall_back()
+
+    def configure(self, cold_limit, max_limit):
+        """Put the operators' limits in force."""
+        self.cold_limit, self.max_limit = cold_limit, max_limit
+        self._limit = min(self._limit, max_limit)
+        if self.is_cold:
+            self._limit = float(cold_limit)
+
+    def fall_back(self):
+        """Treat the upstream as cold from now on."""
+        self._limit = float(self.cold_limit)
+        self._warm_up = WarmUp(WARM_UP_ROUNDS * self.cold_limit, self.usual)
+        self._is_doubling = True
+        self._ratio = 1.0
+
+    def _bound(self, priority, now):
+        if now < self._paused_until:
+            return 0
+        if self._failures >= FAILURES_TO_PAUSE:
+            return 1
+        limit = self._limit
+        if self._is_stalled(now):
+            limit = min(limit, self.cold_limit)
+        return bound_for(priority, limit)
+
+    def _is_stalled(self, now):
+        # Running calls of a steady upstream are half done on average.
+        ratios = [
+            ratio
+            for each in self._pass_by_id.values()
+            if (ratio := self.usual.ratio(each.kind, now - each.begin)) is not None
+        ]
+        return bool(ratios) and sum(ratios) / len(ratios) > STALL_RATIO
+
+    def _observe(self, admitted, seconds, was_busy):
+        if self.is_cold:
+            # Calls from before the fall-back say nothing about the cold state.
+            if admitted.warm_up is self._warm_up:
+                self._observe_cold(admitted.kind, seconds)
+            return
+        ratio = self.usual.ratio(admitted.kind, seconds)
+        self.usual.learn(admitted.kind, seconds)
+        if ratio is not None and admitted.warm_up is None:
+            self._ratio += RATIO_WEIGHT * (ratio - self._ratio)
+            self._adjust(was_busy)
+
+    def _observe_cold(self, kind, seconds):
+        if not self._warm_up.observe(kind, seconds):
+            return
+        if self._warm_up.is_slow_for_good:
+            self.usual.forget()
+        self.usual.learn(kind, seconds)
+        self._warm_up = None
+        self._ratio = 1.0
+
+    def _adjust(self, was_busy):
+        self._until_shrink = max(0, self._until_shrink - 1)
+        if self._ratio > COLD_RATIO:
+            self.fall_back()
+        elif self._ratio > SHRINK_RATIO and not self._until_shrink:
+            self._is_doubling = False
+            self._until_shrink = self.limit
+            self._limit = max(float(self.cold_limit), self._limit * SHRINK_FACTOR)
+        elif self._ratio < GROW_RATIO and was_busy:
+            gain = 1.0 if self._is_doubling else 1.0 / self._limit
+            self._limit = min(float(self.max_limit), self._limit + gain)
+        elif self._ratio >= GROW_RATIO:
+            self._is_doubling = False
+
+    def _observe_failure(self, now):
+        self._failures += 1
+        if not self.is_cold:
+            self.fall_back()
+        if self._failures >= FAILURES_TO_PAUSE:
+            exponent = min(self._failures - FAILURES_TO_PAUSE, 10)
+            pause = min(MAX_PAUSE_SECONDS, FIRST_PAUSE_SECONDS * 2**exponent)
+            self._paused_until = now + pause
--- /dev/null
+++ b/packages/coordination/src/wharf_coordination/upstream_view.py
@@ -0,0 +1,45 @@
+"""What an entry's last report of an upstream's load still tells."""
+
+from dataclasses import dataclass
+
+__all__ = ["UpstreamView"]
+
+MIN_SILENCE_SECONDS = 1.0
+MISSED_REPORTS = 4
+
+
+@dataclass(slots=True)
+class UpstreamView:
+    """Estimate an upstream's calls from own ones and an aged report.
+
+    `placed` counts this entry's calls there; what others run is what the last
+    report showed beyond the own calls of that time.
+    """
+
+    placed: int = 0
+    limit: int = 0
+    others: int = 0
+    reported_at: float = 0.0
+    report_gap: float = 0.0
+
+    def observe_report(self, in_flight, limit, now):
+        """Take a load report into account."""
+        if self.reported_at:
+            self.report_gap = max(now - self.reported_at, self.report_gap / 2)
+        self.reported_at = now
+        self.limit = limit
+        self.others = max(0, in_flight - self.placed)
+
+    def observe_full(self):
+        """Expect no room until the next report, after a refusal."""
+        self.others = max(self.others, self.limit - self.placed)
+
+    @property
+    def in_flight(self):
+        """Return the estimated calls of all entries."""
+        return self.placed + self.others
+
+    def is_silent(self, now):
+        """Return whether reports stay away, so that the host may be gone."""
+        patience = max(MIN_SILENCE_SECONDS, MISSED_REPORTS * self.report_gap)
+        return now - self.reported_at > patience
--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -11,6 +11,7 @@
 
 from wharf_coordination import Code, Refusal
 from wharf_daemon.configuration_feed import ConfigurationFeed
+from wharf_daemon.entry.admission import Admission
 from wharf_daemon.entry.attempt_runner import AttemptRunner
 from wharf_daemon.entry.caller_api import CallerApi
 from wharf_daemon.entry.link_set import LinkSet
@@ -18,6 +19,7 @@
 from wharf_daemon.entry.policy import EntryPolicy
 from wharf_daemon.entry.request_reader import RequestReader
 from wharf_daemon.entry.stage_runner import StageRunner
+from wharf_daemon.entry.time_budget import TimeBudget
 from wharf_daemon.entry.version_router import VersionRouter
 from wharf_daemon.fact_feed import FactFeed
 from wharf_daemon.http_site import HttpSite
@@ -63,6 +65,7 @@
         self.feed.documents.subscribe(self._on_document)
         self.facts.news.subscribe(self._broadcast_facts)
         self._follower = asyncio.create_task(self.feed.follow(self.store, self._rng))
+        self._admitter = asyncio.create_task(self.admission.run())
 
     @property
     def port(self):
@@ -84,6 +87,7 @@
             log.warning("stop_grace_spent", running=self._running)
         await self._callers.stop()
         self._follower.cancel()
+        self._admitter.cancel()
         self.links.close()
         await self._session.close()
         await self._operators.stop()
@@ -124,6 +128,7 @@
             "revision": self.feed.document.revision,
             "stopping": self.stopping,
             "running": self._running,
+            "waiting": self.admission.dump(),
             "store_calls": self.store.calls_by_kind,
             "facts": self.facts.dump(),
             "links": [
@@ -143,11 +148,21 @@
         attempt_runner = AttemptRunner(self.links, self.feed)
         self.outcomes = attempt_runner.outcomes
         self.outcomes.subscribe(self._count_attempt)
-        stage_runner = StageRunner(
+        budget = TimeBudget(self.feed, self._policy.outliers)
+        self.outcomes.subscribe(budget.observe)
+        self.admission = Admission(
             self.links,
-            self._policy.chooser,
             self.feed,
             VersionRouter(self.feed),
+            self._policy,
+            budget,
+            settings.max_requests,
+        )
+        stage_runner = StageRunner(
+            self.links,
+            self.feed,
+            self.admission,
+            self._policy,
             attempt_runner,
             settings.max_answer,
         )
@@ -163,7 +178,5 @@
         asyncio.ensure_future(self.links.send_all(message))
 
     def _on_document(self, document):
-        upstreams = document.folder.upstreams.values()
-        addresses = {upstream.address for upstream in upstreams}
-        self.links.reconcile(addresses or self.settings.peers)
+        self.links.follow(document)
         asyncio.ensure_future(self.links.offer_configuration())
--- a/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
+++ b/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
@@ -150,6 +150,7 @@
                 self._deliver(attempt, message)
             case Load(revision=revision):
                 self.load = message
+                self._entry.links.observe_report(self)
                 self.peer_revision = max(self.peer_revision, revision)
             case Hello(name=name, data_centre=data_centre, revision=revision):
                 self.name, self.data_centre = name, data_centre
--- a/packages/daemon/src/wharf_daemon/entry/stage_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/stage_runner.py
@@ -1,7 +1,5 @@
 """Running of one stage on some upstream, with retries where they are safe."""
 
-import asyncio
-
 from result import Err, Result
 
 from wharf_coordination import AnswerAssembler, Code, Ran, Refusal
@@ -9,51 +7,69 @@
 
 __all__ = ["StageRunner"]
 
-MAX_ATTEMPTS = 4
+FINAL_CODES = (Code.DEADLINE_PASSED, Code.ANSWER_TOO_LARGE, Code.CALLER_LEFT)
 
 
 class StageRunner:
-    """Choose an upstream for each attempt and decide whether to try again."""
+    """Have each attempt admitted and decide whether to try again."""
 
-    def __init__(self, links, chooser, feed, versions, attempt_runner, max_answer):
+    def __init__(self, links, feed, admission, policy, attempt_runner, max_answer):
         self._links = links
-        self._chooser = chooser
         self._feed = feed
-        self._versions = versions
+        self._admission = admission
+        self._policy = policy
         self._attempt_runner = attempt_runner
         self._max_answer = max_answer
 
     async def run(self, task: StageTask) -> Result[bytes, Refusal]:
         """Return the stage's whole answer, or why there is none."""
         answer = AnswerAssembler(self._max_answer)
-        tried, ran = set(), Ran.NO
+        tried, ran, version = set(), Ran.NO, None
+        self._policy.retry_budget.count_first_try()
         last = Refusal.not_run(Code.NO_UPSTREAM, f"pool {task.stage.pool!r}")
-        for number in range(MAX_ATTEMPTS):
-            if task.request.deadline.is_past(self._now()):
-                return Err(Refusal(Code.DEADLINE_PASSED, ran))
-            candidate = self._choose(task, tried)
-            if candidate is None:
+        for number in range(self._policy.max_attempts):
+            placed = await self._admission.place(task, tried)
+            if placed.is_err():
+                last = placed.unwrap_err()
                 break
-            tried.add(candidate.upstream)
-            result = await self._attempt_runner.run(task, candidate, number, answer)
+            candidate = placed.unwrap()
+            result = await self._attempt(task, candidate, number, answer, version)
             if result.is_ok():
                 return result
             last = result.unwrap_err()
             ran = ran.join(last.ran)
-            if not self._may_retry(task, last):
+            version = candidate.version
+            self._avoid(candidate, last, tried)
+            if not self._may_try_again(task, last, answer):
                 break
-        return Err(Refusal(last.code, ran, last.detail))
+            if not self._can_resume(task):
+                answer = AnswerAssembler(self._max_answer)
+        return Err(Refusal(last.code, ran.join(last.ran), last.detail))
 
-    def _choose(self, task, tried):
-        document = self._feed.document
-        pool = task.stage.pool
-        now = self._now()
-        version = self._versions.version_for(task, now)
-        candidates = self._links.candidates(document, pool, version, tried)
-        return self._chooser.choose(candidates, now)
+    async def _attempt(self, task, candidate, number, answer, version):
+        try:
+            if answer.next_sequence and candidate.version != version:
+                detail = f"version {version!r} began the answer and is gone"
+                return Err(Refusal.unknown(Code.ANSWER_BROKEN, detail))
+            return await self._attempt_runner.run(task, candidate, number, answer)
+        finally:
+            self._admission.release(candidate, task.stage.pool)
+
+    def _avoid(self, candidate, refusal, tried):
+        if refusal.code is Code.UPSTREAM_FULL and refusal.ran is Ran.NO:
+            self._links.observe_full(candidate.upstream)
+        else:
+            tried.add(candidate.upstream)
 
-    def _may_retry(self, task, refusal):
-        return refusal.ran is Ran.NO or task.stage.idempotent
+    def _may_try_again(self, task, refusal, answer):
+        if refusal.ran is Ran.NO:
+            return True
+        if refusal.code in FINAL_CODES or not task.stage.idempotent:
+            return False
+        if task.streaming and answer.next_sequence and not self._can_resume(task):
+            return False
+        return self._policy.retry_budget.spend()
 
-    def _now(self):
-        return asyncio.get_running_loop().time()
+    def _can_resume(self, task):
+        pool = self._feed.document.folder.pools.get(task.stage.pool)
+        return pool is not None and pool.kind == "engine"
--- /dev/null
+++ b/packages/daemon/src/wharf_daemon/entry/time_budget.py
@@ -0,0 +1,54 @@
+"""Division of a request's time among its stages."""
+
+import asyncio
+
+from wharf_coordination import Code, StageTimes
+
+__all__ = ["TimeBudget"]
+
+TIMED_CODES = (Code.OK, Code.DEADLINE_PASSED)
+
+
+class TimeBudget:
+    """Know what each stage takes and so how late a stage may start."""
+
+    def __init__(self, feed, outliers):
+        self._feed = feed
+        self._outliers = outliers
+        self._times = StageTimes()
+
+    def observe(self, outcome):
+        """Learn from an ended attempt."""
+        task, now = outcome.task, outcome.ended_at
+        pipeline, stage = task.request.pipeline, task.stage.name
+        usual = self._times.expected(pipeline, stage, now)
+        is_timed = outcome.code in TIMED_CODES
+        slowness = outcome.elapsed / usual if is_timed and usual else None
+        failed = outcome.code in (Code.LINK_LOST, Code.UPSTREAM_FAILED)
+        self._outliers.observe(outcome.candidate.upstream, slowness, failed, now)
+        if is_timed:
+            self._times.observe(pipeline, stage, outcome.elapsed, now)
+
+    def expected(self, task):
+        """Return the seconds that the stage itself will probably take."""
+        return self._expected(task.request.pipeline, task.stage)
+
+    def latest_start(self, task):
+        """Return when the stage must start for the request to be in time."""
+        later = sum(
+            self._expected(task.request.pipeline, stage)
+            for stage in self.later_stages(task)
+        )
+        return task.request.deadline.at - self.expected(task) - later
+
+    def later_stages(self, task):
+        """Return the stages that follow the task's."""
+        pipelines = self._feed.document.folder.pipelines
+        pipeline = pipelines.get(task.request.pipeline)
+        if pipeline is None or task.stage not in pipeline.stages:
+            return ()
+        return pipeline.stages[pipeline.stages.index(task.stage) + 1 :]
+
+    def _expected(self, pipeline, stage):
+        now = asyncio.get_running_loop().time()
+        return self._times.expected(pipeline, stage.name, now)
--- a/packages/daemon/src/wharf_daemon/sidecar/link_server.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/link_server.py
@@ -25,6 +25,7 @@
 __all__ = ["LinkServer"]
 
 SEEN_ATTEMPTS = 4096
+UPSTREAM_FAULTS = (Code.UPSTREAM_FAILED, Code.UPSTREAM_FULL)
 
 log = structlog.get_logger(__name__)
 
@@ -114,12 +115,12 @@
             await self._answer(call)
 
     async def _answer(self, call):
-        admitted = self._sidecar.admit(call)
+        admitted = self._sidecar.admit(call, self)
         if admitted.is_err():
             await self._fail(call, admitted.unwrap_err())
             return
         begin = asyncio.get_running_loop().time()
-        succeeded = False
+        succeeded = None
         try:
             count = 0
             async for body in self._sidecar.upstream.run(call):
@@ -130,10 +131,11 @@
             await self.send(End(call.attempt, call.resume_from + count, elapsed))
             self._count(call, Code.OK)
         except UpstreamError as failure:
+            if failure.refusal.code in UPSTREAM_FAULTS:
+                succeeded = False
             await self._fail(call, failure.refusal)
         finally:
-            elapsed = asyncio.get_running_loop().time() - begin
-            self._sidecar.release(elapsed, succeeded)
+            self._sidecar.release(call, succeeded)
 
     async def _fail(self, call, refusal: Refusal):
         self._count(call, refusal.code)
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 import structlog
-from result import Err, Result
+from result import Err, Ok, Result
 from websockets.asyncio.server import serve
 
 from wharf_coordination import Code, Gate, Refusal
@@ -22,6 +22,7 @@
 __all__ = ["Sidecar"]
 
 SERVICE_TIME_WEIGHT = 0.2
+WAKES_PER_SLOT = 2
 
 log = structlog.get_logger(__name__)
 
@@ -37,6 +38,9 @@
         self.gate = gate or Gate(settings.cold_limit, settings.max_limit)
         self.links = set()
         self.leaving = False
+        self._pass_by_attempt = {}
+        self._was_out = False
+        self._refused_links = {}
         self._rng = Random(settings.seed)
         self._service_time = 0.0
         self._idle = asyncio.Event()
@@ -112,31 +116,42 @@
         """Return the present load report."""
         return Load(
             in_flight=self.gate.in_flight,
-            limit=self.gate.limit,
+            limit=self.gate.in_flight + self.gate.open_slots(self._now()),
             service_time=self._service_time,
             leaving=self.leaving,
             version="",
             revision=self.feed.document.revision,
         )
 
-    def admit(self, call) -> Result[None, Refusal]:
-        """Admit `call` to the upstream or refuse it as not run."""
+    def admit(self, call, link) -> Result[None, Refusal]:
+        """Admit `call` to the upstream or refuse it as not run.
+
+        A refused link hears of the next room as soon as there is some.
+        """
         if self.leaving:
             return Err(Refusal.not_run(Code.UPSTREAM_LEAVING))
-        if self.settings.data_centre in self.feed.document.out_data_centres:
+        if self._is_out(self.feed.document):
             return Err(Refusal.not_run(Code.DATA_CENTRE_OUT))
-        admitted = self.gate.enter(self._now())
-        if admitted.is_ok():
-            self._idle.clear()
-        return admitted
-
-    def release(self, service_time, succeeded):
-        """Count an admitted call as ended."""
-        self.gate.leave(service_time, succeeded, self._now())
-        gain = SERVICE_TIME_WEIGHT * (service_time - self._service_time)
+        kind = f"{call.pipeline}/{call.stage}"
+        admitted = self.gate.enter(kind, call.priority, self._now())
+        match admitted:
+            case Ok(gate_pass):
+                self._pass_by_attempt[call.attempt] = gate_pass
+                self._idle.clear()
+            case Err(_):
+                self._refused_links[link] = None
+        return admitted.map(lambda _: None)
+
+    def release(self, call, succeeded):
+        """Count an admitted call as ended; see `Gate.leave` for `succeeded`."""
+        now = self._now()
+        gate_pass = self._pass_by_attempt.pop(call.attempt)
+        self.gate.leave(gate_pass, succeeded, now)
+        gain = SERVICE_TIME_WEIGHT * (now - gate_pass.begin - self._service_time)
         self._service_time += gain
         if self.gate.in_flight == 0:
             self._idle.set()
+        self._tell_refused_links()
 
     def dump(self):
         """Return the process's state for operators."""
@@ -148,12 +163,19 @@
             "leaving": self.leaving,
             "in_flight": self.gate.in_flight,
             "limit": self.gate.limit,
+            "cold": self.gate.is_cold,
             "incarnation": self.gate.incarnation,
             "service_time": self._service_time,
             "facts": self.facts.dump(),
             "links": sorted(link.peer for link in self.links),
         }
 
+    def _tell_refused_links(self):
+        count = WAKES_PER_SLOT * self.gate.open_slots(self._now())
+        for link in tuple(self._refused_links)[:count]:
+            del self._refused_links[link]
+            asyncio.ensure_future(link.send_quietly(self.load()))
+
     async def _serve_link(self, socket):
         link = LinkServer(socket, self)
         self.links.add(link)
@@ -162,6 +184,7 @@
             await link.serve()
         finally:
             self.links.discard(link)
+            self._refused_links.pop(link, None)
             self.metrics.links.set(len(self.links))
 
     async def _report_load(self):
@@ -178,7 +201,17 @@
         for link in tuple(self.links):
             asyncio.ensure_future(link.send_quietly(message))
 
+    def _is_out(self, document):
+        return self.settings.data_centre in document.out_data_centres
+
     def _on_document(self, document):
+        upstream = document.folder.upstreams.get(self.settings.upstream)
+        if upstream:
+            self.gate.configure(upstream.cold_limit, upstream.max_limit)
+        if self._was_out and not self._is_out(document):
+            # Caches and models may have been dropped while nothing ran here.
+            self.gate.fall_back()
+        self._was_out = self._is_out(document)
         for link in tuple(self.links):
             asyncio.ensure_future(link.offer_configuration())
 
--- a/packages/standins/src/wharf_standins/bench/variant.py
+++ b/packages/standins/src/wharf_standins/bench/variant.py
@@ -41,7 +41,7 @@
 
     turn_by_pool: dict[str, int] = field(default_factory=dict)
 
-    def choose(self, candidates, now) -> Candidate | None:
+    def choose(self, candidates, now, prefix="") -> Candidate | None:
         """Return the next candidate in the order of the names."""
         if not candidates:
             return None
@@ -55,7 +55,7 @@
 class _LeastInFlight:
     """Choose the candidate with the fewest calls in flight."""
 
-    def choose(self, candidates, now) -> Candidate | None:
+    def choose(self, candidates, now, prefix="") -> Candidate | None:
         """Return the least loaded candidate."""
         return min(candidates, key=lambda each: each.in_flight, default=None)
 
@@ -63,5 +63,8 @@
 class _OpenGate(Gate):
     """A gate that admits all."""
 
-    def observe_incarnation(self, incarnation, now):
-        """Ignore that the engine was started anew."""
+    def _bound(self, priority, now):
+        return UNBOUNDED
+
+    def configure(self, cold_limit, max_limit):
+        """Ignore the operators' limits."""
