Wait for room without using up attempts, and report load on closing frames

Cause: at a full pool a call used up its attempts on gates that refused it. Change: a full gate no longer counts as an attempt; the room is given back before the closing frame, which carries the load; a limit not lately in use is proven again by steps.

--- a/packages/coordination/src/wharf_coordination/gate.py
+++ b/packages/coordination/src/wharf_coordination/gate.py
@@ -22,6 +22,8 @@
 COLD_RATIO = 2.2
 STALL_RATIO = 1.0
 BUSY_SHARE = 0.8
+PROVEN_FACTOR = 2
+PROVEN_HALF_LIFE_SECONDS = 1.0
 WARM_UP_ROUNDS = 2
 FAILURES_TO_PAUSE = 2
 FIRST_PAUSE_SECONDS = 0.1
@@ -35,7 +37,8 @@
     A cold upstream gets `cold_limit`. Once calls take their usual time the
     limit grows, doubling at first, until they slow down. It falls back to
     `cold_limit` when the engine is a new one, when calls fail, or when they
-    take far longer than usual, running ones included. After repeated failures
+    take far longer than usual, running ones included. A limit that was not lately
+    in use is proven again by steps. After repeated failures
     it admits single calls, further and further apart, until one succeeds.
     """
 
@@ -51,6 +54,8 @@
     _until_shrink: int = 0
     _failures: int = 0
     _paused_until: float = 0.0
+    _proven: float = 0.0
+    _proven_at: float = 0.0
     _pass_by_id: dict[int, GatePass] = field(default_factory=dict)
     _ids: count = field(default_factory=count)
 
@@ -90,6 +95,8 @@
         match succeeded:
             case True:
                 self._failures = 0
+                self._proven = max(self._proven_calls(now), self.in_flight + 1)
+                self._proven_at = now
                 self._observe(admitted, now - admitted.begin, was_busy)
             case False:
                 self._observe_failure(now)
@@ -122,11 +129,17 @@
             return 0
         if self._failures >= FAILURES_TO_PAUSE:
             return 1
-        limit = self._limit
+        # An upstream may have turned cold since it last bore more than a few.
+        unproven = max(self.cold_limit, PROVEN_FACTOR * self._proven_calls(now))
+        limit = min(self._limit, unproven)
         if self._is_stalled(now):
             limit = min(limit, self.cold_limit)
         return bound_for(priority, limit)
 
+    def _proven_calls(self, now):
+        age = now - self._proven_at
+        return self._proven * 0.5 ** (age / PROVEN_HALF_LIFE_SECONDS)
+
     def _is_stalled(self, now):
         # Running calls of a steady upstream are half done on average.
         ratios = [
--- a/packages/coordination/src/wharf_coordination/upstream_view.py
+++ b/packages/coordination/src/wharf_coordination/upstream_view.py
@@ -27,6 +27,10 @@
         if self.reported_at:
             self.report_gap = max(now - self.reported_at, self.report_gap / 2)
         self.reported_at = now
+        self.observe_load(in_flight, limit)
+
+    def observe_load(self, in_flight, limit):
+        """Take a load that came with some other frame into account."""
         self.limit = limit
         self.others = max(0, in_flight - self.placed)
 
--- a/packages/coordination/src/wharf_coordination/warm_up.py
+++ b/packages/coordination/src/wharf_coordination/warm_up.py
@@ -9,6 +9,7 @@
 WARM_RATIO = 1.3
 PLATEAU_TOLERANCE = 0.1
 PLATEAU_WINDOWS = 2
+PLATEAU_WINDOWS_OFF_USUAL = 4
 
 
 @dataclass(slots=True)
@@ -28,6 +29,7 @@
     _first_ratios: list[float] = field(default_factory=list)
     _last_mean: float | None = None
     _flat_windows: int = 0
+    _needed_windows: int = PLATEAU_WINDOWS
 
     def observe(self, kind, seconds):
         """Take a call into account; return whether the upstream is now warm."""
@@ -46,13 +48,14 @@
     @property
     def is_slow_for_good(self):
         """Return whether the upstream levelled off far from its usual time."""
-        return self._flat_windows >= PLATEAU_WINDOWS
+        return self._flat_windows >= self._needed_windows
 
     def _close_window(self):
-        if len(self._usual_ratios) == len(self._first_ratios):
-            is_usual = _mean(self._usual_ratios) <= WARM_RATIO
-        else:
-            is_usual = False
+        has_usual = bool(self._usual_ratios)
+        is_usual = has_usual and _mean(self._usual_ratios) <= WARM_RATIO
+        self._needed_windows = (
+            PLATEAU_WINDOWS_OFF_USUAL if has_usual else PLATEAU_WINDOWS
+        )
         mean = _mean(self._first_ratios)
         self._first_ratios.clear()
         self._usual_ratios.clear()
--- a/packages/daemon/src/wharf_daemon/entry/link_set.py
+++ b/packages/daemon/src/wharf_daemon/entry/link_set.py
@@ -95,6 +95,12 @@
         view.observe_report(link.load.in_flight, link.load.limit, now)
         self.reports.on_next(link.name)
 
+    def observe_end(self, link, end):
+        """Take the load on an attempt's closing frame into account."""
+        view = self._view_by_upstream[link.name]
+        # The attempt that ended still counts as placed.
+        view.observe_load(end.in_flight + 1, end.limit)
+
     def observe_full(self, upstream):
         """Expect no room on `upstream` until its next report."""
         self._view_by_upstream[upstream].observe_full()
--- a/packages/daemon/src/wharf_daemon/entry/policy.py
+++ b/packages/daemon/src/wharf_daemon/entry/policy.py
@@ -7,7 +7,7 @@
 
 __all__ = ["EntryPolicy"]
 
-MAX_ATTEMPTS = 64
+MAX_ATTEMPTS = 8
 PLAIN_ATTEMPTS = 4
 UNBOUNDED = 1e9
 
@@ -23,7 +23,7 @@
 class EntryPolicy:
     """How an entry chooses upstreams, retries, and whether calls wait for room.
 
-    `max_attempts` counts attempts that a sidecar refused as not run, too.
+    `max_attempts` leaves out those that met a full gate, which wait for room.
     """
 
     chooser: CandidateChooser
--- a/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
+++ b/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
@@ -144,7 +144,10 @@
 
     async def _handle(self, message):
         match message:
-            case Chunk(attempt=attempt) | End(attempt=attempt):
+            case Chunk(attempt=attempt):
+                self._deliver(attempt, message)
+            case End(attempt=attempt):
+                self._entry.links.observe_end(self, message)
                 self._deliver(attempt, message)
             case Failed(attempt=attempt):
                 self._deliver(attempt, message)
--- a/packages/daemon/src/wharf_daemon/entry/stage_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/stage_runner.py
@@ -1,5 +1,7 @@
 """Running of one stage on some upstream, with retries where they are safe."""
 
+from itertools import count
+
 from result import Err, Result
 
 from wharf_coordination import AnswerAssembler, Code, Ran, Refusal
@@ -24,10 +26,10 @@
     async def run(self, task: StageTask) -> Result[bytes, Refusal]:
         """Return the stage's whole answer, or why there is none."""
         answer = AnswerAssembler(self._max_answer)
-        tried, ran, version = set(), Ran.NO, None
+        tried, ran, version, spent = set(), Ran.NO, None, 0
         self._policy.retry_budget.count_first_try()
         last = Refusal.not_run(Code.NO_UPSTREAM, f"pool {task.stage.pool!r}")
-        for number in range(self._policy.max_attempts):
+        for number in count():
             placed = await self._admission.place(task, tried)
             if placed.is_err():
                 last = placed.unwrap_err()
@@ -40,6 +42,9 @@
             ran = ran.join(last.ran)
             version = candidate.version
             self._avoid(candidate, last, tried)
+            spent += last.code is not Code.UPSTREAM_FULL
+            if spent >= self._policy.max_attempts:
+                break
             if not self._may_try_again(task, last, answer):
                 break
             if not self._can_resume(task):
--- a/packages/wire/src/wharf_wire/end.py
+++ b/packages/wire/src/wharf_wire/end.py
@@ -11,9 +11,14 @@
 
 @dataclass(frozen=True, slots=True)
 class End:
-    """Close an answer of `count` chunks; `service_time` is in seconds."""
+    """Close an answer of `count` chunks; `service_time` is in seconds.
+
+    `in_flight` and `limit` give the upstream's load after this attempt.
+    """
 
     attempt: Name
     count: Count
     service_time: Seconds
+    in_flight: Count = 0
+    limit: Count = 0
     kind: Literal["end"] = "end"
