Let the stand-in engine batch, start cold, fail on order and obey fencing

The stand-in answered after a fixed time and could not fail. It now grows its service time with the load, is cold after a start, reports load late, publishes cache events late and with gaps, checks or ignores fencing numbers, resumes streams, and takes fault rules by version, route, load, time, share or text. The runs record what truly completed. docs/UPSTREAMS.md holds the protocol; sidecars now also send Pipeline and Stage.

--- a/packages/daemon/src/wharf_daemon/sidecar/upstream_client.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/upstream_client.py
@@ -15,6 +15,8 @@
 CUSTOMER_HEADER = "Customer"
 PRIORITY_HEADER = "Priority"
 RESUME_HEADER = "Resume-From"
+PIPELINE_HEADER = "Pipeline"
+STAGE_HEADER = "Stage"
 INCARNATION_HEADER = "Incarnation"
 
 
@@ -69,6 +71,8 @@
             CUSTOMER_HEADER: call.customer,
             PRIORITY_HEADER: str(int(call.priority)),
             RESUME_HEADER: str(call.resume_from),
+            PIPELINE_HEADER: call.pipeline,
+            STAGE_HEADER: call.stage,
         }
 
     def _check_status(self, response):
--- a/packages/standins/src/wharf_standins/engine.py
+++ b/packages/standins/src/wharf_standins/engine.py
@@ -1,29 +1,41 @@
-"""Stand-in of a model engine or of a plain service."""
+"""Stand-in of a model engine."""
 
 import asyncio
 import json
-from dataclasses import dataclass, field
+from dataclasses import asdict, dataclass, field
+from random import Random
 
 from aiohttp import web
 
 from wharf_daemon.sidecar.upstream_client import (
     ATTEMPT_HEADER,
+    CUSTOMER_HEADER,
     INCARNATION_HEADER,
+    PIPELINE_HEADER,
     REQUEST_HEADER,
     RESUME_HEADER,
+    STAGE_HEADER,
     VERSION_HEADER,
 )
+from wharf_standins.batch_model import BatchModel
+from wharf_standins.fault_rule import FaultKind, FaultRule
+from wharf_standins.load_meter import LoadMeter
+from wharf_standins.order_book import OrderBook
+from wharf_standins.prefix_cache import PrefixCache
 from wharf_standins.run_record import RunRecord
 
 __all__ = ["Engine"]
 
+MAX_BODY_BYTES = 4 << 20
+
 
 @dataclass
 class Engine:
-    """Answer each call after `service_time` seconds and record what ran.
+    """Answer calls as docs/UPSTREAMS.md says and record what ran in `runs`.
 
     The answer repeats the caller's input, so that a caller can check that it is
-    its own.
+    its own. `faults` holds the rules of what goes wrong. After a crash nothing
+    is answered until `restart`.
     """
 
     name: str
@@ -31,53 +43,208 @@
     service_time: float = 0.01
     tokens: int = 8
     incarnation: int = 1
+    seed: int = 1
+    cold_bearable: int = 0
+    checks_fencing: bool = False
     runs: list[RunRecord] = field(default_factory=list)
+    faults: list[FaultRule] = field(default_factory=list)
+    is_down: bool = False
+
+    def __post_init__(self):
+        self.batch = BatchModel(self.service_time, cold_bearable=self.cold_bearable)
+        self.cache = PrefixCache(rng=Random(self.seed))
+        self.orders = OrderBook(self.checks_fencing)
+        self.load = LoadMeter()
+        self._rng = Random(self.seed)
+        self._transports = set()
 
     def application(self):
         """Return the aiohttp application of the upstream's protocol."""
-        application = web.Application(client_max_size=4 << 20)
+        application = web.Application(
+            client_max_size=MAX_BODY_BYTES, middlewares=[self._guard]
+        )
         application.router.add_post("/v1/run", self._run)
         application.router.add_post("/v1/stream", self._stream)
+        application.router.add_get("/v1/load", self._report_load)
+        application.router.add_get("/v1/cache-events", self._report_events)
+        application.router.add_get("/v1/orders", self._report_orders)
+        application.router.add_post("/v1/orders", self._order)
         return application
 
+    def crash(self):
+        """Cut all connections and answer nothing until `restart`."""
+        self.is_down = True
+        for transport in tuple(self._transports):
+            transport.abort()
+
+    def restart(self):
+        """Come back cold, as a new incarnation with an empty cache."""
+        self.is_down = False
+        self.incarnation += 1
+        self.cache.clear()
+        self.batch.turn_cold()
+
+    @web.middleware
+    async def _guard(self, http, handler):
+        if self.is_down:
+            http.transport.abort()
+        transport = http.transport
+        self._transports.add(transport)
+        try:
+            return await handler(http)
+        finally:
+            self._transports.discard(transport)
+
     async def _run(self, http):
-        record = self._begin(http)
-        body = await http.json()
-        await asyncio.sleep(self.service_time)
-        self._end(record)
-        answer = {"by": self.name, "echo": body["input"]}
-        return web.json_response(answer, headers=self._headers())
+        body = await http.read()
+        if refused := self._refusal(http):
+            return refused
+        record = self._begin(http, body)
+        try:
+            fault = self._fault(record)
+            await self._work(record, fault, body)
+            if response := self._failure(record, fault):
+                return response
+            self._complete(record)
+            if fault and fault.kind is FaultKind.CUT:
+                http.transport.abort()
+            answer = {"by": self.name, "echo": record.input}
+            return web.json_response(answer, headers=self._headers())
+        finally:
+            self._end(record)
 
     async def _stream(self, http):
-        record = self._begin(http)
-        body = await http.json()
+        body = await http.read()
+        if refused := self._refusal(http):
+            return refused
+        record = self._begin(http, body)
+        try:
+            fault = self._fault(record)
+            if fault and fault.kind is FaultKind.CRASH:
+                self.crash()
+            response = self._failure(record, fault)
+            if response:
+                return response
+            return await self._generate(http, record, fault, body)
+        finally:
+            self._end(record)
+
+    async def _generate(self, http, record, fault, body):
         response = web.StreamResponse(headers=self._headers())
         await response.prepare(http)
-        begin = int(http.headers[RESUME_HEADER])
+        begin = int(http.headers.get(RESUME_HEADER, "0"))
+        step = self._seconds(record, fault, body) / self.tokens
+        is_cut = fault is not None and fault.kind is FaultKind.CUT
         for number in range(begin, self.tokens):
-            await asyncio.sleep(self.service_time / self.tokens)
-            text = json.dumps(body["input"]) if number == 0 else f" {number}"
+            await asyncio.sleep(step)
+            if is_cut and number >= self.tokens // 2:
+                http.transport.abort()
+                return response
+            text = json.dumps(record.input) if number == 0 else f" {number}"
             await response.write(json.dumps({"text": text}).encode() + b"\n")
-        self._end(record)
+        self._complete(record)
         count = max(0, self.tokens - begin)
         await response.write(json.dumps({"end": count}).encode() + b"\n")
         return response
 
-    def _begin(self, http):
+    def _refusal(self, http):
+        version = http.headers[VERSION_HEADER]
+        if self.orders.serves(version):
+            return None
+        text = f"version {version} is not loaded"
+        return web.Response(status=503, text=text, headers=self._headers())
+
+    def _begin(self, http, body):
+        now = self._now()
+        self.load.change(1, now)
         record = RunRecord(
             upstream=self.name,
             data_centre=self.data_centre,
             attempt=http.headers[ATTEMPT_HEADER],
             request=http.headers[REQUEST_HEADER],
             version=http.headers[VERSION_HEADER],
-            begin=asyncio.get_running_loop().time(),
+            begin=now,
+            route=http.headers.get(PIPELINE_HEADER, ""),
+            stage=http.headers.get(STAGE_HEADER, ""),
+            customer=http.headers.get(CUSTOMER_HEADER, ""),
+            incarnation=self.incarnation,
+            running=self.load.running,
+            input=json.loads(body)["input"],
         )
         self.runs.append(record)
         return record
 
     def _end(self, record):
-        record.end = asyncio.get_running_loop().time()
+        record.end = self._now()
+        self.load.change(-1, record.end)
+
+    def _complete(self, record):
+        if self.is_down or record.incarnation != self.incarnation:
+            return
         record.completed = True
+        self.batch.completed += 1
+
+    def _fault(self, record):
+        matching = (rule for rule in self.faults if rule.matches(record, self._rng))
+        return next(matching, None)
+
+    async def _work(self, record, fault, body):
+        if fault and fault.kind is FaultKind.REFUSE:
+            return
+        await asyncio.sleep(self._seconds(record, fault, body))
+        if fault and fault.kind is FaultKind.CRASH:
+            self.crash()
+
+    def _seconds(self, record, fault, body):
+        cached = self.cache.use(body, record.begin)
+        seconds = self.batch.duration(record.running, cached)
+        if fault and fault.kind is FaultKind.SLOW:
+            seconds *= fault.factor
+        return seconds
+
+    def _failure(self, record, fault):
+        if fault and fault.kind is FaultKind.REFUSE:
+            self.runs.remove(record)
+            return web.Response(status=503, text="busy", headers=self._headers())
+        if fault and fault.kind is FaultKind.FAIL:
+            return web.Response(status=500, text="failed", headers=self._headers())
+        if self.batch.is_overloaded(record.running):
+            text = "fell over while cold"
+            return web.Response(status=500, text=text, headers=self._headers())
+        return None
+
+    async def _report_load(self, http):
+        report = {
+            "running": self.load.reported(self._now()),
+            "incarnation": f"{self.name}-{self.incarnation}",
+        }
+        return web.json_response(report)
+
+    async def _report_events(self, http):
+        after = int(http.query.get("after", "0"))
+        return web.json_response(self.cache.events(after, self._now()))
+
+    async def _report_orders(self, http):
+        return web.json_response(self._order_state())
+
+    async def _order(self, http):
+        order = await http.json()
+        now = self._now()
+        obeyed = self.orders.give(
+            order["operation"], order.get("subject", ""), int(order["fencing"]), now
+        )
+        return web.json_response(self._order_state(), status=200 if obeyed else 409)
+
+    def _order_state(self):
+        orders = [asdict(record) for record in self.orders.records[-20:]]
+        return {
+            "fencing": self.orders.fencing,
+            "versions": sorted(self.orders.versions),
+            "orders": orders,
+        }
 
     def _headers(self):
         return {INCARNATION_HEADER: f"{self.name}-{self.incarnation}"}
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/packages/standins/src/wharf_standins/prefix_cache.py
@@ -0,0 +1,77 @@
+"""Prefix cache of a stand-in engine, with events late and with gaps."""
+
+from collections import OrderedDict
+from dataclasses import asdict, dataclass, field
+from random import Random
+
+import xxhash
+
+__all__ = ["CacheEvent", "PrefixCache"]
+
+PREFIX_BYTES = 64
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """A prefix was stored or evicted at `at` seconds of the engine's clock."""
+
+    number: int
+    kind: str
+    prefix: str
+    at: float
+
+
+@dataclass
+class PrefixCache:
+    """Remember the prefixes last used, at most `size` of them.
+
+    An event is published `lag` seconds after it happened; a share of `loss` of
+    all events is never published, which leaves a gap in their numbers.
+    """
+
+    size: int = 32
+    lag: float = 0.5
+    loss: float = 0.05
+    rng: Random = field(default_factory=lambda: Random(1))
+    _prefixes: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    _events: list[CacheEvent] = field(default_factory=list)
+    _next_number: int = 0
+
+    @staticmethod
+    def prefix_of(body):
+        """Return the name of the prefix of a call's body.
+
+        >>> PrefixCache.prefix_of(b"a" * 64) == PrefixCache.prefix_of(b"a" * 65)
+        True
+        """
+        return xxhash.xxh64_hexdigest(body[:PREFIX_BYTES])
+
+    def use(self, body, now):
+        """Return whether the prefix of `body` was held; hold it from now on."""
+        prefix = self.prefix_of(body)
+        held = prefix in self._prefixes
+        self._prefixes[prefix] = None
+        self._prefixes.move_to_end(prefix)
+        if not held:
+            self._publish("stored", prefix, now)
+        if len(self._prefixes) > self.size:
+            evicted, _ = self._prefixes.popitem(last=False)
+            self._publish("evicted", evicted, now)
+        return held
+
+    def clear(self):
+        """Forget all prefixes without an event, as a restart does."""
+        self._prefixes.clear()
+
+    def events(self, after, now):
+        """Return the published events with a number above `after`."""
+        return [
+            asdict(event)
+            for event in self._events
+            if event.number > after and event.at + self.lag <= now
+        ]
+
+    def _publish(self, kind, prefix, now):
+        self._next_number += 1
+        if self.rng.random() >= self.loss:
+            self._events.append(CacheEvent(self._next_number, kind, prefix, now))
--- a/packages/standins/src/wharf_standins/run_record.py
+++ b/packages/standins/src/wharf_standins/run_record.py
@@ -1,13 +1,19 @@
 """A record of work that a stand-in truly ran."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from typing import Any
 
 __all__ = ["RunRecord"]
 
 
 @dataclass(slots=True)
 class RunRecord:
-    """One run on one upstream; times are in seconds of the stand-in's clock."""
+    """One run on one upstream; times are in seconds of the stand-in's clock.
+
+    `input` is what the caller sent, as parsed JSON; `route` is the pipeline.
+    `completed` says that the work took effect as a whole, whether or not its
+    answer reached anybody.
+    """
 
     upstream: str
     data_centre: str
@@ -17,3 +23,9 @@
     begin: float
     end: float | None = None
     completed: bool = False
+    route: str = ""
+    stage: str = ""
+    customer: str = ""
+    incarnation: int = 1
+    running: int = 1
+    input: Any = field(default=None, repr=False)
--- a/packages/standins/src/wharf_standins/serve.py
+++ b/packages/standins/src/wharf_standins/serve.py
@@ -24,6 +24,8 @@
     *,
     listen: str = "127.0.0.1:0",
     service_time: float = 0.01,
+    cold_bearable: int = 0,
+    checks_fencing: bool = False,
 ):
     """Run the stand-in of one upstream.
 
@@ -31,8 +33,16 @@
     :param data_centre: where it stands
     :param listen: HOST:PORT
     :param service_time: seconds for each call
+    :param cold_bearable: calls at a time that it bears while cold; 0: it is warm
+    :param checks_fencing: refuse orders with an old fencing number
     """
-    upstream = Engine(name, data_centre, service_time=service_time)
+    upstream = Engine(
+        name,
+        data_centre,
+        service_time=service_time,
+        cold_bearable=cold_bearable,
+        checks_fencing=checks_fencing,
+    )
     asyncio.run(_serve(upstream.application, listen))
 
 
--- /dev/null
+++ b/packages/standins/tests/test_engine.py
@@ -0,0 +1,85 @@
+"""Stand-in engine: cold start, faults, orders, streams and their records."""
+
+import asyncio
+import json
+
+import aiohttp
+import pytest
+import pytest_asyncio
+
+from wharf_daemon.http_site import HttpSite
+from wharf_standins.engine import Engine
+from wharf_standins.fault_rule import FaultKind, FaultRule
+
+HEADERS = {"Attempt": "a", "Request": "r", "Version": "1"}
+BODY = json.dumps({"input": "note", "stages": {}})
+
+
+@pytest.fixture
+def engine():
+    return Engine("model-1", "dc-1", service_time=0.02, cold_bearable=1)
+
+
+@pytest_asyncio.fixture
+async def call(engine):
+    site = HttpSite(engine.application(), "127.0.0.1:0")
+    await site.start()
+    url = f"http://127.0.0.1:{site.port}"
+    async with aiohttp.ClientSession(url) as session:
+
+        async def post(path="/v1/run", data=BODY, **headers):
+            sent = HEADERS | headers
+            async with session.post(path, data=data, headers=sent) as response:
+                return response.status, await response.text()
+
+        yield post
+    await site.stop()
+
+
+async def test_cold_engine_fails_above_what_it_bears(engine, call):
+    statuses = [status for status, _ in await asyncio.gather(call(), call())]
+    assert sorted(statuses) == [200, 500]
+    assert [run.completed for run in engine.runs].count(True) == 1
+
+
+async def test_warm_engine_bears_more(engine, call):
+    engine.batch.completed = engine.batch.warm_after
+    statuses = [status for status, _ in await asyncio.gather(call(), call())]
+    assert statuses == [200, 200]
+
+
+async def test_fault_hits_only_its_version(engine, call):
+    engine.faults.append(FaultRule(FaultKind.FAIL, version="2"))
+    assert (await call())[0] == 200
+    assert (await call(Version="2"))[0] == 500
+
+
+async def test_crash_cuts_and_restart_is_another_incarnation(engine, call):
+    engine.faults.append(FaultRule(FaultKind.CRASH, text="note"))
+    with pytest.raises(aiohttp.ClientError):
+        await call()
+    engine.faults.clear()
+    engine.restart()
+    assert (await call())[0] == 200
+    assert [run.incarnation for run in engine.runs] == [1, 2]
+    assert [run.completed for run in engine.runs] == [False, True]
+
+
+async def test_stream_resumes_and_counts_its_lines(call):
+    _, whole = await call("/v1/stream")
+    _, rest = await call("/v1/stream", **{"Resume-From": "6"})
+    assert json.loads(whole.splitlines()[-1]) == {"end": 8}
+    assert whole.splitlines()[6:8] == rest.splitlines()[:2]
+    assert json.loads(rest.splitlines()[-1]) == {"end": 2}
+
+
+async def test_old_order_is_refused_only_if_fencing_is_checked(engine, call):
+    new = json.dumps({"operation": "load_version", "subject": "1", "fencing": 5})
+    old = json.dumps({"operation": "load_version", "subject": "2", "fencing": 4})
+    engine.orders.checks_fencing = True
+    statuses = [(await call("/v1/orders", data=order))[0] for order in (new, old)]
+    assert statuses == [200, 409]
+    assert (await call(Version="2"))[0] == 503
+    engine.orders.checks_fencing = False
+    assert (await call("/v1/orders", data=old))[0] == 200
+    assert (await call(Version="2"))[0] == 200
