--- a/packages/coordination/src/wharf_coordination/__init__.py
+++ b/packages/coordination/src/wharf_coordination/__init__.py
@@ -11,11 +11,13 @@
 from wharf_coordination.deadline import Deadline
 from wharf_coordination.fact import Fact, FactKind
 from wharf_coordination.fact_set import FactSet
+from wharf_coordination.flow_window import ReceiveWindow, SendWindow, chunk_cost
 from wharf_coordination.gate import Gate
 from wharf_coordination.monotone import Monotone
 from wharf_coordination.priority import Priority
 from wharf_coordination.ran import Ran
 from wharf_coordination.refusal import Refusal
+from wharf_coordination.seen_set import SeenSet
 
 __all__ = [
     "AnswerAssembler",
@@ -30,5 +32,9 @@
     "Monotone",
     "Priority",
     "Ran",
+    "ReceiveWindow",
     "Refusal",
+    "SeenSet",
+    "SendWindow",
+    "chunk_cost",
 ]
--- /dev/null
+++ b/packages/daemon/src/wharf_daemon/entry/attempt_inbox.py
@@ -0,0 +1,41 @@
+"""Frames that answer one attempt, between the link and its reader."""
+
+import asyncio
+
+from wharf_coordination import Code, ReceiveWindow, Refusal, chunk_cost
+from wharf_wire import Chunk, End, Failed
+
+__all__ = ["AttemptInbox"]
+
+
+class AttemptInbox:
+    """Queue the frames of one attempt without ever blocking the link.
+
+    The sidecar is held to the window, which bounds the memory of the queue.
+    """
+
+    def __init__(self, attempt):
+        self._attempt = attempt
+        self._queue = asyncio.Queue()
+        self._window = ReceiveWindow()
+        self._broken = False
+
+    def put(self, frame: Chunk | End | Failed):
+        """Take a frame from the link; a broken window ends the attempt."""
+        if self._broken:
+            return
+        if isinstance(frame, Chunk) and not self._window.accept(chunk_cost(frame.body)):
+            self._broken = True
+            refusal = Refusal.unknown(Code.ANSWER_BROKEN, "window was exceeded")
+            frame = Failed.from_refusal(self._attempt, refusal)
+        self._queue.put_nowait(frame)
+
+    async def get(self):
+        """Wait for the next frame."""
+        return await self._queue.get()
+
+    def consume(self, frame):
+        """Return the credit to grant after `frame` was consumed, or 0."""
+        if not isinstance(frame, Chunk):
+            return 0
+        return self._window.consume(chunk_cost(frame.body))
--- a/packages/daemon/src/wharf_daemon/entry/attempt_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/attempt_runner.py
@@ -8,6 +8,7 @@
 from wharf_coordination import AnswerAssembler, Code, Refusal
 from wharf_daemon.entry.attempt_outcome import AttemptOutcome
 from wharf_wire import Call, Chunk, Failed
+from wharf_wire.limits import MAX_BODY_BYTES
 
 __all__ = ["AttemptRunner"]
 
@@ -29,6 +30,12 @@
         self, task, candidate, number, answer: AnswerAssembler
     ) -> Result[bytes, Refusal]:
         """Return the whole answer of attempt `number`, or why there is none."""
+        if not task.streaming:
+            # The chunks of a whole answer differ between upstreams.
+            answer = AnswerAssembler(answer.max_bytes)
+        if len(task.body) > MAX_BODY_BYTES:
+            detail = f"input of stage {task.stage.name!r}: {len(task.body)} bytes"
+            return Err(Refusal.not_run(Code.ANSWER_TOO_LARGE, detail))
         call = self._call(task, candidate, number, answer)
         upstream = self._feed.document.folder.upstreams[candidate.upstream]
         link = self._links.by_address[upstream.address]
--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -76,10 +76,13 @@
         """Show not ready, finish what runs, then leave."""
         self.stopping = True
         log.info("stopping", running=self._running)
+        # The balancer needs time to notice, and sends callers here until then.
+        await asyncio.sleep(self.settings.drain_delay)
         try:
             await asyncio.wait_for(self._idle.wait(), self.settings.stop_grace)
         except TimeoutError:
             log.warning("stop_grace_spent", running=self._running)
+        log.info("stopped", running=self._running)
         await self._callers.stop()
         self._follower.cancel()
         self.links.close()
--- a/packages/daemon/src/wharf_daemon/entry/settings.py
+++ b/packages/daemon/src/wharf_daemon/entry/settings.py
@@ -10,10 +10,12 @@
 class EntrySettings(CommonSettings):
     """What an entry is told; `peers` are sidecars to ask before any configuration.
 
-    Sizes are in bytes.
+    Sizes are in bytes. At a planned stop the entry shows not ready and keeps
+    accepting requests for `drain_delay` seconds, so that the balancer notices.
     """
 
     peers: tuple[Address, ...] = ()
     max_body: int = Field(default=512 << 10, ge=1, le=1 << 20)
     max_answer: int = Field(default=8 << 20, ge=1, le=64 << 20)
+    drain_delay: float = Field(default=3.0, ge=0, le=600)
     max_requests: int = Field(default=2000, ge=1)
--- a/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
+++ b/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
@@ -6,15 +6,23 @@
 import structlog
 from result import Err, Ok
 from websockets.asyncio.client import connect
-from websockets.exceptions import ConnectionClosed, WebSocketException
+from websockets.exceptions import (
+    ConnectionClosed,
+    ConnectionClosedError,
+    WebSocketException,
+)
+from websockets.frames import CloseCode
 
 from wharf_coordination import Code, Refusal
+from wharf_daemon.entry.attempt_inbox import AttemptInbox
+from wharf_daemon.protocol_violation import closed_for_violation
 from wharf_wire import (
     MAX_FRAME_BYTES,
     Call,
     Cancel,
     Chunk,
     ConfigurationOffer,
+    Credit,
     End,
     Facts,
     Failed,
@@ -29,7 +37,9 @@
 
 FIRST_RETRY_SECONDS = 0.05
 MAX_RETRY_SECONDS = 2.0
-MAX_ATTEMPT_FRAMES = 4096
+STEADY_SECONDS = 1.0
+CONNECT_SECONDS = 3.0
+CLOSE_SECONDS = 2.0
 
 log = structlog.get_logger(__name__)
 
@@ -46,7 +56,7 @@
         self._entry = entry
         self._rng = rng
         self._socket = None
-        self._queue_by_attempt = {}
+        self._inbox_by_attempt = {}
 
     @property
     def is_open(self):
@@ -56,23 +66,23 @@
     @property
     def in_flight(self):
         """Return the number of this entry's attempts on the link."""
-        return len(self._queue_by_attempt)
+        return len(self._inbox_by_attempt)
 
     async def run(self):
         """Connect, and connect anew after each loss, until cancelled."""
         failures = 0
         while True:
+            begin = self._now()
             try:
-                async with connect(
-                    f"ws://{self.address}",
-                    compression=None,
-                    max_size=MAX_FRAME_BYTES,
-                    max_queue=MAX_QUEUED_FRAMES,
-                ) as socket:
-                    failures = 0
+                async with self._connect() as socket:
                     await self._serve(socket)
+            except ConnectionClosedError as error:
+                if closed_for_violation(error):
+                    self._entry.metrics.bad_messages.inc()
             except (OSError, WebSocketException, TimeoutError):
-                failures += 1
+                pass
+            was_steady = self._now() - begin > STEADY_SECONDS
+            failures = 0 if was_steady else failures + 1
             bound = FIRST_RETRY_SECONDS * 2 ** min(failures, 10)
             await asyncio.sleep(
                 self._rng.uniform(0.5, 1.0) * min(MAX_RETRY_SECONDS, bound)
@@ -83,25 +93,27 @@
 
         A call that could not be sent ends with a `Failed` that says not run.
         """
-        if not self.is_open:
+        if not self.is_open or self.load.leaving:
             yield self._failed(call, Refusal.not_run(Code.LINK_LOST, "link is down"))
             return
-        queue = asyncio.Queue(MAX_ATTEMPT_FRAMES)
-        self._queue_by_attempt[call.attempt] = queue
+        inbox = self._inbox_by_attempt[call.attempt] = AttemptInbox(call.attempt)
         ended = False
         try:
             await self._socket.send(encode(call))
             while not ended:
-                frame = await queue.get()
+                frame = await inbox.get()
                 ended = isinstance(frame, Failed | End)
                 yield frame
+                if cost := inbox.consume(frame):
+                    await self.send(Credit(call.attempt, cost))
         except ConnectionClosed:
             ended = True
             yield self._failed(call, Refusal.unknown(Code.LINK_LOST, "link was lost"))
         finally:
-            self._queue_by_attempt.pop(call.attempt, None)
+            self._inbox_by_attempt.pop(call.attempt, None)
             if not ended:
                 await self.send(Cancel(call.attempt))
+            await self._close_if_left()
 
     async def offer_configuration(self):
         """Hand the held configuration to the sidecar if it is behind."""
@@ -116,67 +128,100 @@
             with suppress(ConnectionClosed):
                 await self._socket.send(encode(message))
 
+    def _connect(self):
+        return connect(
+            f"ws://{self.address}",
+            compression=None,
+            proxy=None,
+            open_timeout=CONNECT_SECONDS,
+            close_timeout=CLOSE_SECONDS,
+            max_size=MAX_FRAME_BYTES,
+            max_queue=MAX_QUEUED_FRAMES,
+        )
+
     async def _serve(self, socket):
         await socket.send(encode(self._entry.hello()))
         self._socket = socket
-        for message in self._entry.facts.messages():
-            await self.send(message)
-        log.info("link_opened", address=self.address)
         try:
-            async for frame in socket:
-                match decode(frame):
-                    case Ok(message):
-                        await self._handle(message)
-                    case Err(refusal):
-                        self._entry.metrics.bad_messages.inc()
-                        await socket.close(1002, refusal.detail[:100])
+            for message in self._entry.facts.messages():
+                await self.send(message)
+            await self._read(socket)
         finally:
-            self._close()
+            self._on_lost()
 
-    def _close(self):
+    async def _read(self, socket):
+        async for frame in socket:
+            handled = decode(frame).and_then(self._handle)
+            if handled.is_err():
+                self._entry.metrics.bad_messages.inc()
+                detail = handled.unwrap_err().detail
+                log.warning("link_violated", address=self.address, detail=detail)
+                self._socket = None
+                await socket.close(CloseCode.PROTOCOL_ERROR, detail[:100])
+                return
+            await self._close_if_left()
+
+    def _on_lost(self):
+        if self.load is not None:
+            log.info("link_lost", address=self.address, upstream=self.name)
         self._socket = None
         self.load = None
+        self.name = ""
         self.peer_revision = 0
         lost = Refusal.unknown(Code.LINK_LOST, "link was lost")
-        for attempt, queue in self._queue_by_attempt.items():
-            self._put(queue, attempt, Failed.from_refusal(attempt, lost))
-        log.info("link_lost", address=self.address, upstream=self.name)
+        for attempt, inbox in self._inbox_by_attempt.items():
+            inbox.put(Failed.from_refusal(attempt, lost))
 
-    async def _handle(self, message):
+    def _handle(self, message):
+        if not self.name and not isinstance(message, Hello):
+            return self._unexpected(message)
         match message:
-            case Chunk(attempt=attempt) | End(attempt=attempt):
-                self._deliver(attempt, message)
-            case Failed(attempt=attempt):
-                self._deliver(attempt, message)
-            case Load(revision=revision):
-                self.load = message
-                self.peer_revision = max(self.peer_revision, revision)
+            case Chunk() | End() | Failed():
+                self._deliver(message)
+            case Load():
+                self._observe_load(message)
             case Hello(name=name, data_centre=data_centre, revision=revision):
                 self.name, self.data_centre = name, data_centre
-                self.peer_revision = revision
-                await self.offer_configuration()
+                self._observe_revision(revision)
             case ConfigurationOffer(revision=revision, document=document):
                 self.peer_revision = max(self.peer_revision, revision)
                 self._entry.feed.offer(document, self.name)
             case Facts():
                 self._entry.facts.receive(message)
             case _:
-                self._entry.metrics.bad_messages.inc()
-                await self._socket.close(1002, f"unexpected {message.kind}")
-
-    def _deliver(self, attempt, message):
-        queue = self._queue_by_attempt.get(attempt)
-        if queue is None:
+                return self._unexpected(message)
+        return Ok(None)
+
+    def _unexpected(self, message):
+        refusal = Refusal.not_run(Code.BAD_MESSAGE, f"unexpected {message.kind}")
+        return Err(refusal)
+
+    def _observe_load(self, load):
+        if self.load is None:
+            log.info("link_opened", address=self.address, upstream=self.name)
+        self.load = load
+        self._observe_revision(load.revision)
+
+    def _observe_revision(self, revision):
+        self.peer_revision = max(self.peer_revision, revision)
+        if self._entry.feed.document.revision > self.peer_revision:
+            # A task, since the reader must never wait for a write.
+            asyncio.ensure_future(self.offer_configuration())
+
+    async def _close_if_left(self):
+        # The sidecar waits for this close: after it, no call can be under way.
+        if self._socket and self.load and self.load.leaving and not self.in_flight:
+            await self._socket.close()
+
+    def _deliver(self, message):
+        inbox = self._inbox_by_attempt.get(message.attempt)
+        if inbox is None:
             self._entry.metrics.dropped_frames.inc()
             return
-        self._put(queue, attempt, message)
-
-    def _put(self, queue, attempt, message):
-        if queue.full():
-            queue.get_nowait()
-            broken = Refusal.unknown(Code.ANSWER_BROKEN, "entry read too slowly")
-            message = Failed.from_refusal(attempt, broken)
-        queue.put_nowait(message)
+        inbox.put(message)
 
     def _failed(self, call, refusal):
         return Failed.from_refusal(call.attempt, refusal)
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
--- a/packages/daemon/src/wharf_daemon/sidecar/link_server.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/link_server.py
@@ -5,18 +5,18 @@
 
 import structlog
 from result import Err, Ok
-from websockets.exceptions import ConnectionClosed
+from websockets.exceptions import ConnectionClosed, ConnectionClosedError
+from websockets.frames import CloseCode
 
 from wharf_coordination import Code, Refusal
-from wharf_daemon.sidecar.upstream_client import UpstreamError
+from wharf_daemon.protocol_violation import closed_for_violation
+from wharf_daemon.sidecar.running_call import RunningCall
 from wharf_wire import (
     Call,
     Cancel,
-    Chunk,
     ConfigurationOffer,
-    End,
+    Credit,
     Facts,
-    Failed,
     Hello,
     decode,
     encode,
@@ -24,8 +24,6 @@
 
 __all__ = ["LinkServer"]
 
-SEEN_ATTEMPTS = 4096
-
 log = structlog.get_logger(__name__)
 
 
@@ -35,9 +33,10 @@
     def __init__(self, socket, sidecar):
         self._socket = socket
         self._sidecar = sidecar
+        self._call_by_attempt = {}
         self._task_by_attempt = {}
-        self._seen = {}
-        self.peer = "unknown"
+        self._report = None
+        self.peer = ""
         self.peer_revision = 0
 
     async def serve(self):
@@ -47,13 +46,10 @@
             await self.send(self._sidecar.load())
             for message in self._sidecar.facts.messages():
                 await self.send(message)
-            async for frame in self._socket:
-                match decode(frame):
-                    case Ok(message):
-                        await self._handle(message)
-                    case Err(refusal):
-                        self._sidecar.metrics.bad_messages.inc()
-                        await self._socket.close(1002, refusal.detail[:100])
+            await self._read()
+        except ConnectionClosedError as error:
+            if closed_for_violation(error):
+                self._sidecar.metrics.bad_messages.inc()
         except ConnectionClosed:
             pass
         finally:
@@ -69,75 +65,79 @@
         with suppress(ConnectionClosed):
             await self.send(message)
 
-    async def _handle(self, message):
+    async def close(self):
+        """Close the link."""
+        await self._socket.close(CloseCode.GOING_AWAY)
+
+    def report(self, load):
+        """Send a load report, unless the last one is still under way."""
+        if self._report is None or self._report.done():
+            self._report = asyncio.ensure_future(self.send_quietly(load))
+
+    async def offer_configuration(self):
+        """Hand the held configuration to a peer that is behind."""
+        revision = self._sidecar.feed.document.revision
+        if revision > self.peer_revision:
+            self.peer_revision = revision
+            await self.send_quietly(
+                ConfigurationOffer(revision, self._sidecar.feed.json)
+            )
+
+    async def _read(self):
+        async for frame in self._socket:
+            handled = decode(frame).and_then(self._handle)
+            if handled.is_err():
+                self._sidecar.metrics.bad_messages.inc()
+                detail = handled.unwrap_err().detail
+                log.warning("link_violated", peer=self.peer, detail=detail)
+                await self._socket.close(CloseCode.PROTOCOL_ERROR, detail[:100])
+                return
+
+    def _handle(self, message):
+        if not self.peer and not isinstance(message, Hello):
+            return self._unexpected(message)
         match message:
-            case Call():
+            case Call(revision=revision):
                 self._start(message)
+                self._observe_revision(revision)
+            case Credit(attempt=attempt, cost=cost):
+                if running := self._call_by_attempt.get(attempt):
+                    running.credit(cost)
             case Cancel(attempt=attempt):
-                task = self._task_by_attempt.get(attempt)
-                if task:
+                if task := self._task_by_attempt.get(attempt):
                     task.cancel()
             case Hello(name=name, revision=revision):
-                self.peer, self.peer_revision = name, revision
-                await self.offer_configuration()
+                self.peer = name
+                self._observe_revision(revision)
             case ConfigurationOffer(revision=revision, document=document):
                 self.peer_revision = max(self.peer_revision, revision)
                 self._sidecar.feed.offer(document, self.peer)
             case Facts():
                 self._sidecar.facts.receive(message)
             case _:
-                self._sidecar.metrics.bad_messages.inc()
-                await self._socket.close(1002, f"unexpected {message.kind}")
+                return self._unexpected(message)
+        return Ok(None)
 
-    async def offer_configuration(self):
-        """Hand the held configuration to a peer that is behind."""
-        revision = self._sidecar.feed.document.revision
-        if revision > self.peer_revision:
-            self.peer_revision = revision
-            await self.send_quietly(
-                ConfigurationOffer(revision, self._sidecar.feed.json)
-            )
+    def _unexpected(self, message):
+        refusal = Refusal.not_run(Code.BAD_MESSAGE, f"unexpected {message.kind}")
+        return Err(refusal)
+
+    def _observe_revision(self, revision):
+        self.peer_revision = max(self.peer_revision, revision)
+        if self._sidecar.feed.document.revision > self.peer_revision:
+            # A task, since the reader must never wait for a write.
+            asyncio.ensure_future(self.offer_configuration())
 
     def _start(self, call):
-        if call.attempt in self._seen:
+        if not self._sidecar.seen.add(call.attempt):
             self._sidecar.metrics.dropped_frames.inc()
             return
-        self._seen[call.attempt] = None
-        if len(self._seen) > SEEN_ATTEMPTS:
-            del self._seen[next(iter(self._seen))]
-        task = asyncio.create_task(self._run(call))
+        running = RunningCall(call, self._sidecar, self.send)
+        task = asyncio.create_task(running.run())
+        self._call_by_attempt[call.attempt] = running
         self._task_by_attempt[call.attempt] = task
-        task.add_done_callback(lambda _: self._task_by_attempt.pop(call.attempt))
-
-    async def _run(self, call):
-        with suppress(ConnectionClosed):
-            await self._answer(call)
-
-    async def _answer(self, call):
-        admitted = self._sidecar.admit(call)
-        if admitted.is_err():
-            await self._fail(call, admitted.unwrap_err())
-            return
-        begin = asyncio.get_running_loop().time()
-        succeeded = False
-        try:
-            count = 0
-            async for body in self._sidecar.upstream.run(call):
-                await self.send(Chunk(call.attempt, call.resume_from + count, body))
-                count += 1
-            succeeded = True
-            elapsed = asyncio.get_running_loop().time() - begin
-            await self.send(End(call.attempt, call.resume_from + count, elapsed))
-            self._count(call, Code.OK)
-        except UpstreamError as failure:
-            await self._fail(call, failure.refusal)
-        finally:
-            elapsed = asyncio.get_running_loop().time() - begin
-            self._sidecar.release(elapsed, succeeded)
-
-    async def _fail(self, call, refusal: Refusal):
-        self._count(call, refusal.code)
-        await self.send(Failed.from_refusal(call.attempt, refusal))
+        task.add_done_callback(lambda _: self._forget(call.attempt))
 
-    def _count(self, call, code):
-        self._sidecar.metrics.attempts.labels(call.stage, code.label).inc()
+    def _forget(self, attempt):
+        del self._call_by_attempt[attempt]
+        del self._task_by_attempt[attempt]
--- /dev/null
+++ b/packages/daemon/src/wharf_daemon/sidecar/running_call.py
@@ -0,0 +1,80 @@
+"""One admitted or refused call on a link, until its last frame."""
+
+import asyncio
+from contextlib import suppress
+
+from websockets.exceptions import ConnectionClosed
+
+from wharf_coordination import Code, Refusal, SendWindow, chunk_cost
+from wharf_daemon.sidecar.upstream_client import UpstreamError
+from wharf_wire import Call, Chunk, End, Failed
+
+__all__ = ["RunningCall"]
+
+
+class RunningCall:
+    """Run a call on the upstream and send its answer as the entry's credit allows."""
+
+    def __init__(self, call: Call, sidecar, send):
+        self._call = call
+        self._sidecar = sidecar
+        self._send = send
+        self._window = SendWindow()
+        self._credited = asyncio.Event()
+        self._sequence = call.resume_from
+
+    def credit(self, cost):
+        """Allow more of the answer to be sent."""
+        self._window.credit(cost)
+        self._credited.set()
+
+    async def run(self):
+        """Admit the call, run it and send its frames; end early if cancelled."""
+        with suppress(ConnectionClosed):
+            admitted = self._sidecar.admit(self._call)
+            if admitted.is_err():
+                await self._fail(admitted.unwrap_err())
+                return
+            await self._run_admitted()
+
+    async def _run_admitted(self):
+        begin = self._now()
+        refusal = Refusal.unknown(Code.CALLER_LEFT)
+        try:
+            refusal = await self._answer(begin)
+            if refusal:
+                await self._fail(refusal)
+        finally:
+            self._sidecar.release(self._now() - begin, refusal is None)
+
+    async def _answer(self, begin) -> Refusal | None:
+        try:
+            async with asyncio.timeout(self._call.time_left):
+                async for body in self._sidecar.upstream.run(self._call):
+                    await self._send_chunk(body)
+                elapsed = self._now() - begin
+                await self._send(End(self._call.attempt, self._sequence, elapsed))
+        except UpstreamError as failure:
+            return failure.refusal
+        except TimeoutError:
+            return Refusal.unknown(Code.DEADLINE_PASSED)
+        self._count(Code.OK)
+        return None
+
+    async def _send_chunk(self, body):
+        while not self._window.is_open:
+            self._credited.clear()
+            await self._credited.wait()
+        self._window.sent(chunk_cost(body))
+        await self._send(Chunk(self._call.attempt, self._sequence, body))
+        self._sequence += 1
+
+    async def _fail(self, refusal):
+        self._count(refusal.code)
+        await self._send(Failed.from_refusal(self._call.attempt, refusal))
+
+    def _count(self, code):
+        self._sidecar.metrics.attempts.labels(self._call.stage, code.label).inc()
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -8,7 +8,7 @@
 from result import Err, Result
 from websockets.asyncio.server import serve
 
-from wharf_coordination import Code, Gate, Refusal
+from wharf_coordination import Code, Gate, Refusal, SeenSet
 from wharf_daemon.configuration_feed import ConfigurationFeed
 from wharf_daemon.fact_feed import FactFeed
 from wharf_daemon.http_site import HttpSite, split_address
@@ -36,11 +36,13 @@
         self.facts = FactFeed()
         self.gate = Gate(settings.cold_limit, settings.max_limit)
         self.links = set()
+        self.seen = SeenSet()
         self.leaving = False
         self._rng = Random(settings.seed)
         self._service_time = 0.0
         self._idle = asyncio.Event()
         self._idle.set()
+        self._unlinked = asyncio.Event()
 
     async def start(self):
         """Listen for entries and operators and start to report load."""
@@ -82,13 +84,17 @@
         """Refuse new calls, finish those that run, then leave."""
         self.leaving = True
         log.info("stopping", in_flight=self.gate.in_flight)
-        await self._broadcast_load()
+        self._server.close(close_connections=False)
+        self._broadcast_load()
         try:
-            await asyncio.wait_for(self._idle.wait(), self.settings.stop_grace)
+            async with asyncio.timeout(self.settings.stop_grace):
+                await self._idle.wait()
+                await self._until_unlinked()
         except TimeoutError:
             log.warning("stop_grace_spent", in_flight=self.gate.in_flight)
         self._reporter.cancel()
-        self._server.close()
+        for link in tuple(self.links):
+            await link.close()
         await self._server.wait_closed()
         await self._session.close()
         await self._operators.stop()
@@ -157,17 +163,25 @@
             await link.serve()
         finally:
             self.links.discard(link)
+            self._unlinked.set()
             self.metrics.links.set(len(self.links))
 
+    async def _until_unlinked(self):
+        # An entry closes its link once it has read that this sidecar is leaving,
+        # so that no call can still be under way when the last link is closed.
+        while self.links:
+            self._unlinked.clear()
+            await self._unlinked.wait()
+
     async def _report_load(self):
         while True:
             await asyncio.sleep(self.settings.load_interval)
-            await self._broadcast_load()
+            self._broadcast_load()
 
-    async def _broadcast_load(self):
+    def _broadcast_load(self):
         report = self.load()
-        sends = (link.send(report) for link in tuple(self.links))
-        await asyncio.gather(*sends, return_exceptions=True)
+        for link in tuple(self.links):
+            link.report(report)
 
     def _broadcast_facts(self, message):
         for link in tuple(self.links):
--- a/packages/daemon/src/wharf_daemon/sidecar/upstream_client.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/upstream_client.py
@@ -1,11 +1,12 @@
 """HTTP client of the upstream beside a sidecar."""
 
-import json
 from dataclasses import dataclass
 
 import aiohttp
 
 from wharf_coordination import Code, Refusal
+from wharf_daemon.sidecar.stream_line import StreamLine
+from wharf_wire.limits import CHUNK_BYTES
 
 __all__ = ["UpstreamClient", "UpstreamError"]
 
@@ -49,7 +50,8 @@
                 self._on_incarnation(response.headers.get(INCARNATION_HEADER, ""))
                 self._check_status(response)
                 if not call.streaming:
-                    yield await response.read()
+                    async for part in response.content.iter_chunked(CHUNK_BYTES):
+                        yield part
                     return
                 async for chunk in self._chunks(response):
                     yield chunk
@@ -59,7 +61,7 @@
         except TimeoutError as error:
             failure = Refusal.unknown(Code.DEADLINE_PASSED, "upstream timed out")
             raise UpstreamError(failure) from error
-        except (aiohttp.ClientError, ValueError, KeyError) as error:
+        except (aiohttp.ClientError, ValueError) as error:
             failure = Refusal.unknown(Code.UPSTREAM_FAILED, repr(error))
             raise UpstreamError(failure) from error
 
@@ -86,12 +88,12 @@
     async def _chunks(self, response):
         count = 0
         async for line in response.content:
-            part = json.loads(line)
-            if "end" in part:
-                self._check_count(count, part["end"])
+            part = StreamLine.model_validate_json(line)
+            if part.end is not None:
+                self._check_count(count, part.end)
                 return
             count += 1
-            yield part["text"].encode()
+            yield part.text.encode()
         raise UpstreamError(
             Refusal.unknown(Code.ANSWER_BROKEN, "stream ended without its last line")
         )
--- a/packages/standins/src/wharf_standins/loopback.py
+++ b/packages/standins/src/wharf_standins/loopback.py
@@ -109,6 +109,7 @@
             listen=ANY_PORT,
             operators_listen=ANY_PORT,
             platform=self.platform_url,
+            drain_delay=0.0,
             seed=self._seed,
         )
         entry = Entry(settings)
--- a/packages/wire/src/wharf_wire/__init__.py
+++ b/packages/wire/src/wharf_wire/__init__.py
@@ -5,6 +5,7 @@
 from wharf_wire.chunk import Chunk
 from wharf_wire.codec import Message, decode, encode
 from wharf_wire.configuration_offer import ConfigurationOffer
+from wharf_wire.credit import Credit
 from wharf_wire.end import End
 from wharf_wire.facts import FactItem, Facts
 from wharf_wire.failed import Failed
@@ -19,6 +20,7 @@
     "Cancel",
     "Chunk",
     "ConfigurationOffer",
+    "Credit",
     "End",
     "FactItem",
     "Facts",
--- a/packages/wire/src/wharf_wire/codec.py
+++ b/packages/wire/src/wharf_wire/codec.py
@@ -11,6 +11,7 @@
 from wharf_wire.cancel import Cancel
 from wharf_wire.chunk import Chunk
 from wharf_wire.configuration_offer import ConfigurationOffer
+from wharf_wire.credit import Credit
 from wharf_wire.end import End
 from wharf_wire.facts import Facts
 from wharf_wire.failed import Failed
@@ -21,7 +22,16 @@
 __all__ = ["Message", "decode", "encode"]
 
 Message = Annotated[
-    Call | Cancel | Chunk | ConfigurationOffer | End | Facts | Failed | Hello | Load,
+    Call
+    | Cancel
+    | Chunk
+    | ConfigurationOffer
+    | Credit
+    | End
+    | Facts
+    | Failed
+    | Hello
+    | Load,
     Field(discriminator="kind"),
 ]
 _ADAPTER = TypeAdapter(Message)
--- a/packages/wire/src/wharf_wire/limits.py
+++ b/packages/wire/src/wharf_wire/limits.py
@@ -1,6 +1,7 @@
 """Bounds on what one process accepts from another."""
 
 __all__ = [
+    "CHUNK_BYTES",
     "MAX_BODY_BYTES",
     "MAX_DOCUMENT_BYTES",
     "MAX_FACTS_PER_FRAME",
@@ -17,3 +18,4 @@
 MAX_FRAME_BYTES = MAX_BODY_BYTES + (64 << 10)
 MAX_QUEUED_FRAMES = 64
 MAX_FACTS_PER_FRAME = 200
+CHUNK_BYTES = 64 << 10
