--- a/packages/daemon/src/wharf_daemon/entry/caller_api.py
+++ b/packages/daemon/src/wharf_daemon/entry/caller_api.py
@@ -1,19 +1,22 @@
 """HTTP endpoint for callers."""
 
 import asyncio
-import json
 
+import structlog
 from aiohttp import web
 from result import Err, Ok
 
 from wharf_coordination import Code, Refusal
-from wharf_daemon.entry.http_status import http_status
-from wharf_daemon.entry.request_reader import STREAM_TYPE
+from wharf_daemon.entry.event_stream import EventStream
+from wharf_daemon.entry.refusal_response import (
+    CODE_HEADER,
+    REQUEST_HEADER,
+    refusal_response,
+)
 
 __all__ = ["CallerApi"]
 
-CODE_HEADER = "Result-Code"
-REQUEST_HEADER = "Request-Id"
+log = structlog.get_logger(__name__)
 
 
 class CallerApi:
@@ -27,8 +30,11 @@
 
     def application(self):
         """Return the aiohttp application with the endpoint."""
-        application = web.Application(client_max_size=self._max_body)
+        application = web.Application(
+            client_max_size=self._max_body, middlewares=[self._explain]
+        )
         application.router.add_post("/v1/pipelines/{name}", self._post)
+        application.on_response_prepare.append(self._close_if_stopping)
         return application
 
     async def _post(self, http):
@@ -41,15 +47,22 @@
             if read.is_err():
                 return self._refused(request_id, read.unwrap_err(), "")
             request = read.unwrap()
-            if request.streaming:
-                return await self._stream(http, request)
-            return await self._whole(request)
+            try:
+                if request.streaming:
+                    return await self._stream(http, request)
+                return await self._whole(request)
+            except asyncio.CancelledError:
+                self._count(request.pipeline, Code.CALLER_LEFT)
+                raise
 
     async def _whole(self, request):
         match await self._runner.run(request):
             case Ok(body):
                 self._count(request.pipeline, Code.OK)
-                headers = {CODE_HEADER: str(Code.OK), REQUEST_HEADER: request.id}
+                headers = {
+                    CODE_HEADER: str(int(Code.OK)),
+                    REQUEST_HEADER: request.id,
+                }
                 return web.Response(
                     body=body, content_type="application/json", headers=headers
                 )
@@ -57,55 +70,43 @@
                 return self._refused(request.id, refusal, request.pipeline)
 
     async def _stream(self, http, request):
-        response = web.StreamResponse(headers={REQUEST_HEADER: request.id})
-        response.content_type = STREAM_TYPE
-        sequence = 0
-
-        async def on_chunk(body):
-            nonlocal sequence
-            if not response.prepared:
-                await response.prepare(http)
-            data = {"sequence": sequence, "text": body.decode()}
-            await response.write(_event("chunk", data))
-            sequence += 1
-
-        outcome = await self._runner.run(request, on_chunk)
-        if outcome.is_err() and not response.prepared:
-            return self._refused(request.id, outcome.unwrap_err(), request.pipeline)
-        if not response.prepared:
-            await response.prepare(http)
-        match outcome:
-            case Ok(_):
-                self._count(request.pipeline, Code.OK)
-                await response.write(_event("end", {"chunks": sequence}))
-            case Err(refusal):
-                self._count(request.pipeline, refusal.code)
-                data = _refusal_fields(request.id, refusal)
-                await response.write(_event("error", data))
-        return response
+        stream = EventStream(http, request.id)
+        try:
+            outcome = await self._runner.run(request, stream.send_chunk)
+            if outcome.is_err() and not stream.is_begun:
+                return self._refused(request.id, outcome.unwrap_err(), request.pipeline)
+            await stream.close(outcome)
+        except ConnectionResetError:
+            outcome = Err(Refusal.unknown(Code.CALLER_LEFT))
+        code = Code.OK if outcome.is_ok() else outcome.unwrap_err().code
+        self._count(request.pipeline, code)
+        return stream.response
+
+    @web.middleware
+    async def _explain(self, http, handler):
+        """Turn errors that the handler does not know into refusals with a code."""
+        request_id = self._entry.next_request_id()
+        try:
+            return await handler(http)
+        except web.HTTPNotFound:
+            detail = f"{http.path}: expected /v1/pipelines/NAME"
+            refusal = Refusal.not_run(Code.UNKNOWN_PATH, detail)
+        except web.HTTPMethodNotAllowed:
+            refusal = Refusal.not_run(Code.BAD_METHOD, f"{http.method}: expected POST")
+        except Exception:
+            log.exception("request_failed", request=request_id)
+            refusal = Refusal.unknown(Code.INTERNAL)
+        return self._refused(request_id, refusal, "")
+
+    async def _close_if_stopping(self, http, response):
+        # Callers of a stopping entry must not find their connection cut later.
+        if self._entry.stopping:
+            response.force_close()
+            response.headers["Connection"] = "close"
 
     def _refused(self, request_id, refusal: Refusal, pipeline):
         self._count(pipeline, refusal.code)
-        headers = {CODE_HEADER: str(int(refusal.code)), REQUEST_HEADER: request_id}
-        return web.json_response(
-            _refusal_fields(request_id, refusal),
-            status=http_status(refusal.code),
-            headers=headers,
-        )
+        return refusal_response(request_id, refusal)
 
     def _count(self, pipeline, code):
         self._entry.metrics.requests.labels(pipeline, code.label).inc()
-
-
-def _event(kind, data):
-    return f"event: {kind}\ndata: {json.dumps(data)}\n\n".encode()
-
-
-def _refusal_fields(request_id, refusal):
-    return {
-        "request": request_id,
-        "code": int(refusal.code),
-        "error": refusal.code.label,
-        "ran": refusal.ran,
-        "detail": refusal.detail,
-    }
--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -39,6 +39,7 @@
         self.feed = ConfigurationFeed(self.metrics)
         self.facts = FactFeed()
         self.stopping = False
+        self._closed = False
         self._rng = Random(settings.seed)
         self._incarnation = f"{self._rng.getrandbits(48):012x}"
         self._request_numbers = count()
@@ -82,7 +83,7 @@
             await asyncio.wait_for(self._idle.wait(), self.settings.stop_grace)
         except TimeoutError:
             log.warning("stop_grace_spent", running=self._running)
-        log.info("stopped", running=self._running)
+        self._closed = True
         await self._callers.stop()
         self._follower.cancel()
         self.links.close()
@@ -105,6 +106,9 @@
     @contextmanager
     def request(self):
         """Count a request while it runs; yield a refusal when there is no room."""
+        if self._closed:
+            yield Err(Refusal.not_run(Code.ENTRY_STOPPING))
+            return
         if self._running >= self.settings.max_requests:
             yield Err(Refusal.not_run(Code.ENTRY_FULL, f"{self._running} requests"))
             return
--- a/packages/daemon/src/wharf_daemon/entry/pipeline_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/pipeline_runner.py
@@ -5,7 +5,7 @@
 
 from result import Err, Ok, Result
 
-from wharf_coordination import Ran, Refusal
+from wharf_coordination import Code, Ran, Refusal
 from wharf_daemon.entry.request import Request
 from wharf_daemon.entry.stage_task import StageTask
 
@@ -36,6 +36,9 @@
             if outcome.is_err():
                 return Err(self._refusal(outcome.unwrap_err(), answers))
             answers[stage.name] = outcome.unwrap()
+            if not task.streaming and not _is_json(outcome.unwrap()):
+                detail = f"stage {stage.name!r} answered something other than JSON"
+                return Err(Refusal.unknown(Code.ANSWER_BROKEN, detail))
         return outcome
 
     async def _run_stage(self, task):
@@ -59,3 +62,11 @@
         # An earlier stage that answered has run, so the whole may not claim "no".
         ran = Ran.UNKNOWN if answers else refusal.ran
         return Refusal(refusal.code, ran, refusal.detail)
+
+
+def _is_json(answer):
+    try:
+        json.loads(answer)
+    except (ValueError, RecursionError):
+        return False
+    return True
--- a/packages/daemon/src/wharf_daemon/entry/request_reader.py
+++ b/packages/daemon/src/wharf_daemon/entry/request_reader.py
@@ -1,5 +1,6 @@
 """Validation of callers' HTTP requests."""
 
+import asyncio
 import json
 import math
 import re
@@ -51,7 +52,7 @@
         deadline = self._deadline(http, pipeline)
         if deadline.is_err():
             return deadline
-        body = await self._body(http)
+        body = await self._body(http, deadline.unwrap())
         if body.is_err():
             return body
         return Ok(
@@ -80,17 +81,26 @@
             )
         return Ok(seconds)
 
-    async def _body(self, http):
+    async def _body(self, http, seconds):
         try:
-            body = await http.read()
+            async with asyncio.timeout(seconds):
+                body = await http.read()
+        except TimeoutError:
+            return _refuse(Code.DEADLINE_PASSED, "the body came too late")
         except web.HTTPRequestEntityTooLarge:
             return _refuse(Code.BODY_TOO_LARGE, f"more than {self._max_body} bytes")
         try:
-            json.loads(body)
-        except (ValueError, RecursionError) as error:
+            json.loads(body.decode(), parse_constant=_refuse_constant)
+        except ValueError as error:
             return _refuse(Code.BAD_BODY, f"body is not JSON: {error}")
+        except RecursionError:
+            return _refuse(Code.BAD_BODY, "body is nested too deeply")
         return Ok(body)
 
 
+def _refuse_constant(name):
+    raise ValueError(f"{name} is not a JSON value")
+
+
 def _refuse(code, detail):
     return Err(Refusal.not_run(code, detail))
--- a/packages/platform/src/wharf_platform/configuration/__init__.py
+++ b/packages/platform/src/wharf_platform/configuration/__init__.py
@@ -3,6 +3,7 @@
 from wharf_platform.configuration.customer import Customer
 from wharf_platform.configuration.data_centre import DataCentre
 from wharf_platform.configuration.document import CONFIGURATION_KEY, Document
+from wharf_platform.configuration.entry_host import EntryHost
 from wharf_platform.configuration.fault import Fault
 from wharf_platform.configuration.folder import Folder
 from wharf_platform.configuration.jsonc import read_model, read_object, validate
@@ -17,6 +18,7 @@
     "Customer",
     "DataCentre",
     "Document",
+    "EntryHost",
     "Fault",
     "Folder",
     "Pipeline",
--- a/packages/platform/src/wharf_platform/configuration/folder.py
+++ b/packages/platform/src/wharf_platform/configuration/folder.py
@@ -1,28 +1,33 @@
 """The operators' folder of configuration files, merged and validated."""
 
 from collections import Counter
+from typing import Annotated
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
 from wharf_platform.configuration.customer import Customer
 from wharf_platform.configuration.data_centre import DataCentre
+from wharf_platform.configuration.entry_host import EntryHost
 from wharf_platform.configuration.pipeline import Pipeline
 from wharf_platform.configuration.pool import Pool
 from wharf_platform.configuration.upstream import Upstream
 
 __all__ = ["Folder"]
 
+Key = Annotated[str, Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,99}$")]
+
 
 class Folder(BaseModel):
     """All that operators declare in files, with every reference checked."""
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
-    data_centres: dict[str, DataCentre] = Field(default_factory=dict)
-    customers: dict[str, Customer] = Field(default_factory=dict)
-    pools: dict[str, Pool] = Field(default_factory=dict)
-    upstreams: dict[str, Upstream] = Field(default_factory=dict)
-    pipelines: dict[str, Pipeline] = Field(default_factory=dict)
+    data_centres: dict[Key, DataCentre] = Field(default_factory=dict)
+    customers: dict[Key, Customer] = Field(default_factory=dict)
+    pools: dict[Key, Pool] = Field(default_factory=dict)
+    entries: dict[Key, EntryHost] = Field(default_factory=dict)
+    upstreams: dict[Key, Upstream] = Field(default_factory=dict)
+    pipelines: dict[Key, Pipeline] = Field(default_factory=dict)
 
     @model_validator(mode="after")
     def _check_references(self):
--- /dev/null
+++ b/packages/standins/src/wharf_standins/process_fleet.py
@@ -0,0 +1,223 @@
+"""Entries and sidecars as processes of their own, beside stand-ins in this one."""
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
+from pathlib import Path
+
+import aiohttp
+
+from wharf_daemon.http_site import HttpSite
+from wharf_standins.engine import Engine
+from wharf_standins.platform import Platform
+
+__all__ = ["CommandResult", "ProcessFleet"]
+
+START_SECONDS = 20.0
+STOP_SECONDS = 30.0
+POLL_SECONDS = 0.02
+LIMIT = 64
+
+
+@dataclass(frozen=True, slots=True)
+class CommandResult:
+    """How a run of wharfctl ended."""
+
+    code: int
+    output: str
+    errors: str
+
+
+class ProcessFleet:
+    """Run `wharfd` processes on loopback and `wharfctl` against them.
+
+    `shape` maps a pool's name to its upstreams' data centres. Stand-ins of the
+    platform and the upstreams run in this process, where tests can reach them.
+    """
+
+    def __init__(self, directory: Path, shape, pipelines, entries=2, service_time=0.01):
+        self.directory = directory
+        self.folder = directory / "folder"
+        self._shape = shape
+        self._pipelines = pipelines
+        self._service_time = service_time
+        self._stack = AsyncExitStack()
+        self._process_by_name = {}
+        self.entry_names = [f"entry-{number}" for number in range(entries)]
+        self.data_centre_by_upstream = {
+            f"{pool}-{number}": data_centre
+            for pool, data_centres in shape.items()
+            for number, data_centre in enumerate(data_centres)
+        }
+        names = (*self.entry_names, *self.data_centre_by_upstream)
+        self.address_by_name = {name: _free_address() for name in names}
+        self.operators_by_name = {name: _free_address() for name in names}
+        self.engine_by_name = {}
+        self.platform = Platform()
+
+    async def __aenter__(self):
+        self.session = await self._stack.enter_async_context(
+            aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+        )
+        site = await self._site(self.platform.application())
+        self.platform_url = f"http://127.0.0.1:{site.port}"
+        self._stack.push_async_callback(self._end_processes)
+        self._write_folder()
+        for name in self.data_centre_by_upstream:
+            await self.start_sidecar(name)
+        for name in self.entry_names:
+            await self.start_entry(name)
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self._stack.aclose()
+
+    async def start_sidecar(self, name):
+        """Start the stand-in of an upstream and the sidecar beside it."""
+        data_centre = self.data_centre_by_upstream[name]
+        engine = Engine(name, data_centre, service_time=self._service_time)
+        self.engine_by_name[name] = engine
+        site = await self._site(engine.application())
+        settings = self._settings(name, f"sidecar-{name}", data_centre) | {
+            "upstream": name,
+            "upstream_url": f"http://127.0.0.1:{site.port}",
+            "cold_limit": LIMIT,
+            "max_limit": LIMIT,
+        }
+        await self._start("sidecar", name, settings)
+
+    async def start_entry(self, name, **settings):
+        """Start an entry; `settings` go before the usual ones."""
+        data_centre = next(iter(self.data_centre_by_upstream.values()))
+        usual = self._settings(name, name, data_centre) | {"drain_delay": 1.0}
+        await self._start("entry", name, usual | settings)
+
+    async def stop(self, name):
+        """Ask a process to stop as planned; return its exit code."""
+        process = self._process_by_name.pop(name)
+        process.send_signal(signal.SIGTERM)
+        return await asyncio.wait_for(process.wait(), STOP_SECONDS)
+
+    async def control(self, *arguments) -> CommandResult:
+        """Run wharfctl."""
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "wharf_control", *arguments),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        output, errors = await process.communicate()
+        return CommandResult(process.returncode, output.decode(), errors.decode())
+
+    async def apply(self, *options) -> CommandResult:
+        """Apply the folder."""
+        return await self.control(
+            "apply", str(self.folder), "--platform", self.platform_url, *options
+        )
+
+    async def is_ready(self, name):
+        """Return what the process's readiness check says."""
+        url = f"http://{self.operators_by_name[name]}/readyz"
+        try:
+            async with self.session.get(url) as response:
+                return response.status == 200
+        except aiohttp.ClientError:
+            return False
+
+    async def dump(self, name):
+        """Return the state dump of a process."""
+        url = f"http://{self.operators_by_name[name]}/dump"
+        async with self.session.get(url) as response:
+            return await response.json()
+
+    async def until_linked(self):
+        """Wait until each entry has an open link to every sidecar."""
+        async with asyncio.timeout(START_SECONDS):
+            while not all([await self._is_linked(name) for name in self.entry_names]):
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def _is_linked(self, name):
+        if not await self.is_ready(name):
+            return False
+        links = (await self.dump(name))["links"]
+        opened = [link for link in links if link["open"]]
+        return len(opened) == len(self.data_centre_by_upstream)
+
+    def _settings(self, key, name, data_centre):
+        return {
+            "name": name,
+            "data_centre": data_centre,
+            "listen": self.address_by_name[key],
+            "operators_listen": self.operators_by_name[key],
+            "platform": self.platform_url,
+        }
+
+    async def _start(self, kind, name, settings):
+        path = self.directory / f"{name}.json"
+        path.write_text("// written by the test\n" + json.dumps(settings))
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", "wharf_daemon", kind, str(path)),
+            stderr=(self.directory / f"{name}.log").open("ab"),
+            env=os.environ | {"PYTHONUNBUFFERED": "1"},
+        )
+        self._process_by_name[name] = process
+        url = f"http://{self.operators_by_name[name]}/livez"
+        async with asyncio.timeout(START_SECONDS):
+            while not await self._answers(url):
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def _answers(self, url):
+        try:
+            async with self.session.get(url):
+                return True
+        except aiohttp.ClientError:
+            return False
+
+    def _write_folder(self):
+        self.folder.mkdir()
+        centres = set(self.data_centre_by_upstream.values())
+        sections = {
+            "data_centres": {name: {} for name in sorted(centres)},
+            "customers": {"acme": {}},
+            "pools": {name: {} for name in self._shape},
+            "entries": {
+                name: {"operators": self.operators_by_name[name]}
+                for name in self.entry_names
+            },
+            "upstreams": {
+                name: self._upstream(name) for name in self.data_centre_by_upstream
+            },
+            "pipelines": self._pipelines,
+        }
+        for number, (section, content) in enumerate(sections.items()):
+            path = self.folder / f"{number}0-{section}.json"
+            path.write_text(json.dumps({section: content}))
+
+    def _upstream(self, name):
+        return {
+            "pool": name.rpartition("-")[0],
+            "data_centre": self.data_centre_by_upstream[name],
+            "address": self.address_by_name[name],
+            "cold_limit": LIMIT,
+            "max_limit": LIMIT,
+        }
+
+    async def _site(self, application):
+        site = HttpSite(application, "127.0.0.1:0")
+        await site.start()
+        self._stack.push_async_callback(site.stop)
+        return site
+
+    async def _end_processes(self):
+        names = tuple(self._process_by_name)
+        await asyncio.gather(*(self.stop(name) for name in names))
+
+
+def _free_address():
+    with socket.socket() as listener:
+        listener.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{listener.getsockname()[1]}"
