Tell what is in force where, and name the line of each fault

A document remembers its last operations, so that a lost answer is settled also after a later write. Faults name file, line and key.

--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from contextlib import contextmanager
+from dataclasses import asdict
 from itertools import count
 from random import Random
 
@@ -137,7 +138,8 @@
                     "upstream": link.name,
                     "open": link.is_open,
                     "in_flight": link.in_flight,
-                    "revision": link.peer_revision,
+                    "revision": link.load.revision if link.load else None,
+                    "load": asdict(link.load) if link.load else None,
                 }
                 for address, link in sorted(self.links.by_address.items())
             ],
--- a/packages/daemon/src/wharf_daemon/main.py
+++ b/packages/daemon/src/wharf_daemon/main.py
@@ -11,7 +11,7 @@
 
 from wharf_daemon.entry import Entry, EntrySettings
 from wharf_daemon.sidecar import Sidecar, SidecarSettings
-from wharf_platform.configuration import read_object, validate
+from wharf_platform.configuration import read_model
 
 __all__ = ["main"]
 
@@ -70,10 +70,7 @@
 
 def _run(model, daemon, path, overrides, check):
     given = {key: value for key, value in overrides.items() if value is not None}
-    parsed = read_object(path).and_then(
-        lambda value: validate(model, value | given, lambda keys: path.name)
-    )
-    match parsed:
+    match read_model(model, path, given):
         case Err(faults):
             for fault in faults:
                 print(fault, file=sys.stderr)
--- a/packages/daemon/src/wharf_daemon/operators_api.py
+++ b/packages/daemon/src/wharf_daemon/operators_api.py
@@ -3,11 +3,17 @@
 from aiohttp import web
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
 
+from wharf_wire.limits import MAX_DOCUMENT_BYTES
+
 __all__ = ["OperatorsApi"]
 
 
 class OperatorsApi:
-    """Serve /livez, /readyz, /metrics and /dump of one daemon."""
+    """Serve /livez, /readyz, /metrics and /dump of one daemon.
+
+    `PUT /configuration` hands over a configuration that the store has accepted;
+    only a newer one than the one in force is adopted.
+    """
 
     def __init__(self, daemon, metrics):
         self._daemon = daemon
@@ -15,11 +21,12 @@
 
     def application(self):
         """Return the aiohttp application with the endpoints."""
-        application = web.Application()
+        application = web.Application(client_max_size=MAX_DOCUMENT_BYTES)
         application.router.add_get("/livez", self._livez)
         application.router.add_get("/readyz", self._readyz)
         application.router.add_get("/metrics", self._serve_metrics)
         application.router.add_get("/dump", self._dump)
+        application.router.add_put("/configuration", self._offer)
         return application
 
     async def _livez(self, request):
@@ -36,3 +43,9 @@
 
     async def _dump(self, request):
         return web.json_response(self._daemon.dump())
+
+    async def _offer(self, request):
+        offered = self._daemon.feed.offer(await request.read(), "operator")
+        if offered.is_err():
+            return web.json_response({"error": offered.err()}, status=400)
+        return web.json_response({"revision": self._daemon.feed.document.revision})
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -190,6 +190,8 @@
     def _on_document(self, document):
         for link in tuple(self.links):
             asyncio.ensure_future(link.offer_configuration())
+        # The revision in the report tells that the configuration is in force.
+        self._broadcast_load()
 
     def _observe_incarnation(self, incarnation):
         self.gate.observe_incarnation(incarnation, self._now())
--- a/packages/platform/src/wharf_platform/configuration/__init__.py
+++ b/packages/platform/src/wharf_platform/configuration/__init__.py
@@ -6,12 +6,12 @@
 from wharf_platform.configuration.entry_host import EntryHost
 from wharf_platform.configuration.fault import Fault
 from wharf_platform.configuration.folder import Folder
-from wharf_platform.configuration.jsonc import read_model, read_object, validate
 from wharf_platform.configuration.pipeline import Pipeline
 from wharf_platform.configuration.pool import Pool
 from wharf_platform.configuration.reader import read_folder
 from wharf_platform.configuration.stage import Stage
 from wharf_platform.configuration.upstream import Upstream
+from wharf_platform.configuration.validation import read_model, validate
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -27,6 +27,5 @@
     "Upstream",
     "read_folder",
     "read_model",
-    "read_object",
     "validate",
 ]
--- a/packages/platform/src/wharf_platform/configuration/document.py
+++ b/packages/platform/src/wharf_platform/configuration/document.py
@@ -7,13 +7,15 @@
 __all__ = ["CONFIGURATION_KEY", "Document"]
 
 CONFIGURATION_KEY = "configuration/current"
+MAX_RECENT_OPERATIONS = 32
 
 
 class Document(BaseModel):
     """One accepted configuration.
 
     `revision` grows by one with each accepted change; `operation` is the id of
-    the write, by which its writer recognises it after a lost answer. What
+    the write, by which its writer recognises it after a lost answer, also when
+    others have written since: `recent_operations` holds the last ones. What
     operators command rather than declare, such as data centres taken out, stays
     when a folder is applied.
     """
@@ -22,6 +24,7 @@
 
     revision: int = Field(ge=0)
     operation: str = ""
+    recent_operations: tuple[str, ...] = ()
     folder: Folder = Field(default_factory=Folder)
     out_data_centres: frozenset[str] = frozenset()
 
@@ -37,5 +40,10 @@
     def successor(self, operation, **changes):
         """Return the next revision with `changes`, validated as a whole."""
         fields = dict(self) | changes
-        fields |= {"revision": self.revision + 1, "operation": operation}
+        recent = (*self.recent_operations, operation)[-MAX_RECENT_OPERATIONS:]
+        fields |= {
+            "revision": self.revision + 1,
+            "operation": operation,
+            "recent_operations": recent,
+        }
         return type(self).model_validate(fields)
--- a/packages/platform/src/wharf_platform/configuration/fault.py
+++ b/packages/platform/src/wharf_platform/configuration/fault.py
@@ -2,16 +2,28 @@
 
 from dataclasses import dataclass
 
+from wharf_platform.configuration.location import Location
+
 __all__ = ["Fault"]
 
 
 @dataclass(frozen=True, slots=True)
 class Fault:
-    """Where a fault is (file, and line or key) and what was expected."""
+    """Where a fault is (file, line and key) and what was expected."""
 
     file: str
     place: str
     expected: str
 
+    @classmethod
+    def at(cls, location: Location, keys, expected):
+        """Return the fault of the value under a path of keys.
+
+        >>> str(Fault.at(Location("a.json", 3), ("pools", "x"), "expected a name"))
+        'a.json: line 3: pools.x: expected a name'
+        """
+        key = ".".join(str(part) for part in keys)
+        return cls(location.file, f"line {location.line}: {key}", expected)
+
     def __str__(self):
         return f"{self.file}: {self.place}: {self.expected}"
--- a/packages/platform/src/wharf_platform/configuration/folder.py
+++ b/packages/platform/src/wharf_platform/configuration/folder.py
@@ -8,6 +8,10 @@
 from wharf_platform.configuration.customer import Customer
 from wharf_platform.configuration.data_centre import DataCentre
 from wharf_platform.configuration.entry_host import EntryHost
+from wharf_platform.configuration.invalid_references_error import (
+    InvalidReferencesError,
+    ReferenceFault,
+)
 from wharf_platform.configuration.pipeline import Pipeline
 from wharf_platform.configuration.pool import Pool
 from wharf_platform.configuration.upstream import Upstream
@@ -31,30 +35,45 @@
 
     @model_validator(mode="after")
     def _check_references(self):
-        faults = [*self._upstream_faults(), *self._pipeline_faults()]
-        if faults:
-            raise ValueError("; ".join(faults))
+        errors = [*self._upstream_errors(), *self._pipeline_errors()]
+        if errors:
+            raise InvalidReferencesError(errors)
         return self
 
-    def _upstream_faults(self):
+    def _upstream_errors(self):
         for name, upstream in self.upstreams.items():
-            place = f"upstreams.{name}"
+            place = ("upstreams", name)
             if upstream.pool not in self.pools:
-                yield f"{place}.pool: unknown pool {upstream.pool!r}"
+                expected = f"unknown pool {upstream.pool!r}"
+                yield ReferenceFault((*place, "pool"), expected)
             if upstream.data_centre not in self.data_centres:
-                data_centre = upstream.data_centre
-                yield f"{place}.data_centre: unknown data centre {data_centre!r}"
+                expected = f"unknown data centre {upstream.data_centre!r}"
+                yield ReferenceFault((*place, "data_centre"), expected)
             if upstream.cold_limit > upstream.max_limit:
-                yield f"{place}.cold_limit: {upstream.cold_limit} exceeds max_limit"
+                expected = f"{upstream.cold_limit} exceeds max_limit"
+                yield ReferenceFault((*place, "cold_limit"), expected)
+        yield from self._address_errors()
 
-    def _pipeline_faults(self):
+    def _address_errors(self):
+        name_by_address = {}
+        for name, upstream in self.upstreams.items():
+            first = name_by_address.setdefault(upstream.address, name)
+            if first != name:
+                expected = f"{upstream.address} is already that of {first!r}"
+                yield ReferenceFault(("upstreams", name, "address"), expected)
+
+    def _pipeline_errors(self):
         for name, pipeline in self.pipelines.items():
+            place = ("pipelines", name)
             counts = Counter(stage.name for stage in pipeline.stages)
             for stage, count in counts.items():
                 if count > 1:
-                    yield f"pipelines.{name}.stages: {stage!r} stands {count} times"
-            for stage in pipeline.stages:
+                    expected = f"stage {stage!r} stands {count} times"
+                    yield ReferenceFault((*place, "stages"), expected)
+            for index, stage in enumerate(pipeline.stages):
                 if stage.pool not in self.pools:
-                    yield f"pipelines.{name}.stages: unknown pool {stage.pool!r}"
+                    path = (*place, "stages", index, "pool")
+                    yield ReferenceFault(path, f"unknown pool {stage.pool!r}")
             if pipeline.default_deadline > pipeline.max_deadline:
-                yield f"pipelines.{name}.default_deadline: exceeds max_deadline"
+                path = (*place, "default_deadline")
+                yield ReferenceFault(path, "exceeds max_deadline")
--- a/packages/platform/src/wharf_platform/configuration/reader.py
+++ b/packages/platform/src/wharf_platform/configuration/reader.py
@@ -1,12 +1,15 @@
 """Merging of the operators' folder in the order of the file names."""
 
+from dataclasses import dataclass, field
 from pathlib import Path
 
 from result import Err, Result
 
 from wharf_platform.configuration.fault import Fault
 from wharf_platform.configuration.folder import Folder
-from wharf_platform.configuration.jsonc import read_object, validate
+from wharf_platform.configuration.location import Location
+from wharf_platform.configuration.source_file import SourceFile
+from wharf_platform.configuration.validation import validate
 
 __all__ = ["FILE_PATTERN", "read_folder"]
 
@@ -20,29 +23,36 @@
     if not paths:
         expected = f"expected at least one {FILE_PATTERN} file"
         return Err([Fault(str(directory), "folder", expected)])
-    results = [(path, read_object(path)) for path in paths]
-    faults = [fault for _, result in results for fault in result.err() or []]
+    results = [SourceFile.read(path) for path in paths]
+    faults = [fault for result in results for fault in result.err() or []]
     if faults:
         return Err(faults)
-    merged, file_by_key = {}, {}
-    for path, result in results:
-        _merge(merged, result.unwrap(), path.name, file_by_key)
-    return validate(Folder, merged, lambda keys: _file_of(keys, file_by_key))
-
-
-def _merge(merged, value, file, file_by_key):
-    for section, content in value.items():
-        file_by_key[(section,)] = file
-        if not isinstance(content, dict):
-            merged[section] = content
-            continue
-        if not isinstance(merged.get(section), dict):
-            merged[section] = {}
-        for name, item in content.items():
-            merged[section][name] = item
-            file_by_key[(section, name)] = file
-
-
-def _file_of(keys, file_by_key):
-    exact = file_by_key.get(tuple(keys[:2]))
-    return exact or file_by_key.get(tuple(keys[:1]), "folder")
+    merge = _Merge()
+    for result in results:
+        merge.add(result.unwrap())
+    return validate(Folder, merge.value, merge.locate)
+
+
+@dataclass
+class _Merge:
+    """A later file replaces an entry of a section as a whole."""
+
+    value: dict = field(default_factory=dict)
+    source_by_path: dict[tuple, SourceFile] = field(default_factory=dict)
+
+    def add(self, source):
+        for section, content in source.value.items():
+            self.source_by_path[(section,)] = source
+            if not isinstance(content, dict):
+                self.value[section] = content
+                continue
+            if not isinstance(self.value.get(section), dict):
+                self.value[section] = {}
+            for name, item in content.items():
+                self.value[section][name] = item
+                self.source_by_path[(section, name)] = source
+
+    def locate(self, keys):
+        source = self.source_by_path.get(tuple(keys[:2]))
+        source = source or self.source_by_path.get(tuple(keys[:1]))
+        return source.locate(keys) if source else Location("folder", 1)
