Give the platform client a budget, a breaker and a lease

The client counted calls but never held any back: an outage or a refusal was met by as many calls as the callers made. DocumentChange recognised its write only while it was the last one, so that a later writer erased the evidence.

Writes now go by POST, which is never resent, and a change looks for its own operation id after any write that it sent, not only after an unknown one.

- CallBudget: token bucket whose rate halves on a refusal and grows back
- Breaker: single probes during an outage
- CallGate: both, with counters by kind, exported as wharf_store_calls
- the document keeps the ids of its last 64 changes
- Lease, LeaseKeeper and FencingGuard, driven by a stateful test; the variants without fencing and without conditional writes fail there
- stand-in: rates, seeded loss of answers, list by prefix, deletion, host list

--- a/packages/control/src/wharf_control/document_change.py
+++ b/packages/control/src/wharf_control/document_change.py
@@ -29,8 +29,8 @@
         return Ok(changed.to_json())
 
     def is_applied(self, stored: StoredObject) -> bool:
-        """Return whether the stored document was written by this change."""
-        return stored.exists and self._document(stored).operation == self.operation
+        """Return whether this change is among those in the stored document."""
+        return stored.exists and self.operation in self._document(stored).operations
 
     def _document(self, stored):
         if not stored.exists:
--- a/packages/coordination/src/wharf_coordination/__init__.py
+++ b/packages/coordination/src/wharf_coordination/__init__.py
@@ -5,13 +5,18 @@
 """
 
 from wharf_coordination.answer import AnswerAssembler
+from wharf_coordination.backoff import Backoff
+from wharf_coordination.breaker import Breaker
+from wharf_coordination.call_budget import CallBudget
 from wharf_coordination.candidate import Candidate
 from wharf_coordination.chooser import Chooser
 from wharf_coordination.code import Code
 from wharf_coordination.deadline import Deadline
 from wharf_coordination.fact import Fact, FactKind
 from wharf_coordination.fact_set import FactSet
+from wharf_coordination.fencing_guard import FencingGuard
 from wharf_coordination.gate import Gate
+from wharf_coordination.lease import Lease, LeaseRecord
 from wharf_coordination.monotone import Monotone
 from wharf_coordination.priority import Priority
 from wharf_coordination.ran import Ran
@@ -19,6 +24,9 @@
 
 __all__ = [
     "AnswerAssembler",
+    "Backoff",
+    "Breaker",
+    "CallBudget",
     "Candidate",
     "Chooser",
     "Code",
@@ -26,7 +34,10 @@
     "Fact",
     "FactKind",
     "FactSet",
+    "FencingGuard",
     "Gate",
+    "Lease",
+    "LeaseRecord",
     "Monotone",
     "Priority",
     "Ran",
--- /dev/null
+++ b/packages/coordination/src/wharf_coordination/breaker.py
@@ -0,0 +1,56 @@
+"""Circuit breaker: stop calls of a service that fails, but for single probes."""
+
+from dataclasses import dataclass, field
+from random import Random
+
+from wharf_coordination.backoff import Backoff
+
+__all__ = ["Breaker"]
+
+FAILURES_TO_OPEN = 3
+FIRST_DELAY_SECONDS = 0.2
+MAX_DELAY_SECONDS = 4.0
+
+
+@dataclass(slots=True)
+class Breaker:
+    """Open after a row of failures; then permit one probe after each delay."""
+
+    failures_to_open: int = FAILURES_TO_OPEN
+    backoff: Backoff = field(
+        default_factory=lambda: Backoff(FIRST_DELAY_SECONDS, MAX_DELAY_SECONDS)
+    )
+    failures: int = 0
+    _probe_at: float = 0.0
+
+    @property
+    def is_open(self):
+        """Return whether only probes are permitted."""
+        return self.failures >= self.failures_to_open
+
+    def permits(self, now, rng: Random) -> bool:
+        """Return whether a call may be made; an open breaker spends its probe.
+
+        >>> breaker = Breaker(failures_to_open=1)
+        >>> breaker.fail(now=0.0, rng=Random(1))
+        >>> breaker.permits(now=0.0, rng=Random(1)), breaker.permits(1.0, Random(1))
+        (False, True)
+        """
+        if not self.is_open:
+            return True
+        if now < self._probe_at:
+            return False
+        self._probe_at = now + self._delay(rng)
+        return True
+
+    def succeed(self):
+        """Close after a call that the service answered."""
+        self.failures = 0
+
+    def fail(self, now, rng: Random):
+        """Count a call that the service refused or left without an answer."""
+        self.failures += 1
+        self._probe_at = now + self._delay(rng)
+
+    def _delay(self, rng):
+        return self.backoff.delay(1 + self.failures - self.failures_to_open, rng)
--- /dev/null
+++ b/packages/coordination/src/wharf_coordination/lease.py
@@ -0,0 +1,105 @@
+"""A time-limited right to act as the one holder, with a fencing number."""
+
+from dataclasses import dataclass, replace
+
+__all__ = ["Lease", "LeaseRecord"]
+
+DURATION_SECONDS = 6.0
+RENEWALS_PER_DURATION = 3
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseRecord:
+    """The lease as the store keeps it.
+
+    `fencing` grows by one with each new holder; `renewals` makes each renewal
+    differ, so that others see that the holder lives. An empty `holder` means
+    that the lease was given up.
+    """
+
+    holder: str = ""
+    fencing: int = 0
+    renewals: int = 0
+
+
+@dataclass(slots=True)
+class Lease:
+    """Decide when one contender takes, renews and stops to rely on a lease.
+
+    No clock is compared with another's: a contender takes the lease over once
+    it has itself seen the same record for `duration` seconds, and the holder
+    relies on it for `duration` seconds from before its last write was sent.
+    Times are in seconds of the local monotonic clock. Safety rests on the
+    conditional write and the fencing number alone; the lease only elects.
+    """
+
+    name: str
+    duration: float = DURATION_SECONDS
+    record: LeaseRecord | None = None
+    _seen_at: float = 0.0
+    _held_until: float = 0.0
+    _sent: LeaseRecord | None = None
+    _sent_at: float = 0.0
+
+    @property
+    def fencing(self):
+        """Return the fencing number of the last record seen, 0 for none."""
+        return self.record.fencing if self.record else 0
+
+    def is_held(self, now):
+        """Return whether this contender may act as the holder at `now`.
+
+        >>> lease = Lease("a", duration=6.0)
+        >>> lease.observe(LeaseRecord(), now=0.0)
+        >>> wanted = lease.wanted(now=0.0)
+        >>> lease.observe(wanted, now=0.1)
+        >>> lease.is_held(now=5.9), lease.is_held(now=6.0), lease.fencing
+        (True, False, 1)
+        """
+        return self._is_holder() and now < self._held_until
+
+    def observe(self, record, now):
+        """Take note of the record that the store holds, as read or written."""
+        if record == self._sent:
+            self._held_until = self._sent_at + self.duration
+            self._sent = None
+        elif record == self.record:
+            return
+        elif record.fencing != self.fencing or record.holder != self.name:
+            self._held_until = 0.0
+        self.record, self._seen_at = record, now
+
+    def wanted(self, now) -> LeaseRecord | None:
+        """Return the record to write now under the version read, or None.
+
+        The lease is held once that record is observed, whether in the answer of
+        the write or, if it was lost, in a later read.
+        """
+        wanted = self._wanted(now)
+        if wanted is not None:
+            self._sent, self._sent_at = wanted, now
+        return wanted
+
+    def given_up(self) -> LeaseRecord:
+        """Return the record that frees the lease; its number is kept."""
+        self._held_until = 0.0
+        return LeaseRecord("", self.fencing)
+
+    def _wanted(self, now):
+        record = self.record
+        if record is None:
+            return None
+        if self.is_held(now):
+            return self._renewal(now)
+        if record.holder and now < self._seen_at + self.duration:
+            return None
+        return LeaseRecord(self.name, record.fencing + 1)
+
+    def _renewal(self, now):
+        renew_at = self._held_until - self.duration * (1 - 1 / RENEWALS_PER_DURATION)
+        if now < renew_at:
+            return None
+        return replace(self.record, renewals=self.record.renewals + 1)
+
+    def _is_holder(self):
+        return self.record is not None and self.record.holder == self.name
--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -22,7 +22,7 @@
 from wharf_daemon.http_site import HttpSite
 from wharf_daemon.metrics import Metrics
 from wharf_daemon.operators_api import OperatorsApi
-from wharf_platform import ObjectClient
+from wharf_platform import CallGate, ObjectClient
 from wharf_wire import Hello
 
 __all__ = ["Entry"]
@@ -50,7 +50,10 @@
     async def start(self):
         """Listen for callers and operators, follow the store, open links."""
         self._session = aiohttp.ClientSession()
-        self.store = ObjectClient(self._session, self.settings.platform)
+        self.store = ObjectClient(
+            self._session, self.settings.platform, gate=CallGate(self._rng)
+        )
+        self.store.gate.calls.subscribe(self._count_store_call)
         self._callers = HttpSite(self._caller_application(), self.settings.listen)
         self._operators = HttpSite(
             OperatorsApi(self, self.metrics).application(),
@@ -156,6 +159,9 @@
         labels = (outcome.task.stage.name, outcome.code.label)
         self.metrics.attempts.labels(*labels).inc()
 
+    def _count_store_call(self, kind):
+        self.metrics.store_calls.labels(kind).inc()
+
     def _broadcast_facts(self, message):
         asyncio.ensure_future(self.links.send_all(message))
 
--- a/packages/platform/src/wharf_platform/__init__.py
+++ b/packages/platform/src/wharf_platform/__init__.py
@@ -1,7 +1,11 @@
 """Client of the platform's object API and the models of what it keeps."""
 
+from wharf_platform.call_gate import CallGate
+from wharf_platform.call_kind import CallKind
 from wharf_platform.conditional_update import Change, ConditionalUpdate
+from wharf_platform.lease_keeper import LeaseKeeper, lease_key, read_lease
 from wharf_platform.object_client import ObjectClient
+from wharf_platform.platform_host import PlatformHost
 from wharf_platform.store_error import (
     Conflict,
     StoreError,
@@ -12,12 +16,18 @@
 
 __all__ = [
     "ABSENT",
+    "CallGate",
+    "CallKind",
     "Change",
     "ConditionalUpdate",
     "Conflict",
+    "LeaseKeeper",
     "ObjectClient",
+    "PlatformHost",
     "StoreError",
     "StoredObject",
     "Unavailable",
     "UnknownOutcome",
+    "lease_key",
+    "read_lease",
 ]
--- a/packages/platform/src/wharf_platform/conditional_update.py
+++ b/packages/platform/src/wharf_platform/conditional_update.py
@@ -2,17 +2,14 @@
 
 import asyncio
 from dataclasses import dataclass
+from random import Random
 from typing import Protocol
 
 from result import Err, Ok, Result
 
+from wharf_coordination import Backoff
 from wharf_platform.object_client import ObjectClient
-from wharf_platform.store_error import (
-    Conflict,
-    StoreError,
-    Unavailable,
-    UnknownOutcome,
-)
+from wharf_platform.store_error import StoreError, Unavailable, UnknownOutcome
 from wharf_platform.stored_object import StoredObject
 
 __all__ = ["Change", "ConditionalUpdate"]
@@ -28,34 +25,40 @@
         """Return the new value, or why the change must not be made."""
 
     def is_applied(self, stored: StoredObject) -> bool:
-        """Return whether `stored` shows that this change took effect."""
+        """Return whether `stored` shows that this change took effect.
+
+        The evidence must outlast the writes of others, so a bounded list of
+        recent operation ids is kept in the value.
+        """
 
 
 @dataclass(slots=True)
 class ConditionalUpdate:
     """Apply a change until it is written, rejected, or `attempts` are used up.
 
-    After a lost answer the object is read back and the change's own operation
+    After a lost answer the object is read back, and the change's own operation
     id decides whether it took effect.
     """
 
     client: ObjectClient
-    rng: object
+    rng: Random
     attempts: int = 6
+    backoff: Backoff = Backoff(FIRST_DELAY_SECONDS, MAX_DELAY_SECONDS)
 
     async def run(self, key, change) -> Result[StoredObject, object]:
         """Return the written object, or the last error."""
         outcome: StoreError = Unavailable(key, "not tried")
-        may_be_written = False
+        was_sent = may_be_written = False
         for attempt in range(self.attempts):
             if attempt:
-                await asyncio.sleep(self._delay(attempt))
-            read = await self.client.get(key)
-            if read.is_err():
-                outcome = read.unwrap_err()
-                continue
-            stored = read.unwrap()
-            if may_be_written and change.is_applied(stored):
+                await asyncio.sleep(self.backoff.delay(attempt, self.rng))
+            match await self.client.get(key):
+                case Err(error):
+                    outcome = error
+                    continue
+                case Ok(stored):
+                    pass
+            if was_sent and change.is_applied(stored):
                 return Ok(stored)
             value = change.apply(stored)
             if value.is_err():
@@ -63,12 +66,8 @@
             written = await self.client.put(key, value.unwrap(), stored.version)
             if written.is_ok():
                 return written
-            outcome = written.unwrap_err()
-            may_be_written |= not isinstance(outcome, Conflict | Unavailable)
+            outcome, was_sent = written.unwrap_err(), True
+            may_be_written |= isinstance(outcome, UnknownOutcome)
         if may_be_written:
             return Err(UnknownOutcome(key, "the answer of a write was lost"))
         return Err(outcome)
-
-    def _delay(self, attempt):
-        bound = min(MAX_DELAY_SECONDS, FIRST_DELAY_SECONDS * 2**attempt)
-        return self.rng.uniform(0, bound)
--- a/packages/platform/src/wharf_platform/configuration/document.py
+++ b/packages/platform/src/wharf_platform/configuration/document.py
@@ -7,13 +7,15 @@
 __all__ = ["CONFIGURATION_KEY", "Document"]
 
 CONFIGURATION_KEY = "configuration/current"
+MAX_OPERATIONS = 64
 
 
 class Document(BaseModel):
     """One accepted configuration.
 
-    `revision` grows by one with each accepted change; `operation` is the id of
-    the write, by which its writer recognises it after a lost answer. What
+    `revision` grows by one with each accepted change; `operations` holds the ids
+    of the latest changes, newest last, by which a writer recognises its own after
+    a lost answer, also when others have written since. What
     operators command rather than declare, such as data centres taken out, stays
     when a folder is applied.
     """
@@ -21,7 +23,7 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
     revision: int = Field(ge=0)
-    operation: str = ""
+    operations: tuple[str, ...] = Field(default=(), max_length=MAX_OPERATIONS)
     folder: Folder = Field(default_factory=Folder)
     out_data_centres: frozenset[str] = frozenset()
 
@@ -37,5 +39,6 @@
     def successor(self, operation, **changes):
         """Return the next revision with `changes`, validated as a whole."""
         fields = dict(self) | changes
-        fields |= {"revision": self.revision + 1, "operation": operation}
+        operations = (*self.operations, operation)[-MAX_OPERATIONS:]
+        fields |= {"revision": self.revision + 1, "operations": operations}
         return type(self).model_validate(fields)
--- /dev/null
+++ b/packages/platform/src/wharf_platform/lease_keeper.py
@@ -0,0 +1,116 @@
+"""A lease in the store: taken, renewed and given up by conditional updates."""
+
+import asyncio
+from random import Random
+
+import structlog
+from pydantic import TypeAdapter, ValidationError
+from result import Err, Ok, Result
+
+from wharf_coordination import Backoff, Lease, LeaseRecord
+from wharf_platform.object_client import ObjectClient
+from wharf_platform.store_error import StoreError, Unavailable
+from wharf_platform.stored_object import StoredObject
+
+__all__ = ["LeaseKeeper", "lease_key", "read_lease"]
+
+CHECKS_PER_DURATION = 6
+BACKOFF = Backoff(first=0.1, longest=2.0)
+
+_RECORD = TypeAdapter(LeaseRecord)
+
+log = structlog.get_logger(__name__)
+
+
+class LeaseKeeper:
+    """Contend for one lease; `lease` tells whether this process holds it.
+
+    `lease.name` must belong to this incarnation of the process alone.
+    """
+
+    def __init__(self, client: ObjectClient, subject, lease: Lease, rng: Random):
+        self.lease = lease
+        self._client = client
+        self._key = lease_key(subject)
+        self._rng = rng
+        self._is_held = False
+
+    def is_held(self):
+        """Return whether this process may act as the holder now."""
+        return self.lease.is_held(self._now())
+
+    async def run(self):
+        """Contend until cancelled."""
+        failures = 0
+        while True:
+            stepped = await self.step()
+            failures = 0 if stepped.is_ok() else failures + 1
+            self._report()
+            delay = self.lease.duration / CHECKS_PER_DURATION
+            if failures:
+                delay = BACKOFF.delay(failures, self._rng)
+            await asyncio.sleep(delay)
+
+    async def step(self) -> Result[None, StoreError]:
+        """Read the record once and write what the lease then wants."""
+        read = await self._read()
+        if read.is_err():
+            return read
+        stored = read.unwrap()
+        wanted = self.lease.wanted(self._now())
+        if wanted is None:
+            return Ok(None)
+        return await self._write(stored, wanted)
+
+    async def give_up(self):
+        """Free the lease, so that another need not wait for it to lapse."""
+        if not self.is_held():
+            return
+        read = await self._read()
+        if read.is_ok() and self.is_held():
+            value = _RECORD.dump_json(self.lease.given_up())
+            await self._client.put(self._key, value, read.unwrap().version)
+
+    async def _read(self):
+        read = (await self._client.get(self._key)).and_then(_with_record)
+        if read.is_err():
+            return read
+        stored, record = read.unwrap()
+        self.lease.observe(record, self._now())
+        return Ok(stored)
+
+    async def _write(self, stored, wanted):
+        value = _RECORD.dump_json(wanted)
+        written = await self._client.put(self._key, value, stored.version)
+        if written.is_ok():
+            self.lease.observe(wanted, self._now())
+        return written.map(lambda _: None)
+
+    def _report(self):
+        if self.is_held() != self._is_held:
+            self._is_held = not self._is_held
+            event = "lease_taken" if self._is_held else "lease_lost"
+            log.info(event, key=self._key, fencing=self.lease.fencing)
+
+    def _now(self):
+        return asyncio.get_running_loop().time()
+
+
+def lease_key(subject):
+    """Return the key of the object that keeps the lease on `subject`."""
+    return f"leases/{subject}"
+
+
+async def read_lease(client: ObjectClient, subject) -> Result[LeaseRecord, StoreError]:
+    """Return the lease on `subject` as the store has it now."""
+    read = (await client.get(lease_key(subject))).and_then(_with_record)
+    return read.map(lambda pair: pair[1])
+
+
+def _with_record(stored: StoredObject):
+    if not stored.exists:
+        return Ok((stored, LeaseRecord()))
+    try:
+        return Ok((stored, _RECORD.validate_json(stored.value)))
+    except ValidationError as error:
+        return Err(Unavailable(stored.key, f"bad lease: {error}"))
--- a/packages/standins/src/wharf_standins/platform.py
+++ b/packages/standins/src/wharf_standins/platform.py
@@ -1,78 +1,151 @@
-"""Stand-in of the platform's object API."""
+"""Stand-in of the platform's service; docs/PLATFORM.md has its protocol."""
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass, field
+from random import Random
 
 from aiohttp import web
 
+from wharf_platform import CallKind
 from wharf_platform.object_client import CONDITION_HEADER, VERSION_HEADER
+from wharf_standins.host_list import HostList
+from wharf_standins.rate_limit import RateLimit
 
 __all__ = ["Platform"]
 
 MAX_VALUE_BYTES = 1 << 20
+WRITES_PER_SECOND = 400.0
+READS_PER_SECOND = 2000.0
+MAX_WATCH_SECONDS = 60.0
 
 
 @dataclass
 class Platform:
-    """Keep objects in memory; `down` and `lose_answers` inject faults."""
+    """Keep objects in memory under the platform's rates.
+
+    Faults to inject: `down` answers 503, `delay` and `delay_spread` slow each
+    call (seconds), `lose_answers` is the probability that the answer of a write
+    is lost after it took effect.
+    """
 
     down: bool = False
-    lose_answers: bool = False
+    lose_answers: float = 0.0
     delay: float = 0.0
+    delay_spread: float = 0.0
+    writes_per_second: float = WRITES_PER_SECOND
+    reads_per_second: float = READS_PER_SECOND
+    seed: int = 1
+    hosts: HostList = field(default_factory=HostList)
     object_by_key: dict[str, tuple[int, bytes]] = field(default_factory=dict)
-    calls_by_kind: dict[str, int] = field(default_factory=dict)
+    calls_by_kind: Counter = field(default_factory=Counter)
+    refused_by_kind: Counter = field(default_factory=Counter)
 
     def __post_init__(self):
         self._changed = asyncio.Condition()
+        self._rng = Random(self.seed)
+        self._writes = RateLimit(self.writes_per_second)
+        self._reads = RateLimit(self.reads_per_second)
+        # Versions never repeat, also when a key is deleted and made anew.
+        self._last_version = 0
 
     def application(self):
         """Return the aiohttp application of the object API."""
         application = web.Application(client_max_size=MAX_VALUE_BYTES)
+        application.router.add_get("/v1/objects", self._list)
         application.router.add_get("/v1/objects/{key:.+}", self._get)
-        application.router.add_put("/v1/objects/{key:.+}", self._put)
+        application.router.add_post("/v1/objects/{key:.+}", self._put)
+        application.router.add_post("/v1/deletions/{key:.+}", self._delete)
+        application.router.add_get("/v1/hosts", self._list_hosts)
         return application
 
     async def _get(self, request):
         key = request.match_info["key"]
         after = request.query.get("after")
-        self._count("read" if after is None else "watch")
-        await asyncio.sleep(self.delay)
+        refusal = await self._admit(CallKind.READ if after is None else CallKind.WATCH)
+        if refusal:
+            return refusal
+        if after is not None:
+            seconds = min(float(request.query["wait"]), MAX_WATCH_SECONDS)
+            await self._wait(key, int(after), seconds)
         if self.down:
             return web.Response(status=503)
-        if after is not None:
-            await self._wait(key, int(after), float(request.query["wait"]))
         version, value = self.object_by_key.get(key, (0, b""))
         headers = {VERSION_HEADER: str(version)}
         if version == 0:
             return web.Response(status=404, headers=headers)
         return web.Response(body=value, headers=headers)
 
-    async def _wait(self, key, after, seconds):
-        def is_newer():
-            return self.down or self.object_by_key.get(key, (0,))[0] != after
+    async def _list(self, request):
+        refusal = await self._admit(CallKind.LIST)
+        if refusal:
+            return refusal
+        prefix = request.query["prefix"]
+        versions = {
+            key: version
+            for key, (version, _) in sorted(self.object_by_key.items())
+            if key.startswith(prefix)
+        }
+        return web.json_response(versions)
 
-        async with self._changed:
-            try:
-                await asyncio.wait_for(self._changed.wait_for(is_newer), seconds)
-            except TimeoutError:
-                return
+    async def _list_hosts(self, request):
+        refusal = await self._admit(CallKind.HOSTS)
+        if refusal:
+            return refusal
+        hosts = self.hosts.shown(self._now())
+        return web.json_response([host.model_dump() for host in hosts])
 
     async def _put(self, request):
+        try:
+            value = await request.read()
+        except web.HTTPRequestEntityTooLarge:
+            return web.Response(status=413)
+        return await self._write(request, CallKind.WRITE, value)
+
+    async def _delete(self, request):
+        return await self._write(request, CallKind.DELETE, None)
+
+    async def _write(self, request, kind, value):
+        refusal = await self._admit(kind)
+        if refusal:
+            return refusal
         key = request.match_info["key"]
-        self._count("write")
-        value = await request.read()
-        await asyncio.sleep(self.delay)
-        if self.down:
-            return web.Response(status=503)
         version = self.object_by_key.get(key, (0, b""))[0]
-        if int(request.headers[CONDITION_HEADER]) != version:
+        if request.headers.get(CONDITION_HEADER) != str(version):
             return web.Response(status=409, headers={VERSION_HEADER: str(version)})
-        self.object_by_key[key] = (version + 1, value)
+        self._last_version += 1
+        if value is None:
+            self.object_by_key.pop(key, None)
+        else:
+            self.object_by_key[key] = (self._last_version, value)
         async with self._changed:
             self._changed.notify_all()
-        if self.lose_answers:
+        if self._rng.random() < self.lose_answers:
             request.transport.abort()
-        return web.Response(headers={VERSION_HEADER: str(version + 1)})
+        return web.Response(headers={VERSION_HEADER: str(self._last_version)})
+
+    async def _admit(self, kind):
+        self.calls_by_kind[kind] += 1
+        if self.delay or self.delay_spread:
+            await asyncio.sleep(self.delay + self._rng.random() * self.delay_spread)
+        if self.down:
+            return web.Response(status=503)
+        is_write = kind in (CallKind.WRITE, CallKind.DELETE)
+        limit = self._writes if is_write else self._reads
+        if limit.permits(self._now()):
+            return None
+        self.refused_by_kind[kind] += 1
+        return web.Response(status=429)
+
+    async def _wait(self, key, after, seconds):
+        def is_newer():
+            return self.down or self.object_by_key.get(key, (0,))[0] != after
+
+        async with self._changed:
+            try:
+                await asyncio.wait_for(self._changed.wait_for(is_newer), seconds)
+            except TimeoutError:
+                return
 
-    def _count(self, kind):
-        self.calls_by_kind[kind] = self.calls_by_kind.get(kind, 0) + 1
+    def _now(self):
+        return asyncio.get_running_loop().time()
