--- a/packages/control/src/wharf_control/document_change.py
+++ b/packages/control/src/wharf_control/document_change.py
@@ -48,7 +48,7 @@
         """Return whether the stored document comes from this change."""
         if not stored.exists:
             return False
-        return self.operation in self._document(stored).recent_operations
+        return self.operation in self._document(stored).operations
 
     def _encode(self, document, fields):
         try:
