Prove the link protocol against peers played by hand

Found on the way: an attempt whose window was exceeded ended without a Cancel, so the sidecar went on sending; the stand-in counted a stream by a setting that may change.

--- a/packages/daemon/src/wharf_daemon/entry/attempt_inbox.py
+++ b/packages/daemon/src/wharf_daemon/entry/attempt_inbox.py
@@ -18,14 +18,14 @@
         self._attempt = attempt
         self._queue = asyncio.Queue()
         self._window = ReceiveWindow()
-        self._broken = False
+        self.is_broken = False
 
     def put(self, frame: Chunk | End | Failed):
         """Take a frame from the link; a broken window ends the attempt."""
-        if self._broken:
+        if self.is_broken:
             return
         if isinstance(frame, Chunk) and not self._window.accept(chunk_cost(frame.body)):
-            self._broken = True
+            self.is_broken = True
             refusal = Refusal.unknown(Code.ANSWER_BROKEN, "window was exceeded")
             frame = Failed.from_refusal(self._attempt, refusal)
         self._queue.put_nowait(frame)
--- a/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
+++ b/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
@@ -111,7 +111,7 @@
             yield self._failed(call, Refusal.unknown(Code.LINK_LOST, "link was lost"))
         finally:
             self._inbox_by_attempt.pop(call.attempt, None)
-            if not ended:
+            if not ended or inbox.is_broken:
                 await self.send(Cancel(call.attempt))
             await self._close_if_left()
 
--- a/packages/standins/src/wharf_standins/engine.py
+++ b/packages/standins/src/wharf_standins/engine.py
@@ -133,17 +133,18 @@
         response = web.StreamResponse(headers=self._headers())
         await response.prepare(http)
         begin = int(http.headers.get(RESUME_HEADER, "0"))
-        step = self._seconds(record, fault, body) / self.tokens
+        tokens = self.tokens
+        step = self._seconds(record, fault, body) / tokens
         is_cut = fault is not None and fault.kind is FaultKind.CUT
-        for number in range(begin, self.tokens):
+        for number in range(begin, tokens):
             await asyncio.sleep(step)
-            if is_cut and number >= self.tokens // 2:
+            if is_cut and number >= tokens // 2:
                 http.transport.abort()
                 return response
             text = json.dumps(record.input) if number == 0 else f" {number}"
             await response.write(json.dumps({"text": text}).encode() + b"\n")
         self._complete(record)
-        count = max(0, self.tokens - begin)
+        count = max(0, tokens - begin)
         await response.write(json.dumps({"end": count}).encode() + b"\n")
         return response
 
--- /dev/null
+++ b/packages/standins/tests/conftest.py
@@ -0,0 +1,66 @@
+"""A peer that speaks the link protocol by hand, and the systems it meets."""
+
+from contextlib import asynccontextmanager
+
+import pytest
+from websockets.asyncio.client import connect
+
+from wharf_coordination import Priority
+from wharf_wire import Call, Hello, decode, encode
+
+ENTRY_HELLO = Hello("entry-x", "dc-1", 0)
+
+
+class Peer:
+    """The raw end of one link."""
+
+    def __init__(self, socket):
+        self.socket = socket
+
+    async def send(self, message):
+        await self.socket.send(encode(message))
+
+    async def receive(self, *kinds):
+        """Return the next message of one of the types."""
+        while True:
+            message = decode(await self.socket.recv()).unwrap()
+            if isinstance(message, kinds):
+                return message
+
+
+@pytest.fixture
+def entry_peer():
+    """Return how to link to a sidecar as an entry would."""
+
+    @asynccontextmanager
+    async def link(port, hello=ENTRY_HELLO):
+        async with connect(f"ws://127.0.0.1:{port}", proxy=None) as socket:
+            peer = Peer(socket)
+            if hello:
+                await peer.send(hello)
+            yield peer
+
+    return link
+
+
+@pytest.fixture
+def make_call():
+    """Return how to build a call that differs from the usual one."""
+
+    def make(attempt, **fields):
+        usual = {
+            "request": "r",
+            "pipeline": "ask",
+            "stage": "answer",
+            "customer": "acme",
+            "version": "1",
+            "priority": Priority.STANDARD,
+            "time_left": 5.0,
+            "idempotent": True,
+            "streaming": False,
+            "body": b'{"input": 1, "stages": {}}',
+            "revision": 0,
+        }
+        return Call(attempt=attempt, **(usual | fields))
+
+    return make
--- /dev/null
+++ b/packages/standins/tests/test_entry_links.py
@@ -0,0 +1,295 @@
+"""The entry's side of its links, against a sidecar played by hand."""
+
+import asyncio
+import json
+
+import aiohttp
+import pytest_asyncio
+from websockets.asyncio.server import serve
+
+from wharf_daemon import Entry, EntrySettings
+from wharf_platform.configuration import Document, Folder
+from wharf_standins.loopback import Loopback
+from wharf_wire import (
+    Call,
+    Cancel,
+    Chunk,
+    End,
+    Hello,
+    Load,
+    decode,
+    encode,
+)
+
+PIPELINES = {"ask": {"stages": [{"name": "answer", "pool": "model"}]}}
+FLOOD_CHUNKS = 400
+NOWHERE = "http://127.0.0.1:9"
+CUSTOMER = {"Customer": "acme"}
+STREAM = CUSTOMER | {"Accept": "text/event-stream"}
+
+
+class HandSidecar:
+    """A sidecar whose answers the test writes by hand."""
+
+    def __init__(self, name):
+        self.name = name
+        self.calls = asyncio.Queue()
+        self.cancelled = []
+
+    async def serve(self, socket):
+        self.socket = socket
+        await self.send(Hello(self.name, "dc-1", 1), Load(0, 99, 0.0, False, "", 1))
+        async for frame in socket:
+            match decode(frame).unwrap():
+                case Call() as call:
+                    self.calls.put_nowait(call)
+                case Cancel(attempt=attempt):
+                    self.cancelled.append(attempt)
+
+    async def send(self, *messages):
+        for message in messages:
+            await self.socket.send(encode(message))
+
+    async def next_call(self):
+        return await asyncio.wait_for(self.calls.get(), 10)
+
+
+def whole(call, *, sequence=0):
+    """Return the frames of a whole answer that repeats the caller's input."""
+    body = json.dumps(json.loads(call.body)["input"]).encode()
+    return Chunk(call.attempt, sequence, body), End(call.attempt, sequence + 1, 0.0)
+
+
+@pytest_asyncio.fixture
+async def sidecars():
+    hands = {name: HandSidecar(name) for name in ("model-0", "model-1")}
+    servers = {
+        name: await serve(hand.serve, "127.0.0.1", 0) for name, hand in hands.items()
+    }
+    for name, server in servers.items():
+        hands[name].port = server.sockets[0].getsockname()[1]
+    yield hands
+    for server in servers.values():
+        server.close()
+
+
+@pytest_asyncio.fixture
+async def entry(sidecars):
+    upstreams = {
+        name: {
+            "pool": "model",
+            "data_centre": "dc-1",
+            "address": f"127.0.0.1:{hand.port}",
+        }
+        for name, hand in sidecars.items()
+    }
+    folder = {
+        "data_centres": {"dc-1": {}},
+        "customers": {"acme": {}},
+        "pools": {"model": {}},
+        "upstreams": upstreams,
+        "pipelines": PIPELINES,
+    }
+    any_port = "127.0.0.1:0"
+    running = Entry(
+        EntrySettings(
+            name="entry-0",
+            data_centre="dc-1",
+            listen=any_port,
+            operators_listen=any_port,
+            platform=NOWHERE,
+            drain_delay=0.0,
+            stop_grace=1.0,
+            seed=1,
+        )
+    )
+    await running.start()
+    document = Document(revision=1, folder=Folder.model_validate(folder))
+    running.feed.offer(document.to_json(), "test")
+    await until(lambda: all(link.is_open for link in links(running)))
+    assert len(links(running)) == 2
+    yield running
+    await running.stop()
+
+
+def links(entry):
+    return list(entry.links.by_address.values())
+
+
+async def until(condition):
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+@pytest_asyncio.fixture
+async def post(entry):
+    """Return how to begin a request; its task gives the status and the text."""
+    tasks = []
+    async with aiohttp.ClientSession() as session:
+
+        async def ask(note, headers):
+            url = f"http://127.0.0.1:{entry.port}/v1/pipelines/ask"
+            async with session.post(url, json=note, headers=headers) as response:
+                return response.status, await response.text()
+
+        def begin(note, headers=CUSTOMER):
+            tasks.append(asyncio.create_task(ask(note, headers)))
+            return tasks[-1]
+
+        yield begin
+        for task in tasks:
+            task.cancel()
+
+
+async def next_calls(sidecars, count):
+    """Return the next calls with the sidecar that each came to."""
+    pairs = []
+    async with asyncio.timeout(10):
+        while len(pairs) < count:
+            for hand in sidecars.values():
+                while not hand.calls.empty():
+                    pairs.append((hand, hand.calls.get_nowait()))
+            await asyncio.sleep(0.005)
+    return pairs
+
+
+async def test_late_and_doubled_frames_reach_no_other_request(entry, sidecars, post):
+    tasks = [post({"note": number}) for number in range(6)]
+    pairs = await next_calls(sidecars, 6)
+    for _, call in pairs:
+        for hand in sidecars.values():
+            # Every frame comes over both links; one of them is not the call's own.
+            chunk, end = whole(call)
+            await hand.send(chunk, chunk, end, end, chunk)
+    answers = await asyncio.wait_for(asyncio.gather(*tasks), 10)
+    notes = [json.loads(text) for _, text in answers]
+    assert notes == [{"note": number} for number in range(6)]
+    assert entry.metrics.dropped_frames._value.get() > 0
+
+
+async def test_chunk_out_of_order_breaks_the_answer_and_is_retried(sidecars, post):
+    task = post({"note": 1})
+    [(hand, call)] = await next_calls(sidecars, 1)
+    await hand.send(Chunk(call.attempt, 1, b"2"), Chunk(call.attempt, 0, b"1"))
+    [(other, again)] = await next_calls(sidecars, 1)
+    assert (other is hand, again.attempt == call.attempt) == (False, False)
+    await hand.send(*whole(call))
+    await other.send(*whole(again))
+    assert await asyncio.wait_for(task, 10) == (200, '{"note": 1}')
+    await until(lambda: hand.cancelled == [call.attempt])
+
+
+async def test_wrong_count_is_never_taken_for_whole(sidecars, post):
+    task = post({"note": 1}, STREAM)
+    for _ in sidecars:
+        [(hand, call)] = await next_calls(sidecars, 1)
+        chunk = Chunk(call.attempt, call.resume_from, b"part")
+        await hand.send(chunk, End(call.attempt, 9, 0.0))
+    status, text = await asyncio.wait_for(task, 10)
+    assert status == 200
+    assert "event: end" not in text
+    assert text.strip().split("\n\n")[-1].startswith("event: error")
+
+
+async def test_bad_frame_closes_its_link_alone(entry, sidecars, post):
+    bad, good = sidecars.values()
+    task = post({"note": 1})
+    await next_calls(sidecars, 1)
+    bad_link = entry.links.by_address[f"127.0.0.1:{bad.port}"]
+    good_link = entry.links.by_address[f"127.0.0.1:{good.port}"]
+    good_socket = good_link._socket
+    await bad.socket.send(b"\xff")
+    await asyncio.wait_for(bad.socket.wait_closed(), 10)
+    assert good_link._socket is good_socket
+    assert entry.metrics.bad_messages._value.get() == 1
+    await until(lambda: bad_link.is_open)
+    task.cancel()
+
+
+async def test_flood_beyond_the_window_ends_that_attempt_alone(sidecars, post, entry):
+    read = asyncio.Event()
+
+    async def read_late():
+        url = f"http://127.0.0.1:{entry.port}/v1/pipelines/ask"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(url, json="flooded", headers=STREAM) as response,
+        ):
+            await read.wait()
+            return await response.text()
+
+    flooded = asyncio.create_task(read_late())
+    [(hand, call)] = await next_calls(sidecars, 1)
+    for sequence in range(FLOOD_CHUNKS):
+        await hand.send(Chunk(call.attempt, sequence, b"x" * 60_000))
+    quiet = post("quiet")
+    read.set()
+    by_note = {
+        json.loads(call.body)["input"]: (hand, call)
+        for hand, call in await next_calls(sidecars, 2)
+    }
+    other, own = by_note["quiet"]
+    await other.send(*whole(own))
+    assert await asyncio.wait_for(quiet, 10) == (200, '"quiet"')
+    other, again = by_note["flooded"]
+    assert 0 < again.resume_from < FLOOD_CHUNKS
+    assert hand.cancelled == [call.attempt]
+    await other.send(*whole(again, sequence=again.resume_from))
+    text = await asyncio.wait_for(flooded, 10)
+    assert text.endswith(f'event: end\ndata: {{"chunks": {again.resume_from + 1}}}\n\n')
+
+
+async def test_leaving_caller_ends_the_run_at_the_upstream():
+    async with Loopback({"model": ("dc-1",)}, PIPELINES) as system:
+        engine = system.engine_by_name["model-0"]
+        engine.batch.service_time = 30.0
+        url = f"{system.entry_url()}/v1/pipelines/ask"
+        post = system.session.post(url, json=1, headers=CUSTOMER)
+        task = asyncio.create_task(post.__aenter__())
+        await until(lambda: engine.runs)
+        task.cancel()
+        await until(lambda: engine.runs[0].end)
+        assert not engine.runs[0].completed
+
+
+async def test_passed_deadline_ends_the_run_and_says_unknown():
+    async with Loopback({"model": ("dc-1",)}, PIPELINES) as system:
+        engine = system.engine_by_name["model-0"]
+        engine.batch.service_time = 30.0
+        url = f"{system.entry_url()}/v1/pipelines/ask"
+        headers = CUSTOMER | {"Deadline-Seconds": "0.2"}
+        async with system.session.post(url, json=1, headers=headers) as response:
+            refusal = await response.json()
+        assert (response.status, refusal["code"], refusal["ran"]) == (
+            504,
+            3001,
+            "unknown",
+        )
+        await until(lambda: engine.runs[0].end)
+        assert not engine.runs[0].completed
+
+
+async def test_stopping_entry_takes_requests_until_the_balancer_has_noticed():
+    async with Loopback({"model": ("dc-1",)}, PIPELINES) as system:
+        [entry] = system.entries
+        entry.settings = entry.settings.model_copy(update={"drain_delay": 0.5})
+        stop = asyncio.create_task(entry.stop())
+        await until(lambda: entry.stopping)
+        ready = f"http://127.0.0.1:{entry.operators_port}/readyz"
+        async with system.session.get(ready) as response:
+            assert response.status == 503
+        url = f"{system.entry_url()}/v1/pipelines/ask"
+        async with system.session.post(url, json=1, headers=CUSTOMER) as response:
+            assert response.status == 200
+            assert response.headers["Connection"] == "close"
+        await asyncio.wait_for(stop, 10)
+
+
+async def test_leaving_sidecar_gets_no_call_and_its_link_is_closed(sidecars, post):
+    hand, other = sidecars.values()
+    await hand.send(Load(0, 99, 0.0, True, "", 1))
+    await asyncio.wait_for(hand.socket.wait_closed(), 10)
+    task = post(1)
+    await other.send(*whole(await other.next_call()))
+    assert (await asyncio.wait_for(task, 10))[0] == 200
