--- /dev/null
+++ b/packages/platform/src/wharf_platform/claims/claim_recorder.py
@@ -0,0 +1,90 @@
+"""Recording of how claims ended, in the background until it is in the store."""
+
+import asyncio
+from random import Random
+
+from result import Err, Ok, Result
+
+from wharf_coordination import Backoff
+from wharf_coordination.claims import (
+    ClaimOperation,
+    ClaimPlace,
+    Finish,
+    GiveUp,
+    Release,
+)
+from wharf_coordination.claims.claim_shard import MAX_INLINE_ANSWER_BYTES
+from wharf_platform.claims.claim_store import ClaimStore
+from wharf_platform.store_error import StoreError
+
+__all__ = ["ClaimRecorder"]
+
+MAX_KEPT_ANSWER_BYTES = 1 << 20
+BACKOFF = Backoff(first=0.1, longest=5.0)
+
+
+class ClaimRecorder:
+    """Record the end of claims, for as long as it takes the store to take it."""
+
+    def __init__(self, store: ClaimStore, rng: Random):
+        self._store = store
+        self._rng = rng
+        self._tasks = set()
+
+    @property
+    def pending(self):
+        """Return the number of ends that are not in the store yet."""
+        return len(self._tasks)
+
+    def finish(self, place: ClaimPlace, claim, answer):
+        """Record the answer of a claimed unit."""
+        self._start(self._finish(place, claim, answer))
+
+    def give_up(self, place: ClaimPlace, claim):
+        """Record that nobody will know whether a claimed unit ran."""
+        self._start(self._record(place, GiveUp(claim.digest, claim.token)))
+
+    def release(self, place: ClaimPlace, claim):
+        """Free a claimed unit that provably did not run."""
+        release = Release(claim.digest, claim.token, claim.body)
+        self._start(self._record(place, release))
+
+    async def drain(self, seconds):
+        """Wait until all ends are recorded, for at most `seconds`."""
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=seconds)
+        for task in self._tasks:
+            task.cancel()
+
+    def _start(self, work):
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _finish(self, place, claim, answer):
+        finish = Finish(claim.digest, claim.token, answer)
+        if len(answer) > MAX_INLINE_ANSWER_BYTES:
+            key = await self._keep_large(place, claim, answer)
+            finish = Finish(claim.digest, claim.token, None, key)
+        await self._record(place, finish)
+
+    async def _keep_large(self, place, claim, answer):
+        if len(answer) > MAX_KEPT_ANSWER_BYTES:
+            return ""
+        return await self._until_ok(
+            lambda: self._store.put_answer(place, claim.digest, answer)
+        )
+
+    async def _record(self, place, operation: ClaimOperation):
+        await self._until_ok(lambda: self._store.apply(place, operation))
+
+    async def _until_ok(self, call):
+        failures = 0
+        while True:
+            done: Result[object, StoreError] = await call()
+            match done:
+                case Ok(value):
+                    return value
+                case Err():
+                    failures += 1
+                    await asyncio.sleep(BACKOFF.delay(failures, self._rng))
--- /dev/null
+++ b/packages/platform/src/wharf_platform/claims/claim_store.py
@@ -0,0 +1,92 @@
+"""Claims in the platform's store, written by shard."""
+
+import time
+from random import Random
+
+from result import Err, Ok, Result
+
+from wharf_coordination.claims import (
+    ClaimOperation,
+    ClaimOutcome,
+    ClaimPlace,
+    Retention,
+    bucket_of,
+)
+from wharf_platform.claims.claim_keys import answer_key
+from wharf_platform.claims.shard_writer import ShardWriter
+from wharf_platform.object_client import ObjectClient
+from wharf_platform.store_error import Conflict, StoreError
+from wharf_platform.stored_object import ABSENT, StoredObject
+
+__all__ = ["ClaimStore"]
+
+COMMIT_INTERVAL_SECONDS = 0.02
+MAX_WRITERS = 64
+
+
+class ClaimStore:
+    """Apply operations to claims; one writer for each place batches them.
+
+    `wall_clock` returns Unix time, by which claims are kept.
+    """
+
+    def __init__(
+        self,
+        client: ObjectClient,
+        rng: Random,
+        retention=None,
+        interval=COMMIT_INTERVAL_SECONDS,
+        wall_clock=time.time,
+    ):
+        self.client = client
+        self.retention = retention or Retention()
+        self.wall_clock = wall_clock
+        self._rng = rng
+        self._interval = interval
+        self._writer_by_place = {}
+
+    async def apply(
+        self, place: ClaimPlace, operation: ClaimOperation
+    ) -> Result[ClaimOutcome, StoreError]:
+        """Return what `operation` came to at its place."""
+        return await self._writer(place).apply(operation)
+
+    async def put_answer(self, place, digest, answer) -> Result[str, StoreError]:
+        """Keep a large answer in an object of its own; return its key."""
+        key = answer_key(self._answer_bucket(place), digest)
+        match await self.client.put(key, answer, ABSENT):
+            # Only the claimant writes the answer, so what is there is its own.
+            case Ok(_) | Err(Conflict()):
+                return Ok(key)
+            case error:
+                return error
+
+    async def get_answer(self, key) -> Result[StoredObject, StoreError]:
+        """Return the object of a large answer."""
+        return await self.client.get(key)
+
+    def _answer_bucket(self, place):
+        if place.is_dated:
+            return place.bucket
+        return bucket_of(self.wall_clock())
+
+    def _writer(self, place):
+        writer = self._writer_by_place.pop(place, None) or ShardWriter(
+            self.client,
+            place,
+            self._rng,
+            self.wall_clock,
+            self._interval,
+            self.retention,
+        )
+        self._writer_by_place[place] = writer
+        self._drop_idle()
+        return writer
+
+    def _drop_idle(self):
+        excess = len(self._writer_by_place) - MAX_WRITERS
+        if excess <= 0:
+            return
+        idle = [p for p, writer in self._writer_by_place.items() if writer.is_idle]
+        for place in idle[:excess]:
+            del self._writer_by_place[place]
