Serve keyed stages that aren't idempotent under claims

The entry wraps its stage runner: a stage that isn't idempotent runs only after the claim of customer, pipeline, key and stage is in the store. A caller that leaves no longer stops such a stage, so that its resend gets the answer. The id of an entry's incarnation no longer comes from the seed, since a restarted entry would have repeated the tokens of its claims.

--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -1,6 +1,7 @@
 """The entry: the process that callers reach through the balancer."""
 
 import asyncio
+import uuid
 from contextlib import contextmanager
 from itertools import count
 from random import Random
@@ -13,6 +14,7 @@
 from wharf_daemon.configuration_feed import ConfigurationFeed
 from wharf_daemon.entry.attempt_runner import AttemptRunner
 from wharf_daemon.entry.caller_api import CallerApi
+from wharf_daemon.entry.claim_service import ClaimService
 from wharf_daemon.entry.link_set import LinkSet
 from wharf_daemon.entry.pipeline_runner import PipelineRunner
 from wharf_daemon.entry.request_reader import RequestReader
@@ -41,7 +43,8 @@
         self.stopping = False
         self._closed = False
         self._rng = Random(settings.seed)
-        self._incarnation = f"{self._rng.getrandbits(48):012x}"
+        # Never from the seed: two incarnations must not give the same request id.
+        self._incarnation = uuid.uuid4().hex[:12]
         self._request_numbers = count()
         self._running = 0
         self._idle = asyncio.Event()
@@ -65,6 +68,7 @@
         self.feed.documents.subscribe(self._on_document)
         self.facts.news.subscribe(self._broadcast_facts)
         self._follower = asyncio.create_task(self.feed.follow(self.store, self._rng))
+        self._claims.start()
 
     @property
     def port(self):
@@ -88,6 +92,7 @@
             log.warning("stop_grace_spent", running=self._running)
         self._closed = True
         await self._callers.stop()
+        await self._claims.stop(self.settings.stop_grace)
         self._follower.cancel()
         self.links.close()
         await self._session.close()
@@ -133,6 +138,7 @@
             "stopping": self.stopping,
             "running": self._running,
             "store_calls": self.store.calls_by_kind,
+            "claims": self._claims.dump(),
             "facts": self.facts.dump(),
             "links": [
                 {
@@ -158,7 +164,10 @@
             attempt_runner,
             settings.max_answer,
         )
-        runner = PipelineRunner(stage_runner, self.feed, self.metrics)
+        self._claims = ClaimService(
+            stage_runner, self.store, f"{settings.name}-{self._incarnation}", self._rng
+        )
+        runner = PipelineRunner(self._claims.runner, self.feed, self.metrics)
         reader = RequestReader(self.feed, settings.max_body)
         return CallerApi(self, reader, runner, settings.max_body).application()
 
