Check claims by stateful and concurrent fault histories

Found on the way: an entry with a slow clock that wrote a deleted claim anew refused it rightly, but left it claimed; it is now released.

--- a/packages/coordination/tests/test_lease.py
+++ b/packages/coordination/tests/test_lease.py
@@ -18,7 +18,9 @@
 RUNS = settings(
     max_examples=60, stateful_step_count=40, derandomize=True, database=None
 )
-BROKEN_RUNS = settings(RUNS, max_examples=200, phases=[Phase.generate])
+BROKEN_RUNS = settings(
+    RUNS, max_examples=200, phases=[Phase.generate], report_multiple_bugs=False
+)
 NAMES = ("a", "b", "c")
 
 contenders = st.sampled_from(NAMES)
--- a/packages/daemon/src/wharf_daemon/entry/claimed_stage_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/claimed_stage_runner.py
@@ -90,6 +90,10 @@
                     await asyncio.sleep(delay)
                 case Recorded(answer=answer, answer_key=key):
                     return await self._replay(task, answer, key)
+                case KeyExpired() as expired:
+                    # The claim was written anew where claims are no longer kept.
+                    self._recorder.release(place, claim)
+                    return Err(_refusal(expired))
                 case other:
                     return Err(_refusal(other))
 
--- /dev/null
+++ b/packages/daemon/tests/test_claimed_stage_runner.py
@@ -0,0 +1,325 @@
+"""Claimed stages on several entries over one store that loses and delays."""
+
+import asyncio
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+from result import Err, Ok
+
+from wharf_coordination import Code, Deadline, Priority, Ran, Refusal
+from wharf_coordination.claims import Granted
+from wharf_daemon.entry.claimed_stage_runner import ClaimedStageRunner
+from wharf_daemon.entry.request import Request
+from wharf_daemon.entry.stage_task import StageTask
+from wharf_platform import Conflict, StoredObject, Unavailable, UnknownOutcome
+from wharf_platform.claims import ClaimRecorder, ClaimStore, ClaimTidier
+from wharf_platform.configuration import Stage
+
+NOW = 1_764_827_506.0
+KEY = "1764827506-hold"
+BOOK = Stage(name="book", pool="desk", idempotent=False)
+
+
+@dataclass
+class FaultyStore:
+    """An object store in memory; faults are drawn from `rng`."""
+
+    rng: Random
+    down: bool = False
+    loss: float = 0.0
+    refusal: float = 0.0
+    conditional: bool = True
+    object_by_key: dict = field(default_factory=dict)
+    calls: Counter = field(default_factory=Counter)
+    version: int = 0
+
+    async def get(self, key):
+        await self._travel("get")
+        if self._is_refused():
+            return Err(Unavailable(key, "refused"))
+        return Ok(self.object_by_key.get(key) or StoredObject.absent(key))
+
+    async def put(self, key, value, version):
+        return await self._write(key, value, version)
+
+    async def delete(self, key, version):
+        return await self._write(key, None, version)
+
+    async def list_versions(self, prefix):
+        items = self.object_by_key.items()
+        return Ok({key: item.version for key, item in items if key.startswith(prefix)})
+
+    async def _write(self, key, value, version):
+        await self._travel("put")
+        if self._is_refused():
+            return Err(Unavailable(key, "refused"))
+        if self.rng.random() < self.loss / 2:
+            asyncio.ensure_future(self._arrive_late(key, value, version))
+            return Err(UnknownOutcome(key, "still under way"))
+        written = self._store(key, value, version)
+        if self.rng.random() < self.loss:
+            return Err(UnknownOutcome(key, "the answer was lost"))
+        return written
+
+    def _store(self, key, value, version):
+        held = self.object_by_key.get(key, StoredObject.absent(key))
+        if self.conditional and held.version != version:
+            return Err(Conflict(key, held.version))
+        self.version += 1
+        if value is None:
+            self.object_by_key.pop(key, None)
+            return Ok(StoredObject.absent(key))
+        self.object_by_key[key] = StoredObject(key, self.version, value)
+        return Ok(self.object_by_key[key])
+
+    async def _arrive_late(self, key, value, version):
+        await asyncio.sleep(0.03)
+        self._store(key, value, version)
+
+    async def _travel(self, kind):
+        self.calls[kind] += 1
+        for _ in range(self.rng.randrange(5)):
+            await asyncio.sleep(0)
+
+    def _is_refused(self):
+        return self.down or self.rng.random() < self.refusal
+
+
+class FakeStageRunner:
+    """Record each start and end as `outcomes` draws."""
+
+    def __init__(self, rng, ends=("answer",)):
+        self._rng = rng
+        self._ends = ends
+        self.starts_by_key = defaultdict(list)
+
+    async def run(self, task):
+        end = self._rng.choice(self._ends)
+        if end == "not run":
+            return Err(Refusal.not_run(Code.UPSTREAM_FULL))
+        self.starts_by_key[task.request.key].append(task.request.id)
+        await asyncio.sleep(0.01)
+        if end == "unknown":
+            return Err(Refusal.unknown(Code.LINK_LOST))
+        if task.on_chunk:
+            await task.on_chunk(b"answer ")
+        return Ok(f"answer {task.request.id}".encode())
+
+
+class Entries:
+    """Claimed stage runners of several entries over one store."""
+
+    def __init__(self, store, stages, count=3, runner_type=ClaimedStageRunner):
+        self.runners = []
+        self.claim_stores = []
+        for number in range(count):
+            rng = Random(number)
+            claim_store = ClaimStore(store, rng, interval=0, wall_clock=lambda: NOW)
+            recorder = ClaimRecorder(claim_store, rng)
+            self.claim_stores.append(claim_store)
+            self.runners.append(runner_type(stages, claim_store, recorder, rng))
+
+    async def submit(self, entry, id, key=KEY, body=b"{}", seconds=3.0, on_chunk=None):
+        now = asyncio.get_running_loop().time()
+        deadline = Deadline.after(seconds, now)
+        streaming = on_chunk is not None
+        request = Request(
+            id, "hold", "acme", Priority.URGENT, deadline, key, streaming, body
+        )
+        return await self.runners[entry].run(StageTask(request, BOOK, body, on_chunk))
+
+    async def drain(self):
+        await asyncio.gather(*(runner.drain(5.0) for runner in self.runners))
+
+
+@pytest.fixture
+def store():
+    return FaultyStore(Random(1))
+
+
+@pytest.fixture
+def stages():
+    return FakeStageRunner(Random(1))
+
+
+@pytest.fixture
+def entries(store, stages):
+    return Entries(store, stages)
+
+
+async def check_history(seed, runner_type=ClaimedStageRunner, conditional=True):
+    """Submit resends to random entries under faults and check what was said."""
+    rng = Random(seed)
+    store = FaultyStore(rng, loss=0.2, refusal=0.05, conditional=conditional)
+    stages = FakeStageRunner(rng, ("answer", "answer", "not run", "unknown"))
+    entries = Entries(store, stages, runner_type=runner_type)
+
+    async def submit(number):
+        await asyncio.sleep(rng.random() * 0.1)
+        key = f"{KEY}-{number % 12}"
+        return await entries.submit(rng.randrange(3), str(number), key, seconds=0.4)
+
+    results = await asyncio.gather(*(submit(number) for number in range(48)))
+    await entries.drain()
+    started = [id for ids in stages.starts_by_key.values() for id in ids]
+    for key, ids in stages.starts_by_key.items():
+        assert len(ids) == 1, f"{key} was started by {ids}"
+    answers_by_key = defaultdict(set)
+    for number, result in enumerate(results):
+        if result.is_ok():
+            answers_by_key[number % 12].add(result.unwrap())
+        elif result.unwrap_err().ran is Ran.NO:
+            assert str(number) not in started, f"{number} ran, though it says not"
+    assert all(len(answers) == 1 for answers in answers_by_key.values())
+    return results
+
+
+class DispatchesFirst(ClaimedStageRunner):
+    """Broken on purpose: claim only after the run."""
+
+    async def _claim_and_run(self, task, place, claim):
+        result = await self._stage_runner.run(task)
+        await self._claim(task, place, claim)
+        return result
+
+
+class ReleasesAfterStart(ClaimedStageRunner):
+    """Broken on purpose: free the claim whenever there is no answer."""
+
+    async def _run_and_record(self, task, place, claim):
+        result = await self._stage_runner.run(task)
+        if result.is_err():
+            self._recorder.release(place, claim)
+            return Err(Refusal.not_run(result.unwrap_err().code))
+        self._recorder.finish(place, claim, result.unwrap())
+        return result
+
+
+class RunsOnUnknownClaim(ClaimedStageRunner):
+    """Broken on purpose: run though the answer of the claim was lost."""
+
+    async def _claim(self, task, place, claim):
+        outcome = await super()._claim(task, place, claim)
+        return Ok(Granted()) if outcome.is_err() else outcome
+
+
+@pytest.mark.parametrize("seed", range(8))
+async def test_history_under_faults(seed):
+    results = await check_history(seed)
+    assert any(result.is_ok() for result in results)
+
+
+async def test_broken_order_of_claim_and_dispatch_is_found():
+    with pytest.raises(AssertionError, match="was started by"):
+        await check_history(0, DispatchesFirst)
+
+
+async def test_broken_release_is_found():
+    with pytest.raises(AssertionError, match="started by|says not"):
+        await check_history(0, ReleasesAfterStart)
+
+
+async def test_broken_run_without_a_known_claim_is_found():
+    with pytest.raises(AssertionError, match="was started by"):
+        await check_history(0, RunsOnUnknownClaim)
+
+
+async def test_broken_store_without_conditions_is_found():
+    with pytest.raises(AssertionError, match="was started by"):
+        for seed in range(8):
+            await check_history(seed, conditional=False)
+
+
+async def test_resends_at_the_same_moment_get_the_one_answer(entries, stages):
+    runs = (entries.submit(number % 3, str(number)) for number in range(6))
+    answers = {result.unwrap() for result in await asyncio.gather(*runs)}
+    assert len(answers) == 1
+    assert len(stages.starts_by_key[KEY]) == 1
+
+
+async def test_store_that_is_down_is_refused_at_once_as_not_run(entries, store):
+    store.down = True
+    refusal = (await entries.submit(0, "a")).unwrap_err()
+    assert (refusal.code, refusal.ran) == (Code.STORE_UNAVAILABLE, Ran.NO)
+    assert store.calls["get"] == 1
+
+
+async def test_claim_with_an_unknown_write_is_freed_for_a_resend(
+    entries, store, stages
+):
+    store.loss = 2.0
+    first = asyncio.create_task(entries.submit(0, "a", seconds=0.2))
+    while not store.calls["put"]:
+        await asyncio.sleep(0)
+    store.down, store.loss = True, 0.0
+    assert (await first).unwrap_err().ran is Ran.NO
+    assert not stages.starts_by_key
+    store.down = False
+    assert (await entries.submit(1, "b")).is_ok()
+    assert stages.starts_by_key[KEY] == ["b"]
+
+
+async def test_claimant_that_died_leaves_the_outcome_unknown(entries, stages):
+    dead = asyncio.create_task(entries.submit(0, "a"))
+    stages.run = lambda task: asyncio.sleep(3600)
+    await asyncio.sleep(0.05)
+    refusal = (await entries.submit(1, "b", seconds=0.2)).unwrap_err()
+    assert (refusal.code, refusal.ran) == (Code.OUTCOME_UNKNOWN, Ran.UNKNOWN)
+    dead.cancel()
+
+
+async def test_caller_that_left_gets_the_answer_by_its_resend(entries, stages):
+    first = asyncio.create_task(entries.submit(0, "a"))
+    while not stages.starts_by_key:
+        await asyncio.sleep(0)
+    first.cancel()
+    assert (await entries.submit(1, "b")).unwrap() == b"answer a"
+
+
+async def test_stream_is_replayed_as_one_chunk(entries):
+    chunks = []
+
+    async def keep(body):
+        chunks.append(body)
+
+    await entries.submit(0, "a", on_chunk=keep)
+    await entries.drain()
+    await entries.submit(1, "b", on_chunk=keep)
+    assert chunks == [b"answer ", b"answer a"]
+
+
+async def test_large_answer_is_kept_apart(entries, stages):
+    async def run(task):
+        return Ok(bytes(5000))
+
+    stages.run = run
+    await entries.submit(0, "a")
+    await entries.drain()
+    assert (await entries.submit(1, "b")).unwrap() == bytes(5000)
+
+
+async def test_key_with_another_body_is_refused(entries):
+    await entries.submit(0, "a", body=b"1")
+    refusal = (await entries.submit(1, "b", body=b"2")).unwrap_err()
+    assert refusal.code is Code.KEY_REUSED
+
+
+async def test_old_key_is_refused_without_a_call_of_the_store(entries, store):
+    refusal = (await entries.submit(0, "a", key="1764800000-hold")).unwrap_err()
+    assert (refusal.code, refusal.ran) == (Code.KEY_EXPIRED, Ran.UNKNOWN)
+    assert not store.calls
+
+
+async def test_entry_with_a_slow_clock_does_not_run_a_deleted_claim(
+    entries, store, stages
+):
+    assert (await entries.submit(0, "a")).is_ok()
+    await entries.drain()
+    tidier = ClaimTidier(entries.claim_stores[1], None)
+    assert (await tidier.tidy(NOW + 4000.0)).unwrap() == 1
+    for entry in range(3):
+        refusal = (await entries.submit(entry, f"b{entry}")).unwrap_err()
+        assert refusal.code is Code.KEY_EXPIRED
+    assert stages.starts_by_key[KEY] == ["a"]
