Pass orders to upstreams under the current fencing number

Chosen over an operators' endpoint: the holder is an entry that has the links, and no second port has to be known.

Resends of one key at the same moment to two entries of the loopback system, with four in ten answers of the store's writes lost, give one run and one answer.

--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -16,6 +16,7 @@
 from wharf_daemon.entry.caller_api import CallerApi
 from wharf_daemon.entry.claim_service import ClaimService
 from wharf_daemon.entry.link_set import LinkSet
+from wharf_daemon.entry.order_sender import OrderSender
 from wharf_daemon.entry.pipeline_runner import PipelineRunner
 from wharf_daemon.entry.request_reader import RequestReader
 from wharf_daemon.entry.stage_runner import StageRunner
@@ -50,6 +51,9 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self.links = LinkSet(self, self._rng)
+        self.orders = OrderSender(
+            self.links, self.feed, f"{settings.name}-{self._incarnation}"
+        )
 
     async def start(self):
         """Listen for callers and operators, follow the store, open links."""
--- a/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
+++ b/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
@@ -28,6 +28,7 @@
     Failed,
     Hello,
     Load,
+    OrderResult,
     decode,
     encode,
 )
@@ -188,6 +189,8 @@
                 self._entry.feed.offer(document, self.name)
             case Facts():
                 self._entry.facts.receive(message)
+            case OrderResult():
+                self._entry.orders.resolve(message)
             case _:
                 return self._unexpected(message)
         return Ok(None)
--- a/packages/daemon/src/wharf_daemon/sidecar/link_server.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/link_server.py
@@ -18,6 +18,8 @@
     Credit,
     Facts,
     Hello,
+    Order,
+    OrderResult,
     decode,
     encode,
 )
@@ -114,6 +116,8 @@
                 self._sidecar.feed.offer(document, self.peer)
             case Facts():
                 self._sidecar.facts.receive(message)
+            case Order():
+                asyncio.ensure_future(self._order(message))
             case _:
                 return self._unexpected(message)
         return Ok(None)
@@ -128,6 +132,10 @@
             # A task, since the reader must never wait for a write.
             asyncio.ensure_future(self.offer_configuration())
 
+    async def _order(self, order):
+        result = await self._sidecar.orders.handle(order)
+        await self.send_quietly(OrderResult.from_result(order.id, result))
+
     def _start(self, call):
         if not self._sidecar.seen.add(call.attempt):
             self._sidecar.metrics.dropped_frames.inc()
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -15,7 +15,10 @@
 from wharf_daemon.metrics import Metrics
 from wharf_daemon.operators_api import OperatorsApi
 from wharf_daemon.sidecar.link_server import LinkServer
+from wharf_daemon.sidecar.order_handler import OrderHandler
 from wharf_daemon.sidecar.upstream_client import UpstreamClient
+from wharf_daemon.sidecar.upstream_orders import UpstreamOrders
+from wharf_platform import CallGate, ObjectClient
 from wharf_wire import MAX_FRAME_BYTES, Hello, Load
 from wharf_wire.limits import MAX_QUEUED_FRAMES
 
@@ -52,6 +55,12 @@
         self.upstream = UpstreamClient(
             self._session, self.settings.upstream_url, self._observe_incarnation
         )
+        self.orders = OrderHandler(
+            ObjectClient(
+                self._session, self.settings.platform, gate=CallGate(self._rng)
+            ),
+            UpstreamOrders(self._session, self.settings.upstream_url),
+        )
         self._operators = HttpSite(
             OperatorsApi(self, self.metrics).application(),
             self.settings.operators_listen,
@@ -151,6 +160,7 @@
             "limit": self.gate.limit,
             "incarnation": self.gate.incarnation,
             "service_time": self._service_time,
+            "fencing": self.orders.guard.current,
             "facts": self.facts.dump(),
             "links": sorted(link.peer for link in self.links),
         }
--- a/packages/platform/src/wharf_platform/__init__.py
+++ b/packages/platform/src/wharf_platform/__init__.py
@@ -3,7 +3,12 @@
 from wharf_platform.call_gate import CallGate
 from wharf_platform.call_kind import CallKind
 from wharf_platform.conditional_update import Change, ConditionalUpdate
-from wharf_platform.lease_keeper import LeaseKeeper, lease_key, read_lease
+from wharf_platform.lease_keeper import (
+    ORDERS_SUBJECT,
+    LeaseKeeper,
+    lease_key,
+    read_lease,
+)
 from wharf_platform.object_client import ObjectClient
 from wharf_platform.platform_host import PlatformHost
 from wharf_platform.store_error import (
@@ -16,6 +21,7 @@
 
 __all__ = [
     "ABSENT",
+    "ORDERS_SUBJECT",
     "CallGate",
     "CallKind",
     "Change",
--- a/packages/platform/src/wharf_platform/lease_keeper.py
+++ b/packages/platform/src/wharf_platform/lease_keeper.py
@@ -12,7 +12,10 @@
 from wharf_platform.store_error import StoreError, Unavailable
 from wharf_platform.stored_object import StoredObject
 
-__all__ = ["LeaseKeeper", "lease_key", "read_lease"]
+__all__ = ["ORDERS_SUBJECT", "LeaseKeeper", "lease_key", "read_lease"]
+
+# The lease whose holder may give orders to upstreams.
+ORDERS_SUBJECT = "rollouts"
 
 CHECKS_PER_DURATION = 6
 BACKOFF = Backoff(first=0.1, longest=2.0)
--- /dev/null
+++ b/packages/standins/tests/test_claims_on_loopback.py
@@ -0,0 +1,76 @@
+"""Resends of one key over real entries while the store loses answers."""
+
+import asyncio
+import json
+
+import pytest_asyncio
+
+from wharf_standins.loopback import Loopback
+
+STAGES = [
+    {"name": "look", "pool": "model"},
+    {"name": "book", "pool": "desk", "idempotent": False},
+]
+RESENDS = 8
+
+
+@pytest_asyncio.fixture
+async def system():
+    # Enough of them to bear all resends of the first stage while cold.
+    shape = {"model": ("dc-1",) * RESENDS, "desk": ("dc-1", "dc-2")}
+    async with Loopback(shape, {"hold": {"stages": STAGES}}, entries=2) as running:
+        yield running
+
+
+def submit(system, entry, body='{"anvil": 3}', **headers):
+    url = f"{system.entry_url(entry)}/v1/pipelines/hold"
+    headers = {"Customer": "acme", "Idempotency-Key": "hold-3"} | headers
+    return system.session.post(url, data=body, headers=headers)
+
+
+async def answer(system, entry, **options):
+    async with submit(system, entry, **options) as response:
+        return response.status, await response.json()
+
+
+def bookings(system):
+    engines = system.engine_by_name
+    return sum(len(engines[name].runs) for name in ("desk-0", "desk-1"))
+
+
+async def test_resends_at_the_same_moment_run_once_and_get_one_answer(system):
+    system.platform.lose_answers = 0.4
+    answers = await asyncio.gather(
+        *(answer(system, number % 2) for number in range(RESENDS))
+    )
+    assert bookings(system) == 1
+    assert [status for status, _ in answers] == [200] * RESENDS, answers
+    assert len({json.dumps(body) for _, body in answers}) == 1
+
+
+async def test_store_that_is_down_refuses_the_stage_and_runs_nothing(system):
+    system.platform.down = True
+    status, refusal = await answer(system, 0)
+    assert (status, refusal["code"]) == (503, 2009)
+    assert bookings(system) == 0
+    system.platform.down = False
+    async with asyncio.timeout(10):
+        while (await answer(system, 1))[0] != 200:
+            await asyncio.sleep(0.05)
+    assert bookings(system) == 1
+
+
+async def test_request_without_a_key_makes_no_store_write(system):
+    writes = system.platform.calls_by_kind["write"]
+    url = f"{system.entry_url()}/v1/pipelines/hold"
+    headers = {"Customer": "acme"}
+    async with system.session.post(url, data="{}", headers=headers) as response:
+        assert response.status == 200
+    assert system.platform.calls_by_kind["write"] == writes
+
+
+async def test_key_with_another_body_is_refused(system):
+    assert (await answer(system, 0))[0] == 200
+    status, refusal = await answer(system, 1, body='{"anvil": 4}')
+    assert (status, refusal["code"]) == (422, 2012)
+    assert bookings(system) == 1
--- a/packages/wire/src/wharf_wire/__init__.py
+++ b/packages/wire/src/wharf_wire/__init__.py
@@ -12,6 +12,8 @@
 from wharf_wire.hello import Hello
 from wharf_wire.limits import MAX_FRAME_BYTES, PROTOCOL_VERSION
 from wharf_wire.load import Load
+from wharf_wire.order import Order
+from wharf_wire.order_result import OrderResult
 
 __all__ = [
     "MAX_FRAME_BYTES",
@@ -28,6 +30,8 @@
     "Hello",
     "Load",
     "Message",
+    "Order",
+    "OrderResult",
     "decode",
     "encode",
 ]
--- a/packages/wire/src/wharf_wire/codec.py
+++ b/packages/wire/src/wharf_wire/codec.py
@@ -18,6 +18,8 @@
 from wharf_wire.hello import Hello
 from wharf_wire.limits import MAX_FRAME_BYTES
 from wharf_wire.load import Load
+from wharf_wire.order import Order
+from wharf_wire.order_result import OrderResult
 
 __all__ = ["Message", "decode", "encode"]
 
@@ -31,7 +33,9 @@
     | Facts
     | Failed
     | Hello
-    | Load,
+    | Load
+    | Order
+    | OrderResult,
     Field(discriminator="kind"),
 ]
 _ADAPTER = TypeAdapter(Message)
