Judge rollouts by stratified tests and drive them in injected time

Cause: operators move traffic between versions by a deadline, and bad versions must show at a small share.

Change: the record and its state machine, a share plan whose pulses load the new version while its mean share stays under 5%, stratified exact and rank-sum tests, and a driver that holds a version back on suspicion.

--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,14 @@
 PACKAGES := coordination wire platform daemon control standins
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 
-.PHONY: demo test lint setup
+.PHONY: trial-rollouts demo test lint setup
 
 demo: setup
 	$(BIN)/python -m wharf_standins demo
 
+trial-rollouts: setup
+	$(BIN)/python -m wharf_standins trial-rollouts
+
 test: setup
 	$(BIN)/python -m pytest
 
--- /dev/null
+++ b/packages/coordination/src/wharf_coordination/rollout/driver.py
@@ -0,0 +1,57 @@
+"""Decision on the next change of a rollout's record."""
+
+from dataclasses import dataclass
+
+from wharf_coordination.rollout.action import Action, Advance, Finish, TakeBack, Wait
+from wharf_coordination.rollout.evidence import Evidence
+from wharf_coordination.rollout.judge import Judge
+from wharf_coordination.rollout.rollout_view import RolloutView
+from wharf_coordination.rollout.verdict import Bad, Good
+
+__all__ = ["Driver"]
+
+
+@dataclass(slots=True)
+class Driver:
+    """Decide from the view and the evidence of one process."""
+
+    judge: Judge
+    step: int = 0
+    calls_before_step: int = 0
+
+    def decide(self, view: RolloutView, evidence: Evidence, now) -> Action:
+        """Return the change to write now.
+
+        Nothing may finish within the plan's guard before the deadline, so that
+        no process has gone back by itself when "finished" is written.
+        """
+        self._follow_step(view.rollout.step, evidence)
+        if not view.rollout.is_running:
+            return Wait()
+        if view.vetoed:
+            return TakeBack(view.vetoed)
+        calls = self.calls_before_step
+        match self.judge.verdict(evidence, self.step, calls, now):
+            case Bad(reason):
+                return TakeBack(reason)
+            case Good() if self._may_move(view, now):
+                return self._next(view)
+            case verdict if view.deadline.left(now) <= view.plan.guard:
+                missing = getattr(verdict, "missing", "too late to finish safely")
+                return TakeBack(f"deadline: {missing} at step {view.rollout.step}")
+        return Wait()
+
+    def _follow_step(self, step, evidence):
+        if step != self.step:
+            self.step = step
+            self.calls_before_step = evidence.total_new
+
+    def _may_move(self, view, now):
+        in_time = view.deadline.left(now) > view.plan.guard
+        elapsed = view.elapsed(now)
+        return in_time and view.plan.may_leave(view.rollout.step, elapsed)
+
+    def _next(self, view):
+        if view.rollout.step >= view.plan.last_step:
+            return Finish()
+        return Advance(view.rollout.step + 1)
--- /dev/null
+++ b/packages/coordination/src/wharf_coordination/rollout/judge.py
@@ -0,0 +1,120 @@
+"""Judgement of a new version against the old one."""
+
+from dataclasses import dataclass
+
+from wharf_coordination.rollout.evidence import Evidence
+from wharf_coordination.rollout.statistics import (
+    FailureCounts,
+    failure_chance,
+    slowness_chance,
+)
+from wharf_coordination.rollout.verdict import Bad, Good, Undecided, Verdict
+
+__all__ = ["Judge"]
+
+MIN_OLD_CALLS = 10
+MIN_NEW_CALLS = 3
+TESTS_PER_GROUP = 2
+
+
+@dataclass(frozen=True, slots=True)
+class Judge:
+    """Compare both versions on the same route at a similar load.
+
+    The comparison is made for the pool as a whole, for each route and for each
+    band of load. `false_alarm` bounds the chance that a good version is called
+    bad by any of `judges` processes in any of `looks` looks; it is divided among
+    all tests (the Bonferroni bound), so it holds however they depend on each
+    other. A version that fails a share q of its calls passes a step with chance
+    (1 - q) ** `step_calls` at most, if the old one never fails: 5% for q = 10%
+    and 30 calls. While any single test gives less than `suspicion`, the share may
+    not grow. `tolerance` is the factor by which a new version may be slower.
+    """
+
+    false_alarm: float = 0.01
+    suspicion: float = 0.001
+    judges: int = 340
+    looks: int = 240
+    tolerance: float = 1.5
+    first_step_calls: int = 4
+    step_calls: int = 30
+    route_calls: int = 3
+
+    def find_fault(self, evidence: Evidence, now) -> Bad | None:
+        """Return why the new version is bad, or None."""
+        pairs_by_cell = {cell: evidence.recent(cell, now) for cell in evidence.cells()}
+        groups = _groups(pairs_by_cell)
+        tests = max(1, len(groups)) * TESTS_PER_GROUP
+        level = self.false_alarm / (self.judges * self.looks * tests)
+        return self._first_fault(groups, level)
+
+    def verdict(self, evidence: Evidence, step, calls_before_step, now) -> Verdict:
+        """Return whether the new version may leave `step` for a larger share."""
+        fault = self.find_fault(evidence, now)
+        if fault:
+            return fault
+        calls = evidence.total_new - calls_before_step
+        needed = self.step_calls if step else self.first_step_calls
+        if calls < needed:
+            return Undecided(f"{calls} of {needed} calls in this step")
+        if step == 0:
+            return Good()
+        pairs_by_cell = {cell: evidence.all_kept(cell) for cell in evidence.cells()}
+        suspect = self._first_fault(_groups(pairs_by_cell), self.suspicion)
+        if suspect:
+            return Undecided(f"suspicion of {suspect.reason}")
+        missing = evidence.missing_routes(self.route_calls, now)
+        if missing:
+            return Undecided(f"under {self.route_calls} calls on {missing[0]}")
+        return Good()
+
+    def _first_fault(self, groups, level):
+        faults = (
+            self._group_fault(name, pairs, level) for name, pairs in groups.items()
+        )
+        return next((fault for fault in faults if fault), None)
+
+    def _group_fault(self, name, pairs, level):
+        old_calls = sum(len(old) for old, _ in pairs)
+        new_calls = sum(len(new) for _, new in pairs)
+        if old_calls < MIN_OLD_CALLS or new_calls < MIN_NEW_CALLS:
+            return None
+        counts = [self._counts(old, new) for old, new in pairs]
+        if failure_chance(counts) < level:
+            return Bad(f"errors on {name}: {_describe(counts)}")
+        seconds = [self._seconds(old, new) for old, new in pairs]
+        if slowness_chance(seconds) < level:
+            return Bad(f"latency on {name}: over {self.tolerance} times the old")
+        return None
+
+    def _counts(self, old, new):
+        old_failures = sum(sample.failed for sample in old)
+        new_failures = sum(sample.failed for sample in new)
+        return FailureCounts(len(old), old_failures, len(new), new_failures)
+
+    def _seconds(self, old, new):
+        old_seconds = [sample.elapsed for sample in old if not sample.failed]
+        new_seconds = [
+            sample.elapsed / self.tolerance for sample in new if not sample.failed
+        ]
+        return old_seconds, new_seconds
+
+
+def _groups(pairs_by_cell):
+    groups = {}
+    for cell, pair in pairs_by_cell.items():
+        names = ("all routes", f"route {cell.route}", f"load {cell.load}")
+        for name in names:
+            groups.setdefault(name, []).append(pair)
+    return groups
+
+
+def _describe(counts):
+    old_failures = sum(count.old_failures for count in counts)
+    old_calls = sum(count.old_calls for count in counts)
+    new_failures = sum(count.new_failures for count in counts)
+    new_calls = sum(count.new_calls for count in counts)
+    return (
+        f"{new_failures} of {new_calls} calls failed, "
+        f"with the old version {old_failures} of {old_calls}"
+    )
--- /dev/null
+++ b/packages/coordination/src/wharf_coordination/rollout/route.py
@@ -0,0 +1,16 @@
+"""One use of a pool by a pipeline."""
+
+from dataclasses import dataclass
+
+__all__ = ["Route"]
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Route:
+    """A stage of a pipeline; versions are compared on the same route only."""
+
+    pipeline: str
+    stage: str
+
+    def __str__(self):
+        return f"{self.pipeline}/{self.stage}"
--- /dev/null
+++ b/packages/coordination/src/wharf_coordination/rollout/share_plan.py
@@ -0,0 +1,68 @@
+"""The shares of traffic that a new version gets, step by step."""
+
+from dataclasses import dataclass
+
+__all__ = ["SharePlan"]
+
+PULSED_STEP = 1
+PULSE_SHARE = 0.9
+PULSE_FRACTION = 0.035
+PULSES_PER_ROLLOUT = 8
+MIN_PULSE_PERIOD_SECONDS = 1.0
+GUARD_FRACTION = 0.08
+
+
+@dataclass(frozen=True, slots=True)
+class SharePlan:
+    """Shares and least times of the steps of a rollout of `duration` seconds.
+
+    A new version stays at no more than 5% for the first half of the time, so
+    that one that turns bad late does so while little traffic uses it. In that
+    step short pulses give it most traffic, and so the load that it would have to
+    bear; the mean stays under 5%. The last step keeps some traffic on the old version
+    for the comparison.
+    """
+
+    duration: float
+    shares: tuple[float, ...] = (0.01, 0.015, 0.25, 0.5, 0.95)
+    begin_fractions: tuple[float, ...] = (0.0, 0.05, 0.5, 0.58, 0.66)
+    finish_fraction: float = 0.76
+
+    @property
+    def last_step(self):
+        """Return the number of the last step."""
+        return len(self.shares) - 1
+
+    @property
+    def guard(self):
+        """Return the seconds before the deadline in which nothing may finish.
+
+        They cover the time of a slow write and the differences between clocks.
+        """
+        return self.duration * GUARD_FRACTION
+
+    @property
+    def pulse_period(self):
+        """Return the seconds from one pulse to the next."""
+        return max(MIN_PULSE_PERIOD_SECONDS, self.duration / PULSES_PER_ROLLOUT)
+
+    def share(self, step, elapsed):
+        """Return the new version's share `elapsed` seconds after the start."""
+        if step == PULSED_STEP and self._is_pulse(elapsed):
+            return PULSE_SHARE
+        return self.shares[min(step, self.last_step)]
+
+    def may_leave(self, step, elapsed):
+        """Return whether the least time of `step` is over.
+
+        >>> plan = SharePlan(duration=100.0)
+        >>> plan.may_leave(0, 4.0), plan.may_leave(0, 5.0)
+        (False, True)
+        """
+        if step >= self.last_step:
+            return elapsed >= self.finish_fraction * self.duration
+        return elapsed >= self.begin_fractions[step + 1] * self.duration
+
+    def _is_pulse(self, elapsed):
+        phase = elapsed % self.pulse_period / self.pulse_period
+        return phase >= 1 - PULSE_FRACTION
--- /dev/null
+++ b/packages/coordination/tests/test_rollout.py
@@ -0,0 +1,175 @@
+"""The record of a rollout, its shares and the decisions of its driver."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from result import Ok
+
+from wharf_coordination import Code
+from wharf_coordination.rollout import (
+    Advance,
+    Finish,
+    Participant,
+    Rollout,
+    RolloutOutcome,
+    RolloutView,
+    Route,
+    Sample,
+    SharePlan,
+    TakeBack,
+    Wait,
+)
+
+DURATION = 100.0
+
+
+@pytest.fixture
+def rollout():
+    return Rollout("r1", "model", "1", "2", DURATION, started_at=1000.0)
+
+
+@pytest.fixture
+def participant(rollout):
+    return Participant.join(rollout, now=0.0, wall_now=1000.0)
+
+
+def feed(participant, version, count, now, failed=False, elapsed=0.1):
+    route = Route("report", "generate")
+    for _ in range(count):
+        participant.add(Sample(route, version, 3, failed, elapsed, now))
+
+
+def test_terminal_outcome_never_changes(rollout):
+    finished = rollout.finish((), fence=1).unwrap()
+    assert finished.take_back("late", (), fence=9).unwrap_err().code is Code.CONFLICT
+    taken_back = rollout.take_back("errors", (), fence=1).unwrap()
+    assert taken_back.finish((), fence=9).unwrap_err().code is Code.CONFLICT
+    assert taken_back.advance(1, (), fence=9).unwrap_err().code is Code.CONFLICT
+
+
+def test_old_fencing_number_changes_nothing(rollout):
+    current = rollout.advance(1, (), fence=5).unwrap()
+    refused = current.advance(2, (), fence=4).unwrap_err()
+    assert refused.code is Code.STALE_FENCING
+    assert current.finish((), fence=4).is_err()
+    assert current.take_back("errors", (), fence=4).is_err()
+
+
+def test_step_is_written_once(rollout):
+    current = rollout.advance(1, (), fence=1).unwrap()
+    assert current.advance(1, (), fence=1).unwrap_err().code is Code.CONFLICT
+
+
+@pytest.mark.parametrize("duration", [30.0, 600.0, 7200.0])
+def test_mean_share_stays_under_five_percent_for_half_the_time(duration):
+    plan = SharePlan(duration)
+    ticks = 10_000
+    step_end = plan.begin_fractions[2]
+    mean = 0.0
+    for tick in range(int(ticks * step_end)):
+        fraction = tick / ticks
+        step = 0 if fraction < plan.begin_fractions[1] else 1
+        mean += plan.share(step, fraction * duration)
+        if fraction > plan.begin_fractions[1]:
+            assert mean / (tick + 1) <= 0.05
+
+
+def test_equal_request_ids_get_equal_versions(participant, rollout):
+    twin = Participant.join(rollout, now=50.0, wall_now=1000.0)
+    ids = [str(number) for number in range(500)]
+    first = [participant.version_for(id, 1.0) for id in ids]
+    assert first == [twin.version_for(id, 51.0) for id in ids]
+    assert 0 < first.count("2") < 25
+
+
+def test_share_is_zero_from_the_deadline_on(participant):
+    ids = [str(number) for number in range(1000)]
+    assert all(participant.version_for(id, DURATION) == "1" for id in ids)
+
+
+def test_process_that_starts_late_does_not_prolong_the_rollout(rollout):
+    view = RolloutView.begin(rollout, now=7.0, wall_now=1000.0 + 90.0)
+    assert view.deadline.left(7.0) == pytest.approx(10.0)
+
+
+@given(st.floats(-1e6, 1e6))
+def test_wrong_clock_never_prolongs_the_rollout(skew):
+    record = Rollout("r1", "model", "1", "2", DURATION, started_at=0.0)
+    view = RolloutView.begin(record, now=0.0, wall_now=skew)
+    assert 0 <= view.deadline.left(0.0) <= DURATION
+
+
+def test_veto_holds_whatever_the_record_says_later(participant, rollout):
+    participant.veto("errors")
+    participant.update(rollout.advance(1, (), fence=1).unwrap(), 1.0)
+    assert participant.view.share(1.0) == 0.0
+    assert participant.decide(1.0) == TakeBack("errors")
+
+
+def test_retry_of_a_vetoed_version_has_another_subject(rollout):
+    again = Rollout("r2", "model", "1", "2", DURATION, started_at=2000.0)
+    assert again.veto_subject != rollout.veto_subject
+
+
+def test_no_advance_without_evidence(participant):
+    assert participant.decide(10.0) == Wait()
+    feed(participant, "1", 50, 10.0)
+    feed(participant, "2", 4, 10.0)
+    assert participant.decide(10.0) == Advance(1)
+
+
+def test_no_advance_before_the_least_time(participant):
+    feed(participant, "1", 50, 1.0)
+    feed(participant, "2", 50, 1.0)
+    assert participant.decide(1.0) == Wait()
+
+
+def test_failing_version_is_vetoed_and_taken_back(participant):
+    feed(participant, "1", 100, 1.0)
+    feed(participant, "2", 10, 1.0, failed=True)
+    fact = participant.look(1.0)
+    assert fact.subject == "model@2#r1"
+    assert participant.look(1.0) is None
+    assert isinstance(participant.decide(1.0), TakeBack)
+
+
+def test_slow_version_is_vetoed(participant):
+    feed(participant, "1", 100, 1.0)
+    feed(participant, "2", 20, 1.0, elapsed=0.4)
+    assert participant.look(1.0).reason.startswith("latency")
+
+
+def test_failures_of_both_versions_are_no_evidence(participant):
+    for version in ("1", "2"):
+        feed(participant, version, 50, 1.0, failed=True)
+        feed(participant, version, 50, 1.0)
+    assert participant.look(1.0) is None
+
+
+def test_rollout_without_evidence_is_taken_back_before_the_deadline(participant):
+    action = participant.decide(DURATION - 5.0)
+    assert isinstance(action, TakeBack)
+    assert action.reason.startswith("deadline")
+
+
+def test_nothing_finishes_shortly_before_the_deadline(participant, rollout):
+    for step in range(1, 5):
+        rollout = rollout.advance(step, (), fence=1).unwrap()
+        participant.update(rollout, 10.0 * step)
+        participant.decide(10.0 * step)
+    now = DURATION * 0.8
+    feed(participant, "1", 50, now)
+    feed(participant, "2", 50, now)
+    assert participant.decide(now) == Finish()
+    too_late = DURATION * 0.95
+    feed(participant, "1", 50, too_late)
+    feed(participant, "2", 50, too_late)
+    assert isinstance(participant.decide(too_late), TakeBack)
+
+
+def test_finished_rollout_gives_all_traffic_to_the_new_version(participant, rollout):
+    match rollout.finish((), fence=1):
+        case Ok(finished):
+            participant.update(finished, 90.0)
+    assert finished.outcome is RolloutOutcome.FINISHED
+    assert participant.version_for("any", DURATION * 2) == "2"
--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -5,9 +5,12 @@
 import defopt
 
 from wharf_standins.demo import demo
+from wharf_standins.rollout_trial.command import trial_rollouts
 from wharf_standins.serve import engine, platform
 
 __all__ = []
 
 if __name__ == "__main__":
-    sys.exit(defopt.run([demo, engine, platform], no_negated_flags=True))
+    sys.exit(
+        defopt.run([demo, engine, platform, trial_rollouts], no_negated_flags=True)
+    )
--- /dev/null
+++ b/packages/standins/src/wharf_standins/rollout_trial/__init__.py
@@ -0,0 +1,7 @@
+"""Trials of rollouts in injected time, with a small fake of the traffic."""
+
+from wharf_standins.rollout_trial.trial import Trial
+from wharf_standins.rollout_trial.trial_result import TrialResult
+from wharf_standins.rollout_trial.version_kind import KINDS
+
+__all__ = ["KINDS", "Trial", "TrialResult"]
--- /dev/null
+++ b/packages/standins/src/wharf_standins/rollout_trial/fake_traffic.py
@@ -0,0 +1,90 @@
+"""A small fake of calls to the upstreams of two versions."""
+
+from dataclasses import dataclass, field
+from heapq import heappop, heappush
+from random import Random
+
+from wharf_coordination.rollout import Route, Sample
+from wharf_standins.rollout_trial.version_kind import (
+    FAILURE_RATE,
+    SLOWDOWN,
+    BadUnderLoad,
+    SlowAtOnce,
+    is_bad_call,
+)
+
+__all__ = ["FakeTraffic"]
+
+ROUTE_WEIGHTS = (40, 30, 20, 10)
+BASE_SECONDS = 0.05
+SECONDS_PER_IN_FLIGHT = 0.005
+SPREAD = 0.3
+BASE_FAILURE_RATE = 0.01
+
+
+@dataclass
+class FakeTraffic:
+    """Draw calls, run each on the least busy upstream, and return what ended."""
+
+    rng: Random
+    kind: object
+    old_version: str
+    new_version: str
+    upstreams: int
+    duration: float
+    _in_flight_by_upstream: dict[tuple[str, int], int] = field(default_factory=dict)
+    _ends: list = field(default_factory=list)
+    _count: int = 0
+
+    def __post_init__(self):
+        for version in (self.old_version, self.new_version):
+            for number in range(self.upstreams):
+                self._in_flight_by_upstream[version, number] = 0
+
+    def begin(self, entry, version, now):
+        """Begin a call; return whether it meets the new version's fault."""
+        route_number = self._draw_route()
+        upstream = self._least_busy(version)
+        in_flight = self._in_flight_by_upstream[upstream]
+        is_new = version == self.new_version
+        fraction = now / self.duration
+        is_bad = is_new and is_bad_call(self.kind, route_number, in_flight, fraction)
+        failed, seconds = self._outcome(is_bad, in_flight)
+        sample = Sample(
+            route=Route("report", f"stage-{route_number}"),
+            version=version,
+            in_flight=in_flight,
+            failed=failed,
+            elapsed=seconds,
+            ended_at=now + seconds,
+        )
+        self._in_flight_by_upstream[upstream] += 1
+        self._count += 1
+        heappush(self._ends, (sample.ended_at, self._count, upstream, entry, sample))
+        return is_bad
+
+    def ended(self, now):
+        """Yield the entry and the sample of each call that has ended."""
+        while self._ends and self._ends[0][0] <= now:
+            _, _, upstream, entry, sample = heappop(self._ends)
+            self._in_flight_by_upstream[upstream] -= 1
+            yield entry, sample
+
+    def _draw_route(self):
+        return self.rng.choices(range(len(ROUTE_WEIGHTS)), ROUTE_WEIGHTS)[0]
+
+    def _least_busy(self, version):
+        own = [key for key in self._in_flight_by_upstream if key[0] == version]
+        return min(own, key=self._in_flight_by_upstream.__getitem__)
+
+    def _outcome(self, is_bad, in_flight):
+        seconds = BASE_SECONDS + SECONDS_PER_IN_FLIGHT * in_flight
+        seconds *= self.rng.lognormvariate(0, SPREAD)
+        failed = self.rng.random() < BASE_FAILURE_RATE
+        if not is_bad:
+            return failed, seconds
+        match self.kind:
+            case SlowAtOnce() | BadUnderLoad():
+                return failed, seconds * SLOWDOWN
+            case _:
+                return failed or self.rng.random() < FAILURE_RATE, seconds
--- /dev/null
+++ b/packages/standins/src/wharf_standins/rollout_trial/version_kind.py
@@ -0,0 +1,81 @@
+"""Kinds of new versions that the trials roll out."""
+
+from dataclasses import dataclass
+
+__all__ = [
+    "KINDS",
+    "BadLater",
+    "BadOnRoute",
+    "BadUnderLoad",
+    "FailsAtOnce",
+    "Good",
+    "SlowAtOnce",
+    "VersionKind",
+    "is_bad_call",
+]
+
+FAILURE_RATE = 0.8
+SLOWDOWN = 4.0
+
+
+@dataclass(frozen=True, slots=True)
+class Good:
+    """As good as the old version."""
+
+
+@dataclass(frozen=True, slots=True)
+class FailsAtOnce:
+    """Fails a large part of its calls."""
+
+
+@dataclass(frozen=True, slots=True)
+class SlowAtOnce:
+    """Takes several times as long."""
+
+
+@dataclass(frozen=True, slots=True)
+class BadLater:
+    """Fails from a time after the start, given as a fraction of the deadline."""
+
+    fraction: float = 0.3
+
+
+@dataclass(frozen=True, slots=True)
+class BadUnderLoad:
+    """Is slow while at least `in_flight` calls run on its upstream."""
+
+    in_flight: int = 4
+
+
+@dataclass(frozen=True, slots=True)
+class BadOnRoute:
+    """Fails on the route with the number `route` only."""
+
+    route: int = 3
+
+
+VersionKind = Good | FailsAtOnce | SlowAtOnce | BadLater | BadUnderLoad | BadOnRoute
+
+KINDS = {
+    "good": Good(),
+    "fails-at-once": FailsAtOnce(),
+    "slow-at-once": SlowAtOnce(),
+    "bad-later": BadLater(),
+    "bad-under-load": BadUnderLoad(),
+    "bad-on-route": BadOnRoute(),
+}
+
+
+def is_bad_call(kind: VersionKind, route, in_flight, elapsed_fraction):
+    """Return whether a call meets the fault of its version."""
+    match kind:
+        case Good():
+            return False
+        case FailsAtOnce() | SlowAtOnce():
+            return True
+        case BadLater(fraction):
+            return elapsed_fraction >= fraction
+        case BadUnderLoad(limit):
+            return in_flight >= limit
+        case BadOnRoute(bad_route):
+            return route == bad_route
--- /dev/null
+++ b/packages/standins/tests/test_rollout_trial.py
@@ -0,0 +1,33 @@
+"""Trials of rollouts in injected time; `make trial-rollouts` runs the long set."""
+
+import pytest
+
+from wharf_coordination.rollout import Participant
+from wharf_standins.rollout_trial import KINDS, Trial
+
+OVER_DEADLINE = (0.4, 1.1)
+SEED = 1
+
+
+@pytest.mark.parametrize("kind", KINDS)
+def test_version_ends_with_the_right_record(kind):
+    result = Trial(KINDS[kind], SEED, kind).run()
+    expected = "finished" if kind == "good" else "taken back"
+    assert result.outcome == expected, result
+    assert result.new_calls_late == 0
+    if kind != "good":
+        assert result.share_before_veto <= 0.05
+
+
+@pytest.mark.parametrize("kind", ["good", "bad-on-route"])
+def test_store_down_over_the_deadline_ends_as_taken_back(kind):
+    trial = Trial(KINDS[kind], SEED, kind, duration=30.0, store_down=OVER_DEADLINE)
+    result = trial.run()
+    assert result.outcome == "taken back"
+    assert result.new_calls_late == 0
+
+
+def test_trial_shows_a_veto_that_is_not_spread(monkeypatch):
+    monkeypatch.setattr(Participant, "veto", lambda self, reason: None)
+    trial = Trial(KINDS["fails-at-once"], SEED, store_down=(0.1, 1.1))
+    assert trial.run().new_calls_late > 0
