--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -22,7 +22,7 @@
 from wharf_daemon.http_site import HttpSite
 from wharf_daemon.metrics import Metrics
 from wharf_daemon.operators_api import OperatorsApi
-from wharf_platform import ObjectClient
+from wharf_platform import CallGate, ObjectClient
 from wharf_wire import Hello
 
 __all__ = ["Entry"]
@@ -39,6 +39,7 @@
         self.feed = ConfigurationFeed(self.metrics)
         self.facts = FactFeed()
         self.stopping = False
+        self._closed = False
         self._rng = Random(settings.seed)
         self._incarnation = f"{self._rng.getrandbits(48):012x}"
         self._request_numbers = count()
@@ -50,7 +51,10 @@
     async def start(self):
         """Listen for callers and operators, follow the store, open links."""
         self._session = aiohttp.ClientSession()
-        self.store = ObjectClient(self._session, self.settings.platform)
+        self.store = ObjectClient(
+            self._session, self.settings.platform, gate=CallGate(self._rng)
+        )
+        self.store.gate.calls.subscribe(self._count_store_call)
         self._callers = HttpSite(self._caller_application(), self.settings.listen)
         self._operators = HttpSite(
             OperatorsApi(self, self.metrics).application(),
@@ -76,10 +80,13 @@
         """Show not ready, finish what runs, then leave."""
         self.stopping = True
         log.info("stopping", running=self._running)
+        # The balancer needs time to notice, and sends callers here until then.
+        await asyncio.sleep(self.settings.drain_delay)
         try:
             await asyncio.wait_for(self._idle.wait(), self.settings.stop_grace)
         except TimeoutError:
             log.warning("stop_grace_spent", running=self._running)
+        self._closed = True
         await self._callers.stop()
         self._follower.cancel()
         self.links.close()
@@ -102,6 +109,9 @@
     @contextmanager
     def request(self):
         """Count a request while it runs; yield a refusal when there is no room."""
+        if self._closed:
+            yield Err(Refusal.not_run(Code.ENTRY_STOPPING))
+            return
         if self._running >= self.settings.max_requests:
             yield Err(Refusal.not_run(Code.ENTRY_FULL, f"{self._running} requests"))
             return
@@ -156,6 +166,9 @@
         labels = (outcome.task.stage.name, outcome.code.label)
         self.metrics.attempts.labels(*labels).inc()
 
+    def _count_store_call(self, kind):
+        self.metrics.store_calls.labels(kind).inc()
+
     def _broadcast_facts(self, message):
         asyncio.ensure_future(self.links.send_all(message))
 
