Route, judge and drive rollouts in the entries

Cause: the pure parts had no I/O around them.

Ruled out: an object of its own for each rollout, since an entry that starts while the store is down could not learn it from a sidecar; the record is part of the configuration document, which travels peer to peer already.

Change: each entry feeds the outcomes of its attempts to a participant for each pool, vetoes through facts, and the holder of a lease writes the record by a conditional update with its fencing number.

--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -16,6 +16,8 @@
 from wharf_daemon.entry.link_set import LinkSet
 from wharf_daemon.entry.pipeline_runner import PipelineRunner
 from wharf_daemon.entry.request_reader import RequestReader
+from wharf_daemon.entry.rollout_driver import RolloutDriver
+from wharf_daemon.entry.rollout_table import RolloutTable
 from wharf_daemon.entry.stage_runner import StageRunner
 from wharf_daemon.entry.version_router import VersionRouter
 from wharf_daemon.fact_feed import FactFeed
@@ -65,6 +67,7 @@
         self.feed.documents.subscribe(self._on_document)
         self.facts.news.subscribe(self._broadcast_facts)
         self._follower = asyncio.create_task(self.feed.follow(self.store, self._rng))
+        self._driver = asyncio.create_task(self._rollout_driver().run())
 
     @property
     def port(self):
@@ -89,6 +92,8 @@
         self._closed = True
         await self._callers.stop()
         self._follower.cancel()
+        self._driver.cancel()
+        await asyncio.gather(self._driver, return_exceptions=True)
         self.links.close()
         await self._session.close()
         await self._operators.stop()
@@ -134,6 +139,7 @@
             "running": self._running,
             "store_calls": self.store.calls_by_kind,
             "facts": self.facts.dump(),
+            "rollouts": self.rollouts.dump(),
             "links": [
                 {
                     "address": address,
@@ -146,15 +152,23 @@
             ],
         }
 
+    def _rollout_driver(self):
+        name = f"{self.settings.name}-{self._incarnation}"
+        return RolloutDriver(
+            name, self.store, self.rollouts, self.facts, self.metrics, self._rng
+        )
+
     def _caller_application(self):
         settings = self.settings
+        self.rollouts = RolloutTable(self.feed, self.facts)
         attempt_runner = AttemptRunner(self.links, self.feed)
         attempt_runner.outcomes.subscribe(self._count_attempt)
+        attempt_runner.outcomes.subscribe(self.rollouts.add_outcome)
         stage_runner = StageRunner(
             self.links,
             Chooser(self._rng, settings.data_centre),
             self.feed,
-            VersionRouter(self.feed),
+            VersionRouter(self.feed, self.rollouts, self.links),
             attempt_runner,
             settings.max_answer,
         )
--- a/packages/daemon/src/wharf_daemon/entry/stage_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/stage_runner.py
@@ -48,7 +48,7 @@
         document = self._feed.document
         pool = task.stage.pool
         now = self._now()
-        version = self._versions.version_for(task, now)
+        version = self._versions.version_for(task, now, tried)
         candidates = self._links.candidates(document, pool, version, tried)
         return self._chooser.choose(candidates, now)
 
--- a/packages/daemon/src/wharf_daemon/entry/version_router.py
+++ b/packages/daemon/src/wharf_daemon/entry/version_router.py
@@ -4,11 +4,31 @@
 
 
 class VersionRouter:
-    """Send each call to the version that the configuration names."""
+    """Split a pool's calls by the share of its rollout.
 
-    def __init__(self, feed):
+    Without a rollout, or once operators have declared another version than the
+    one that the rollout began with, the configuration's version is used.
+    """
+
+    def __init__(self, feed, rollouts, links):
         self._feed = feed
+        self._rollouts = rollouts
+        self._links = links
+
+    def version_for(self, task, now, excluded=frozenset()):
+        """Return the version for the call of `task` at the time `now`.
 
-    def version_for(self, task, now):
-        """Return the version for the call of `task` at the time `now`."""
-        return self._feed.document.folder.pools[task.stage.pool].version
+        A new version gets no call while none of its upstreams outside `excluded`
+        is open.
+        """
+        pool = task.stage.pool
+        document = self._feed.document
+        declared = document.folder.pools[pool].version
+        participant = self._rollouts.by_pool.get(pool)
+        if participant is None or participant.rollout.old_version != declared:
+            return declared
+        version = participant.version_for(task.request.id, now)
+        if version == declared:
+            return declared
+        is_open = self._links.candidates(document, pool, version, excluded)
+        return version if is_open else declared
--- a/packages/daemon/src/wharf_daemon/metrics.py
+++ b/packages/daemon/src/wharf_daemon/metrics.py
@@ -30,6 +30,12 @@
         self.store_calls = self._counter(
             "wharf_store_calls", "Calls of the platform's store", ["kind"]
         )
+        self.vetoes = self._counter(
+            "wharf_vetoes", "Versions that this process found to be bad", []
+        )
+        self.rollout_writes = self._counter(
+            "wharf_rollout_writes", "Changes of rollouts by outcome", ["outcome"]
+        )
         self.stage_seconds = Histogram(
             "wharf_stage_seconds",
             "Time of a stage, retries included",
--- a/packages/platform/src/wharf_platform/__init__.py
+++ b/packages/platform/src/wharf_platform/__init__.py
@@ -6,6 +6,7 @@
 from wharf_platform.lease_keeper import LeaseKeeper, lease_key, read_lease
 from wharf_platform.object_client import ObjectClient
 from wharf_platform.platform_host import PlatformHost
+from wharf_platform.rollout_change import RolloutChange, find_rollout
 from wharf_platform.store_error import (
     Conflict,
     StoreError,
@@ -24,10 +25,12 @@
     "LeaseKeeper",
     "ObjectClient",
     "PlatformHost",
+    "RolloutChange",
     "StoreError",
     "StoredObject",
     "Unavailable",
     "UnknownOutcome",
+    "find_rollout",
     "lease_key",
     "read_lease",
 ]
--- a/packages/platform/src/wharf_platform/configuration/document.py
+++ b/packages/platform/src/wharf_platform/configuration/document.py
@@ -2,6 +2,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field
 
+from wharf_coordination.rollout import Rollout
 from wharf_platform.configuration.folder import Folder
 
 __all__ = ["CONFIGURATION_KEY", "Document"]
@@ -16,8 +17,8 @@
     `revision` grows by one with each accepted change; `operations` holds the ids
     of the latest changes, newest last, by which a writer recognises its own after
     a lost answer, also when others have written since. What
-    operators command rather than declare, such as data centres taken out, stays
-    when a folder is applied.
+    operators command rather than declare, data centres taken out and rollouts,
+    stays when a folder is applied. `rollouts` holds the latest of each pool.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -26,6 +27,7 @@
     operations: tuple[str, ...] = Field(default=(), max_length=MAX_OPERATIONS)
     folder: Folder = Field(default_factory=Folder)
     out_data_centres: frozenset[str] = frozenset()
+    rollouts: dict[str, Rollout] = Field(default_factory=dict)
 
     @classmethod
     def from_json(cls, text):
--- a/packages/standins/src/wharf_standins/loopback.py
+++ b/packages/standins/src/wharf_standins/loopback.py
@@ -20,15 +20,25 @@
 class Loopback:
     """Stand-ins, sidecars and entries on free ports, stopped on exit.
 
-    `shape` maps a pool's name to its upstreams' data centres.
+    `shape` maps a pool's name to its upstreams' data centres, `versions` an
+    upstream's name to its version where that is not the pool's.
     """
 
-    def __init__(self, shape, pipelines, entries=1, customers=("acme",), seed=1):
+    def __init__(
+        self,
+        shape,
+        pipelines,
+        entries=1,
+        customers=("acme",),
+        seed=1,
+        versions=None,
+    ):
         self._shape = shape
         self._pipelines = pipelines
         self._entry_count = entries
         self._customers = customers
         self._seed = seed
+        self._versions = versions or {}
         self._stack = AsyncExitStack()
         self.engine_by_name = {}
         self.sidecar_by_name = {}
@@ -60,6 +70,7 @@
                 "pool": name.rpartition("-")[0],
                 "data_centre": sidecar.settings.data_centre,
                 "address": f"127.0.0.1:{sidecar.port}",
+                "version": self._versions.get(name),
             }
             for name, sidecar in self.sidecar_by_name.items()
         }
