--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -5,12 +5,12 @@
 import defopt
 
 from wharf_standins.demo import demo
+from wharf_standins.history.command import histories
 from wharf_standins.rollout_trial.command import trial_rollouts
 from wharf_standins.serve import engine, platform
 
 __all__ = []
 
 if __name__ == "__main__":
-    sys.exit(
-        defopt.run([demo, engine, platform, trial_rollouts], no_negated_flags=True)
-    )
+    commands = [demo, engine, platform, trial_rollouts, histories]
+    sys.exit(defopt.run(commands, no_negated_flags=True))
--- /dev/null
+++ b/packages/standins/src/wharf_standins/history/checks/at_most_once.py
@@ -0,0 +1,23 @@
+"""A non-idempotent request runs at most once."""
+
+from collections import Counter
+
+from wharf_standins.history.violation import Violation
+
+__all__ = ["check_at_most_once"]
+
+PROMISE = "at most once"
+
+
+def check_at_most_once(history):
+    """Return inputs for which a stage that isn't idempotent ran twice."""
+    counts = Counter(
+        (run.input, run.stage)
+        for run in history.runs
+        if run.stage in history.exclusive_stages
+    )
+    return [
+        Violation(PROMISE, f"{input!r} ran {count} times in {stage}")
+        for (input, stage), count in counts.items()
+        if count > 1
+    ]
--- /dev/null
+++ b/packages/standins/src/wharf_standins/history/kill.py
@@ -0,0 +1,44 @@
+"""Abrupt ends of daemons that run in the process of a test."""
+
+import asyncio
+
+__all__ = ["cut_link", "kill_entry", "kill_sidecar"]
+
+
+async def kill_entry(entry):
+    """End an entry at once, as if its host were lost.
+
+    Its tasks can't write anything on their way out: the session is closed first.
+    """
+    server = entry._callers._runner.server
+    if server is None:
+        return
+    for connection in tuple(server.connections):
+        if connection.transport:
+            connection.transport.abort()
+    for link in entry.links.by_address.values():
+        cut_link(link)
+    await entry._session.close()
+    tasks = (entry._follower, entry._driver)
+    for task in tasks:
+        task.cancel()
+    entry.links.close()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    await entry._callers.stop()
+    await entry._operators.stop()
+
+
+async def kill_sidecar(sidecar):
+    """End a sidecar at once, together with its calls to the upstream."""
+    sidecar._server.close(close_connections=False)
+    for link in tuple(sidecar.links):
+        link._socket.transport.abort()
+    await sidecar._session.close()
+    sidecar._reporter.cancel()
+    await sidecar._operators.stop()
+
+
+def cut_link(link):
+    """Abort the connection of an entry's link, if it is open."""
+    if link._socket:
+        link._socket.transport.abort()
--- /dev/null
+++ b/packages/standins/src/wharf_standins/history/span.py
@@ -0,0 +1,22 @@
+"""A time during which something held."""
+
+from dataclasses import dataclass
+from math import inf
+
+from wharf_standins.history.span_kind import SpanKind
+
+__all__ = ["Span"]
+
+
+@dataclass(frozen=True, slots=True)
+class Span:
+    """`kind` held for `subject` from `begin` to `end` seconds."""
+
+    kind: SpanKind
+    subject: str
+    begin: float
+    end: float = inf
+
+    def covers(self, at, grace=0.0):
+        """Return whether `at` lies in the span, more than `grace` after its begin."""
+        return self.begin + grace < at < self.end
--- a/packages/standins/src/wharf_standins/loopback.py
+++ b/packages/standins/src/wharf_standins/loopback.py
@@ -42,6 +42,7 @@
         self._stack = AsyncExitStack()
         self.engine_by_name = {}
         self.sidecar_by_name = {}
+        self._address_by_name = {}
         self.entries = []
         self.platform = Platform()
 
@@ -69,7 +70,7 @@
             name: {
                 "pool": name.rpartition("-")[0],
                 "data_centre": sidecar.settings.data_centre,
-                "address": f"127.0.0.1:{sidecar.port}",
+                "address": self._address_by_name[name],
                 "version": self._versions.get(name),
             }
             for name, sidecar in self.sidecar_by_name.items()
@@ -94,6 +95,26 @@
         """Return the callers' URL of an entry."""
         return f"http://127.0.0.1:{self.entries[number].port}"
 
+    async def replace_entry(self, number):
+        """Start a fresh entry in the place of one that ends."""
+        old = self.entries[number].settings
+        name = f"{old.name}-again"
+        entry = Entry(old.model_copy(update={"name": name}))
+        await self._run(entry)
+        self.entries[number] = entry
+
+    async def replace_sidecar(self, name):
+        """Start a fresh sidecar at the address of one that has ended."""
+        old = self.sidecar_by_name[name]
+        update = {"listen": self._address_by_name[name]}
+        sidecar = Sidecar(old.settings.model_copy(update=update))
+        await self._run(sidecar)
+        self.sidecar_by_name[name] = sidecar
+
+    async def _run(self, daemon):
+        await daemon.start()
+        self._stack.push_async_callback(daemon.stop)
+
     async def _start_upstream(self, name, data_centre):
         engine = Engine(name, data_centre)
         site = await self._site(engine.application())
@@ -108,9 +129,9 @@
             seed=self._seed,
         )
         sidecar = Sidecar(settings)
-        await sidecar.start()
-        self._stack.push_async_callback(sidecar.stop)
+        await self._run(sidecar)
         self.engine_by_name[name] = engine
+        self._address_by_name[name] = f"127.0.0.1:{sidecar.port}"
         self.sidecar_by_name[name] = sidecar
 
     async def _start_entry(self, name):
@@ -124,8 +145,7 @@
             seed=self._seed,
         )
         entry = Entry(settings)
-        await entry.start()
-        self._stack.push_async_callback(entry.stop)
+        await self._run(entry)
         self.entries.append(entry)
 
     async def _site(self, application):
--- a/packages/standins/src/wharf_standins/platform.py
+++ b/packages/standins/src/wharf_standins/platform.py
@@ -59,6 +59,11 @@
         application.router.add_get("/v1/hosts", self._list_hosts)
         return application
 
+    async def wake_watches(self):
+        """Let waiting watches see a change of the injected faults."""
+        async with self._changed:
+            self._changed.notify_all()
+
     async def _get(self, request):
         key = request.match_info["key"]
         after = request.query.get("after")
--- /dev/null
+++ b/packages/standins/tests/test_histories.py
@@ -0,0 +1,167 @@
+"""Histories of the real daemons' code, whole and broken on purpose.
+
+`make histories` runs the long set.
+"""
+
+import asyncio
+from contextlib import suppress
+from itertools import islice
+
+from aiohttp import ClientError
+
+from wharf_coordination import Refusal
+from wharf_coordination.rollout import Participant
+from wharf_daemon import Entry, Sidecar
+from wharf_daemon.configuration_feed import ConfigurationFeed
+from wharf_daemon.entry.rollout_driver import RolloutDriver
+from wharf_daemon.entry.sidecar_link import SidecarLink
+from wharf_daemon.fact_feed import FactFeed
+from wharf_daemon.sidecar import upstream_client
+from wharf_daemon.sidecar.upstream_client import UpstreamClient, UpstreamError
+from wharf_platform import ObjectClient
+from wharf_standins.fault_rule import FaultKind as EngineFault
+from wharf_standins.fault_rule import FaultRule
+from wharf_standins.history import HistoryRun, check_history
+from wharf_standins.history.checks import (
+    check_configuration,
+    check_planned_stop,
+    check_whole_answers,
+)
+from wharf_standins.history.fault_kind import FaultKind
+from wharf_standins.history.injector import Injector
+from wharf_standins.history.kill import kill_entry
+
+REQUESTS = 150
+SHORT_SECONDS = 1.2
+LEAVING_FAULTS = (
+    FaultKind.DATA_CENTRE_OUT,
+    FaultKind.UPSTREAM_LEAVES,
+    FaultKind.BAD_VERSION,
+)
+
+
+async def make(*faults, seconds=SHORT_SECONDS, seed=1, requests=REQUESTS):
+    run = HistoryRun(seed, requests, faults, seconds)
+    return await run.run()
+
+
+def promises(history):
+    return {violation.promise for violation in check_history(history)}
+
+
+async def test_veto_not_spread_and_leavers_not_refused_are_found(monkeypatch):
+    offer = ConfigurationFeed.offer
+
+    def forget_data_centres(feed, text, source):
+        out = b'"out_data_centres":["dc-2"]'
+        return offer(feed, text.replace(out, b'"out_data_centres":[]'), source)
+
+    monkeypatch.setattr(ConfigurationFeed, "offer", forget_data_centres)
+    monkeypatch.setattr(FactFeed, "receive", lambda feed, message: None)
+    monkeypatch.setattr(Participant, "look", lambda self, now: None)
+    monkeypatch.setattr(RolloutDriver, "_drive", lambda self, running: asyncio.sleep(0))
+    never = property(lambda sidecar: False, lambda sidecar, value: None)
+    monkeypatch.setattr(Sidecar, "leaving", never, raising=False)
+    monkeypatch.setattr(Sidecar, "stop", lambda sidecar: asyncio.sleep(0))
+    history = await make(*LEAVING_FAULTS, seconds=3.4)
+    expected = {"data centre out", "leaving upstream", "bad version"}
+    assert expected <= promises(history)
+
+
+async def test_refusal_after_the_start_called_not_run_is_found(monkeypatch):
+    class Lying(Refusal):
+        @classmethod
+        def unknown(cls, code, detail=""):
+            return Refusal.not_run(code, detail)
+
+    async def fail_holds(self):
+        rule = FaultRule(EngineFault.FAIL)
+        for name in ("book-0", "book-1"):
+            self._engine(name).faults.append(rule)
+
+    monkeypatch.setattr(upstream_client, "Refusal", Lying)
+    monkeypatch.setattr(Injector, "_crash", fail_holds)
+    history = await make(FaultKind.UPSTREAM_CRASHED)
+    assert {"not run", "at most once"} <= promises(history)
+
+
+async def test_last_write_wins_is_found(monkeypatch):
+    put = ObjectClient.put
+
+    async def put_anyway(client, key, value, version):
+        while True:
+            newest = (await client.get(key)).unwrap().version
+            written = await put(client, key, value, newest)
+            if written.is_ok():
+                return written
+
+    monkeypatch.setattr(ObjectClient, "put", put_anyway)
+    history = await make(FaultKind.OPERATORS_RACE)
+    assert "configuration" in promises(history)
+
+
+async def test_frames_given_to_another_attempt_are_found(monkeypatch):
+    def deliver_to_the_first(link, message):
+        for inbox in islice(link._inbox_by_attempt.values(), 1):
+            inbox.put(message)
+
+    monkeypatch.setattr(SidecarLink, "_deliver", deliver_to_the_first)
+    assert "whole answers" in promises(await make(FaultKind.UPSTREAM_SLOWED))
+
+
+async def test_cut_stream_taken_for_whole_is_found(monkeypatch):
+    async def all_chunks(client, response):
+        with suppress(UpstreamError, ClientError):
+            async for chunk in chunks(client, response):
+                yield chunk
+
+    async def cut_streams(self):
+        rule = FaultRule(EngineFault.CUT)
+        for name, engine in self._system.engine_by_name.items():
+            if name.startswith("model"):
+                engine.faults.append(rule)
+
+    chunks = UpstreamClient._chunks
+    monkeypatch.setattr(UpstreamClient, "_chunks", all_chunks)
+    monkeypatch.setattr(Injector, "_slow", cut_streams)
+    history = await make(FaultKind.UPSTREAM_SLOWED)
+    assert check_whole_answers(history)
+
+
+async def test_stop_that_cuts_requests_is_found(monkeypatch):
+    monkeypatch.setattr(Entry, "stop", kill_entry)
+    history = await make(FaultKind.UPSTREAM_SLOWED, FaultKind.ENTRY_STOPPED)
+    assert check_planned_stop(history)
+
+
+async def test_configuration_that_reverts_is_found(monkeypatch):
+    def adopt_anything(self, revision, value):
+        self.revision, self.value = revision, value
+        return True
+
+    async def offer_stale(self):
+        first = self._system.entries[0].feed.json
+        await self.change(lambda document: {})
+        await asyncio.sleep(0.3)
+        self._system.entries[0].feed.offer(first, "a stale peer")
+
+    monkeypatch.setattr(Injector, "_race", offer_stale)
+    assert not check_configuration(await make(FaultKind.OPERATORS_RACE))
+    monkeypatch.setattr("wharf_coordination.Monotone.offer", adopt_anything)
+    assert check_configuration(await make(FaultKind.OPERATORS_RACE))
+
+
+async def test_gate_that_is_ignored_is_found(monkeypatch):
+    monkeypatch.setattr(Sidecar, "admit", admit_all)
+    assert "cold start" in promises(await make(FaultKind.UPSTREAM_SLOWED))
+
+
+def admit_all(sidecar, call):
+    sidecar.gate.limit = sidecar.gate.in_flight + 1
+    return sidecar.gate.enter(0.0)
+
+
+async def test_histories_under_faults_keep_all_promises():
+    runs = [make(*LEAVING_FAULTS, seconds=3.6)]
+    for violations in map(check_history, await asyncio.gather(*runs)):
+        assert violations == []
