--- a/packages/standins/tests/test_processes.py
+++ b/packages/standins/tests/test_processes.py
@@ -64,6 +64,7 @@
     }
     entry = common | {
         "name": "entry-1",
+        "drain_delay": 0.0,
         "listen": at["entry"],
         "operators_listen": at["entry_ops"],
     }
