--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -20,6 +20,8 @@
 from wharf_daemon.entry.order_sender import OrderSender
 from wharf_daemon.entry.pipeline_runner import PipelineRunner
 from wharf_daemon.entry.request_reader import RequestReader
+from wharf_daemon.entry.rollout_driver import RolloutDriver
+from wharf_daemon.entry.rollout_table import RolloutTable
 from wharf_daemon.entry.stage_runner import StageRunner
 from wharf_daemon.entry.version_router import VersionRouter
 from wharf_daemon.fact_feed import FactFeed
@@ -74,6 +76,7 @@
         self.facts.news.subscribe(self._broadcast_facts)
         self._follower = asyncio.create_task(self.feed.follow(self.store, self._rng))
         self._claims.start()
+        self._driver = asyncio.create_task(self._rollout_driver().run())
 
     @property
     def port(self):
@@ -99,6 +102,8 @@
         await self._callers.stop()
         await self._claims.stop(self.settings.stop_grace)
         self._follower.cancel()
+        self._driver.cancel()
+        await asyncio.gather(self._driver, return_exceptions=True)
         self.links.close()
         await self._session.close()
         await self._operators.stop()
@@ -145,6 +150,7 @@
             "store_calls": self.store.calls_by_kind,
             "claims": self._claims.dump(),
             "facts": self.facts.dump(),
+            "rollouts": self.rollouts.dump(),
             "links": [
                 {
                     "address": address,
@@ -158,15 +164,23 @@
             ],
         }
 
+    def _rollout_driver(self):
+        name = f"{self.settings.name}-{self._incarnation}"
+        return RolloutDriver(
+            name, self.store, self.rollouts, self.facts, self.metrics, self._rng
+        )
+
     def _caller_application(self):
         settings = self.settings
+        self.rollouts = RolloutTable(self.feed, self.facts)
         attempt_runner = AttemptRunner(self.links, self.feed)
         attempt_runner.outcomes.subscribe(self._count_attempt)
+        attempt_runner.outcomes.subscribe(self.rollouts.add_outcome)
         stage_runner = StageRunner(
             self.links,
             Chooser(self._rng, settings.data_centre),
             self.feed,
-            VersionRouter(self.feed),
+            VersionRouter(self.feed, self.rollouts, self.links),
             attempt_runner,
             settings.max_answer,
         )
