--- a/Makefile
+++ b/Makefile
@@ -4,14 +4,19 @@
 PACKAGES := coordination wire platform daemon control standins
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 
-.PHONY: bench demo test lint setup
-
+.PHONY: bench histories trial-rollouts demo test lint setup
 bench: setup
 	$(BIN)/python -m wharf_standins bench
 
 demo: setup
 	$(BIN)/python -m wharf_standins demo
 
+histories: setup
+	$(BIN)/python -m wharf_standins histories --seeds 1-200 --requests 500
+
+trial-rollouts: setup
+	$(BIN)/python -m wharf_standins trial-rollouts
+
 test: setup
 	$(BIN)/python -m pytest
 
--- a/packages/coordination/src/wharf_coordination/__init__.py
+++ b/packages/coordination/src/wharf_coordination/__init__.py
@@ -5,6 +5,9 @@
 """
 
 from wharf_coordination.answer import AnswerAssembler
+from wharf_coordination.backoff import Backoff
+from wharf_coordination.breaker import Breaker
+from wharf_coordination.call_budget import CallBudget
 from wharf_coordination.candidate import Candidate
 from wharf_coordination.chooser import Chooser
 from wharf_coordination.code import Code
@@ -13,9 +16,12 @@
 from wharf_coordination.fact import Fact, FactKind
 from wharf_coordination.fact_set import FactSet
 from wharf_coordination.fair_queue import FairQueue
+from wharf_coordination.fencing_guard import FencingGuard
+from wharf_coordination.flow_window import ReceiveWindow, SendWindow, chunk_cost
 from wharf_coordination.gate import Gate
 from wharf_coordination.gate_pass import GatePass
 from wharf_coordination.headroom import bound_for
+from wharf_coordination.lease import Lease, LeaseRecord
 from wharf_coordination.monotone import Monotone
 from wharf_coordination.outliers import Outliers
 from wharf_coordination.priority import Priority
@@ -24,6 +30,7 @@
 from wharf_coordination.refusal import Refusal
 from wharf_coordination.rendezvous import ranked, subset
 from wharf_coordination.retry_budget import RetryBudget
+from wharf_coordination.seen_set import SeenSet
 from wharf_coordination.service_times import ServiceTimes
 from wharf_coordination.stage_times import StageTimes
 from wharf_coordination.upstream_view import UpstreamView
@@ -31,6 +38,9 @@
 
 __all__ = [
     "AnswerAssembler",
+    "Backoff",
+    "Breaker",
+    "CallBudget",
     "Candidate",
     "Chooser",
     "Code",
@@ -40,20 +50,27 @@
     "FactKind",
     "FactSet",
     "FairQueue",
+    "FencingGuard",
     "Gate",
     "GatePass",
+    "Lease",
+    "LeaseRecord",
     "Monotone",
     "Outliers",
     "Priority",
     "QueuedCall",
     "Ran",
+    "ReceiveWindow",
     "Refusal",
     "RetryBudget",
+    "SeenSet",
+    "SendWindow",
     "ServiceTimes",
     "StageTimes",
     "UpstreamView",
     "WarmUp",
     "bound_for",
+    "chunk_cost",
     "ranked",
     "subset",
 ]
--- a/packages/coordination/src/wharf_coordination/gate.py
+++ b/packages/coordination/src/wharf_coordination/gate.py
@@ -24,6 +24,7 @@
 BUSY_SHARE = 0.8
 PROVEN_FACTOR = 2
 PROVEN_HALF_LIFE_SECONDS = 1.0
+WARM_CALLS = 20
 WARM_UP_ROUNDS = 2
 FAILURES_TO_PAUSE = 2
 FIRST_PAUSE_SECONDS = 0.1
@@ -34,16 +35,18 @@
 class Gate:
     """Admit as many calls at a time as the upstream has shown that it can bear.
 
-    A cold upstream gets `cold_limit`. Once calls take their usual time the
-    limit grows, doubling at first, until they slow down. It falls back to
-    `cold_limit` when the engine is a new one, when calls fail, or when they
-    take far longer than usual, running ones included. A limit that was not lately
-    in use is proven again by steps. After repeated failures
-    it admits single calls, further and further apart, until one succeeds.
+    A cold upstream gets `cold_limit` until `warm_calls` calls have succeeded and
+    take their usual time. Then the limit grows, doubling at first, until calls
+    slow down. It falls back to `cold_limit` when the engine is a new one, when
+    calls fail, or when they take far longer than usual, running ones included. A
+    limit that was not lately in use is proven again by steps. After repeated
+    failures single calls are admitted, further and further apart, until one
+    succeeds.
     """
 
     cold_limit: int
     max_limit: int
+    warm_calls: int = WARM_CALLS
     in_flight: int = 0
     incarnation: str = ""
     usual: ServiceTimes = field(default_factory=ServiceTimes)
@@ -110,17 +113,20 @@
         if not is_first:
             self.fall_back()
 
-    def configure(self, cold_limit, max_limit):
+    def configure(self, cold_limit, max_limit, warm_calls=WARM_CALLS):
         """Put the operators' limits in force."""
         self.cold_limit, self.max_limit = cold_limit, max_limit
+        self.warm_calls = warm_calls
         self._limit = min(self._limit, max_limit)
         if self.is_cold:
             self._limit = float(cold_limit)
+            self._warm_up.min_calls = warm_calls
 
     def fall_back(self):
         """Treat the upstream as cold from now on."""
         self._limit = float(self.cold_limit)
-        self._warm_up = WarmUp(WARM_UP_ROUNDS * self.cold_limit, self.usual)
+        window = WARM_UP_ROUNDS * self.cold_limit
+        self._warm_up = WarmUp(window, self.warm_calls, self.usual)
         self._is_doubling = True
         self._ratio = 1.0
 
--- a/packages/coordination/src/wharf_coordination/headroom.py
+++ b/packages/coordination/src/wharf_coordination/headroom.py
@@ -4,11 +4,11 @@
 
 __all__ = ["bound_for"]
 
-SHARE_BY_PRIORITY = {
-    Priority.URGENT: 1.0,
-    Priority.INTERACTIVE: 1.0,
-    Priority.STANDARD: 0.9,
-    Priority.PATIENT: 0.75,
+RESERVED_SHARE_BY_PRIORITY = {
+    Priority.URGENT: 0.0,
+    Priority.INTERACTIVE: 0.0,
+    Priority.STANDARD: 0.1,
+    Priority.PATIENT: 0.25,
 }
 
 
@@ -16,6 +16,7 @@
     """Return how many calls may run, under `limit`, for one more of `priority`.
 
     >>> [bound_for(priority, 8) for priority in Priority]
-    [8, 8, 7, 6]
+    [8, 8, 8, 6]
     """
-    return max(min(1, int(limit)), int(limit * SHARE_BY_PRIORITY[priority]))
+    whole = int(limit)
+    return whole - int(whole * RESERVED_SHARE_BY_PRIORITY[priority])
--- a/packages/coordination/src/wharf_coordination/warm_up.py
+++ b/packages/coordination/src/wharf_coordination/warm_up.py
@@ -16,14 +16,18 @@
 class WarmUp:
     """Watch the calls of a cold upstream until they show that it is warm.
 
-    It is warm when a window of `window` calls takes its usual time again, or,
-    where the usual time is unknown or gone for good, when windows no longer
-    become faster. Windows compare only calls of kinds seen in this warm-up, so
-    that a changing mix of calls doesn't pass for a change of speed.
+    At least `min_calls` calls must have succeeded, since an upstream may show no
+    sign of being cold but to fall over. Beyond that, it is warm when a window of
+    `window` calls takes its usual time again, or, where the usual time is unknown
+    or gone for good, when windows no longer become faster. Windows compare only
+    calls of kinds seen in this warm-up, so that a changing mix of calls doesn't
+    pass for a change of speed.
     """
 
     window: int
+    min_calls: int
     usual: ServiceTimes
+    _calls: int = 0
     _first: ServiceTimes = field(default_factory=ServiceTimes)
     _usual_ratios: list[float] = field(default_factory=list)
     _first_ratios: list[float] = field(default_factory=list)
@@ -33,6 +37,7 @@
 
     def observe(self, kind, seconds):
         """Take a call into account; return whether the upstream is now warm."""
+        self._calls += 1
         ratio = self._first.ratio(kind, seconds)
         if ratio is None:
             self._first.learn(kind, seconds)
@@ -41,7 +46,7 @@
         usual_ratio = self.usual.ratio(kind, seconds)
         if usual_ratio is not None:
             self._usual_ratios.append(usual_ratio)
-        if len(self._first_ratios) < self.window:
+        if len(self._first_ratios) < self.window or self._calls < self.min_calls:
             return False
         return self._close_window()
 
--- a/packages/daemon/src/wharf_daemon/entry/admission.py
+++ b/packages/daemon/src/wharf_daemon/entry/admission.py
@@ -75,12 +75,12 @@
         now = self._now()
         document = self._feed.document
         pool = task.stage.pool
-        version = self._versions.version_for(task, now)
-        group = document, pool, version, task.request.priority
-        candidates = self._links.candidates(*group, tried)
+        version = self._versions.version_for(task, now, tried)
+        priority = task.request.priority
+        candidates = self._links.candidates(document, pool, version, tried, priority)
         if not candidates and tried:
             # Another try on the same upstream beats none.
-            candidates = self._links.candidates(*group, ())
+            candidates = self._links.candidates(document, pool, version, (), priority)
         prefix = self._prefix(task, document.folder.pools[pool])
         candidate = self._policy.chooser.choose(candidates, now, prefix)
         if candidate is None:
@@ -137,7 +137,11 @@
             self._settle(call, Err(_too_late(task)))
 
     def _settle(self, call, placed):
-        self._waiting_by_call.pop(call).placement.set_result(placed)
+        waiting = self._waiting_by_call.pop(call)
+        if not waiting.placement.cancelled():
+            waiting.placement.set_result(placed)
+        elif placed.is_ok():
+            self._links.release(placed.unwrap().upstream)
 
     def _queued_call(self, task):
         request = task.request
--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -1,7 +1,9 @@
 """The entry: the process that callers reach through the balancer."""
 
 import asyncio
+import uuid
 from contextlib import contextmanager
+from dataclasses import asdict
 from itertools import count
 from random import Random
 
@@ -14,10 +16,14 @@
 from wharf_daemon.entry.admission import Admission
 from wharf_daemon.entry.attempt_runner import AttemptRunner
 from wharf_daemon.entry.caller_api import CallerApi
+from wharf_daemon.entry.claim_service import ClaimService
 from wharf_daemon.entry.link_set import LinkSet
+from wharf_daemon.entry.order_sender import OrderSender
 from wharf_daemon.entry.pipeline_runner import PipelineRunner
 from wharf_daemon.entry.policy import EntryPolicy
 from wharf_daemon.entry.request_reader import RequestReader
+from wharf_daemon.entry.rollout_driver import RolloutDriver
+from wharf_daemon.entry.rollout_table import RolloutTable
 from wharf_daemon.entry.stage_runner import StageRunner
 from wharf_daemon.entry.time_budget import TimeBudget
 from wharf_daemon.entry.version_router import VersionRouter
@@ -25,7 +31,7 @@
 from wharf_daemon.http_site import HttpSite
 from wharf_daemon.metrics import Metrics
 from wharf_daemon.operators_api import OperatorsApi
-from wharf_platform import ObjectClient
+from wharf_platform import CallGate, ObjectClient
 from wharf_wire import Hello
 
 __all__ = ["Entry"]
@@ -42,19 +48,27 @@
         self.feed = ConfigurationFeed(self.metrics)
         self.facts = FactFeed()
         self.stopping = False
+        self._closed = False
         self._rng = Random(settings.seed)
         self._policy = policy or EntryPolicy.standard(self._rng, settings.data_centre)
-        self._incarnation = f"{self._rng.getrandbits(48):012x}"
+        # Never from the seed: two incarnations must not give the same request id.
+        self._incarnation = uuid.uuid4().hex[:12]
         self._request_numbers = count()
         self._running = 0
         self._idle = asyncio.Event()
         self._idle.set()
         self.links = LinkSet(self, self._rng)
+        self.orders = OrderSender(
+            self.links, self.feed, f"{settings.name}-{self._incarnation}"
+        )
 
     async def start(self):
         """Listen for callers and operators, follow the store, open links."""
         self._session = aiohttp.ClientSession()
-        self.store = ObjectClient(self._session, self.settings.platform)
+        self.store = ObjectClient(
+            self._session, self.settings.platform, gate=CallGate(self._rng)
+        )
+        self.store.gate.calls.subscribe(self._count_store_call)
         self._callers = HttpSite(self._caller_application(), self.settings.listen)
         self._operators = HttpSite(
             OperatorsApi(self, self.metrics).application(),
@@ -66,6 +80,8 @@
         self.facts.news.subscribe(self._broadcast_facts)
         self._follower = asyncio.create_task(self.feed.follow(self.store, self._rng))
         self._admitter = asyncio.create_task(self.admission.run())
+        self._claims.start()
+        self._driver = asyncio.create_task(self._rollout_driver().run())
 
     @property
     def port(self):
@@ -81,13 +97,19 @@
         """Show not ready, finish what runs, then leave."""
         self.stopping = True
         log.info("stopping", running=self._running)
+        # The balancer needs time to notice, and sends callers here until then.
+        await asyncio.sleep(self.settings.drain_delay)
         try:
             await asyncio.wait_for(self._idle.wait(), self.settings.stop_grace)
         except TimeoutError:
             log.warning("stop_grace_spent", running=self._running)
+        self._closed = True
         await self._callers.stop()
+        await self._claims.stop(self.settings.stop_grace)
         self._follower.cancel()
         self._admitter.cancel()
+        self._driver.cancel()
+        await asyncio.gather(self._driver, return_exceptions=True)
         self.links.close()
         await self._session.close()
         await self._operators.stop()
@@ -108,6 +130,9 @@
     @contextmanager
     def request(self):
         """Count a request while it runs; yield a refusal when there is no room."""
+        if self._closed:
+            yield Err(Refusal.not_run(Code.ENTRY_STOPPING))
+            return
         if self._running >= self.settings.max_requests:
             yield Err(Refusal.not_run(Code.ENTRY_FULL, f"{self._running} requests"))
             return
@@ -130,30 +155,41 @@
             "running": self._running,
             "waiting": self.admission.dump(),
             "store_calls": self.store.calls_by_kind,
+            "claims": self._claims.dump(),
             "facts": self.facts.dump(),
+            "rollouts": self.rollouts.dump(),
             "links": [
                 {
                     "address": address,
                     "upstream": link.name,
                     "open": link.is_open,
                     "in_flight": link.in_flight,
-                    "revision": link.peer_revision,
+                    "revision": link.load.revision if link.load else None,
+                    "load": asdict(link.load) if link.load else None,
                 }
                 for address, link in sorted(self.links.by_address.items())
             ],
         }
 
+    def _rollout_driver(self):
+        name = f"{self.settings.name}-{self._incarnation}"
+        return RolloutDriver(
+            name, self.store, self.rollouts, self.facts, self.metrics, self._rng
+        )
+
     def _caller_application(self):
         settings = self.settings
+        self.rollouts = RolloutTable(self.feed, self.facts)
         attempt_runner = AttemptRunner(self.links, self.feed)
         self.outcomes = attempt_runner.outcomes
         self.outcomes.subscribe(self._count_attempt)
+        self.outcomes.subscribe(self.rollouts.add_outcome)
         budget = TimeBudget(self.feed, self._policy.outliers)
         self.outcomes.subscribe(budget.observe)
         self.admission = Admission(
             self.links,
             self.feed,
-            VersionRouter(self.feed),
+            VersionRouter(self.feed, self.rollouts, self.links),
             self._policy,
             budget,
             settings.max_requests,
@@ -166,7 +202,10 @@
             attempt_runner,
             settings.max_answer,
         )
-        runner = PipelineRunner(stage_runner, self.feed, self.metrics)
+        self._claims = ClaimService(
+            stage_runner, self.store, f"{settings.name}-{self._incarnation}", self._rng
+        )
+        runner = PipelineRunner(self._claims.runner, self.feed, self.metrics)
         reader = RequestReader(self.feed, settings.max_body)
         return CallerApi(self, reader, runner, settings.max_body).application()
 
@@ -174,6 +213,9 @@
         labels = (outcome.task.stage.name, outcome.code.label)
         self.metrics.attempts.labels(*labels).inc()
 
+    def _count_store_call(self, kind):
+        self.metrics.store_calls.labels(kind).inc()
+
     def _broadcast_facts(self, message):
         asyncio.ensure_future(self.links.send_all(message))
 
--- a/packages/daemon/src/wharf_daemon/entry/link_set.py
+++ b/packages/daemon/src/wharf_daemon/entry/link_set.py
@@ -5,7 +5,7 @@
 
 from reactivex.subject import Subject
 
-from wharf_coordination import Candidate, UpstreamView, bound_for, subset
+from wharf_coordination import Candidate, Priority, UpstreamView, bound_for, subset
 from wharf_daemon.entry.sidecar_link import SidecarLink
 
 __all__ = ["LinkSet"]
@@ -57,7 +57,7 @@
             self._task_by_address.pop(address).cancel()
 
     def candidates(
-        self, document, pool, version, priority, excluded
+        self, document, pool, version, excluded, priority=Priority.URGENT
     ) -> list[Candidate]:
         """Return the upstreams of `pool` that could run a call of `version`.
 
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -8,14 +8,17 @@
 from result import Err, Ok, Result
 from websockets.asyncio.server import serve
 
-from wharf_coordination import Code, Gate, Refusal
+from wharf_coordination import Code, Gate, Refusal, SeenSet
 from wharf_daemon.configuration_feed import ConfigurationFeed
 from wharf_daemon.fact_feed import FactFeed
 from wharf_daemon.http_site import HttpSite, split_address
 from wharf_daemon.metrics import Metrics
 from wharf_daemon.operators_api import OperatorsApi
 from wharf_daemon.sidecar.link_server import LinkServer
+from wharf_daemon.sidecar.order_handler import OrderHandler
 from wharf_daemon.sidecar.upstream_client import UpstreamClient
+from wharf_daemon.sidecar.upstream_orders import UpstreamOrders
+from wharf_platform import CallGate, ObjectClient
 from wharf_wire import MAX_FRAME_BYTES, Hello, Load
 from wharf_wire.limits import MAX_QUEUED_FRAMES
 
@@ -37,6 +40,7 @@
         self.facts = FactFeed()
         self.gate = gate or Gate(settings.cold_limit, settings.max_limit)
         self.links = set()
+        self.seen = SeenSet()
         self.leaving = False
         self._pass_by_attempt = {}
         self._was_out = False
@@ -45,6 +49,7 @@
         self._service_time = 0.0
         self._idle = asyncio.Event()
         self._idle.set()
+        self._unlinked = asyncio.Event()
 
     async def start(self):
         """Listen for entries and operators and start to report load."""
@@ -54,6 +59,12 @@
         self.upstream = UpstreamClient(
             self._session, self.settings.upstream_url, self._observe_incarnation
         )
+        self.orders = OrderHandler(
+            ObjectClient(
+                self._session, self.settings.platform, gate=CallGate(self._rng)
+            ),
+            UpstreamOrders(self._session, self.settings.upstream_url),
+        )
         self._operators = HttpSite(
             OperatorsApi(self, self.metrics).application(),
             self.settings.operators_listen,
@@ -86,13 +97,17 @@
         """Refuse new calls, finish those that run, then leave."""
         self.leaving = True
         log.info("stopping", in_flight=self.gate.in_flight)
-        await self._broadcast_load()
+        self._server.close(close_connections=False)
+        self._broadcast_load()
         try:
-            await asyncio.wait_for(self._idle.wait(), self.settings.stop_grace)
+            async with asyncio.timeout(self.settings.stop_grace):
+                await self._idle.wait()
+                await self._until_unlinked()
         except TimeoutError:
             log.warning("stop_grace_spent", in_flight=self.gate.in_flight)
         self._reporter.cancel()
-        self._server.close()
+        for link in tuple(self.links):
+            await link.close()
         await self._server.wait_closed()
         await self._session.close()
         await self._operators.stop()
@@ -166,6 +181,7 @@
             "cold": self.gate.is_cold,
             "incarnation": self.gate.incarnation,
             "service_time": self._service_time,
+            "fencing": self.orders.guard.current,
             "facts": self.facts.dump(),
             "links": sorted(link.peer for link in self.links),
         }
@@ -185,17 +201,25 @@
         finally:
             self.links.discard(link)
             self._refused_links.pop(link, None)
+            self._unlinked.set()
             self.metrics.links.set(len(self.links))
 
+    async def _until_unlinked(self):
+        # An entry closes its link once it has read that this sidecar is leaving,
+        # so that no call can still be under way when the last link is closed.
+        while self.links:
+            self._unlinked.clear()
+            await self._unlinked.wait()
+
     async def _report_load(self):
         while True:
             await asyncio.sleep(self.settings.load_interval)
-            await self._broadcast_load()
+            self._broadcast_load()
 
-    async def _broadcast_load(self):
+    def _broadcast_load(self):
         report = self.load()
-        sends = (link.send(report) for link in tuple(self.links))
-        await asyncio.gather(*sends, return_exceptions=True)
+        for link in tuple(self.links):
+            link.report(report)
 
     def _broadcast_facts(self, message):
         for link in tuple(self.links):
@@ -207,13 +231,17 @@
     def _on_document(self, document):
         upstream = document.folder.upstreams.get(self.settings.upstream)
         if upstream:
-            self.gate.configure(upstream.cold_limit, upstream.max_limit)
+            self.gate.configure(
+                upstream.cold_limit, upstream.max_limit, upstream.warm_calls
+            )
         if self._was_out and not self._is_out(document):
             # Caches and models may have been dropped while nothing ran here.
             self.gate.fall_back()
         self._was_out = self._is_out(document)
         for link in tuple(self.links):
             asyncio.ensure_future(link.offer_configuration())
+        # The revision in the report tells that the configuration is in force.
+        self._broadcast_load()
 
     def _observe_incarnation(self, incarnation):
         self.gate.observe_incarnation(incarnation, self._now())
--- a/packages/platform/src/wharf_platform/__init__.py
+++ b/packages/platform/src/wharf_platform/__init__.py
@@ -1,7 +1,17 @@
 """Client of the platform's object API and the models of what it keeps."""
 
+from wharf_platform.call_gate import CallGate
+from wharf_platform.call_kind import CallKind
 from wharf_platform.conditional_update import Change, ConditionalUpdate
+from wharf_platform.lease_keeper import (
+    ORDERS_SUBJECT,
+    LeaseKeeper,
+    lease_key,
+    read_lease,
+)
 from wharf_platform.object_client import ObjectClient
+from wharf_platform.platform_host import PlatformHost
+from wharf_platform.rollout_change import RolloutChange, find_rollout
 from wharf_platform.store_error import (
     Conflict,
     StoreError,
@@ -12,12 +22,21 @@
 
 __all__ = [
     "ABSENT",
+    "ORDERS_SUBJECT",
+    "CallGate",
+    "CallKind",
     "Change",
     "ConditionalUpdate",
     "Conflict",
+    "LeaseKeeper",
     "ObjectClient",
+    "PlatformHost",
+    "RolloutChange",
     "StoreError",
     "StoredObject",
     "Unavailable",
     "UnknownOutcome",
+    "find_rollout",
+    "lease_key",
+    "read_lease",
 ]
--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -6,9 +6,12 @@
 
 from wharf_standins.bench import bench
 from wharf_standins.demo import demo
+from wharf_standins.history.command import histories
+from wharf_standins.rollout_trial.command import trial_rollouts
 from wharf_standins.serve import engine, platform
 
 __all__ = []
 
 if __name__ == "__main__":
-    sys.exit(defopt.run([bench, demo, engine, platform], no_negated_flags=True))
+    commands = [bench, demo, engine, platform, trial_rollouts, histories]
+    sys.exit(defopt.run(commands, no_negated_flags=True))
--- a/packages/standins/src/wharf_standins/bench/upstream.py
+++ b/packages/standins/src/wharf_standins/bench/upstream.py
@@ -13,7 +13,7 @@
 )
 from wharf_standins.bench.request_class import REQUEST_CLASSES
 
-__all__ = ["BenchUpstream"]
+__all__ = ["WARMING_CALLS", "BenchUpstream"]
 
 STEPS = 8
 COLD_SLOWDOWN = 3.0
--- a/packages/standins/src/wharf_standins/bench/variant.py
+++ b/packages/standins/src/wharf_standins/bench/variant.py
@@ -66,5 +66,5 @@
     def _bound(self, priority, now):
         return UNBOUNDED
 
-    def configure(self, cold_limit, max_limit):
+    def configure(self, cold_limit, max_limit, warm_calls=0):
         """Ignore the operators' limits."""
--- a/packages/standins/src/wharf_standins/bench/world.py
+++ b/packages/standins/src/wharf_standins/bench/world.py
@@ -13,7 +13,7 @@
 from wharf_standins.bench.attempt_counter import AttemptCounter
 from wharf_standins.bench.request_class import REQUEST_CLASSES
 from wharf_standins.bench.shape import WIDTH
-from wharf_standins.bench.upstream import BenchUpstream
+from wharf_standins.bench.upstream import WARMING_CALLS, BenchUpstream
 from wharf_standins.platform import Platform
 
 __all__ = ["World"]
@@ -84,6 +84,7 @@
                 "address": f"127.0.0.1:{sidecar.port}",
                 "cold_limit": COLD_LIMIT,
                 "max_limit": MAX_LIMIT,
+                "warm_calls": WARMING_CALLS,
             }
             for name, sidecar in self.sidecar_by_name.items()
         }
--- a/packages/wire/src/wharf_wire/__init__.py
+++ b/packages/wire/src/wharf_wire/__init__.py
@@ -5,12 +5,15 @@
 from wharf_wire.chunk import Chunk
 from wharf_wire.codec import Message, decode, encode
 from wharf_wire.configuration_offer import ConfigurationOffer
+from wharf_wire.credit import Credit
 from wharf_wire.end import End
 from wharf_wire.facts import FactItem, Facts
 from wharf_wire.failed import Failed
 from wharf_wire.hello import Hello
 from wharf_wire.limits import MAX_FRAME_BYTES, PROTOCOL_VERSION
 from wharf_wire.load import Load
+from wharf_wire.order import Order
+from wharf_wire.order_result import OrderResult
 
 __all__ = [
     "MAX_FRAME_BYTES",
@@ -19,6 +22,7 @@
     "Cancel",
     "Chunk",
     "ConfigurationOffer",
+    "Credit",
     "End",
     "FactItem",
     "Facts",
@@ -26,6 +30,8 @@
     "Hello",
     "Load",
     "Message",
+    "Order",
+    "OrderResult",
     "decode",
     "encode",
 ]
--- a/packages/wire/src/wharf_wire/codec.py
+++ b/packages/wire/src/wharf_wire/codec.py
@@ -11,17 +11,31 @@
 from wharf_wire.cancel import Cancel
 from wharf_wire.chunk import Chunk
 from wharf_wire.configuration_offer import ConfigurationOffer
+from wharf_wire.credit import Credit
 from wharf_wire.end import End
 from wharf_wire.facts import Facts
 from wharf_wire.failed import Failed
 from wharf_wire.hello import Hello
 from wharf_wire.limits import MAX_FRAME_BYTES
 from wharf_wire.load import Load
+from wharf_wire.order import Order
+from wharf_wire.order_result import OrderResult
 
 __all__ = ["Message", "decode", "encode"]
 
 Message = Annotated[
-    Call | Cancel | Chunk | ConfigurationOffer | End | Facts | Failed | Hello | Load,
+    Call
+    | Cancel
+    | Chunk
+    | ConfigurationOffer
+    | Credit
+    | End
+    | Facts
+    | Failed
+    | Hello
+    | Load
+    | Order
+    | OrderResult,
     Field(discriminator="kind"),
 ]
 _ADAPTER = TypeAdapter(Message)
