Note a full gate before its room is given to the next waiting call

Cause: an attempt that a gate refused returned its reserved room first, so the next waiting call went to the same full gate, and so on through the queue. Change: the refusal is taken into account before the release, and only down to the room that the refused call's priority had.

--- a/packages/coordination/src/wharf_coordination/upstream_view.py
+++ b/packages/coordination/src/wharf_coordination/upstream_view.py
@@ -34,9 +34,9 @@
         self.limit = limit
         self.others = max(0, in_flight - self.placed)
 
-    def observe_full(self):
-        """Expect no room until the next report, after a refusal."""
-        self.others = max(self.others, self.limit - self.placed)
+    def observe_full(self, in_flight):
+        """Take a refusal into account, which shows at least `in_flight` calls."""
+        self.others = max(self.others, in_flight - self.placed)
 
     @property
     def in_flight(self):
--- a/packages/daemon/src/wharf_daemon/entry/link_set.py
+++ b/packages/daemon/src/wharf_daemon/entry/link_set.py
@@ -101,9 +101,13 @@
         # The attempt that ended still counts as placed.
         view.observe_load(end.in_flight + 1, end.limit)
 
-    def observe_full(self, upstream):
-        """Expect no room on `upstream` until its next report."""
-        self._view_by_upstream[upstream].observe_full()
+    def observe_full(self, candidate):
+        """Expect no more room than `candidate` had until the next report.
+
+        The refused call still counts as placed.
+        """
+        view = self._view_by_upstream[candidate.upstream]
+        view.observe_full(candidate.limit + 1)
 
     def _candidate(self, name, upstream, link, default_version, priority):
         view = self._view_by_upstream[name]
--- a/packages/daemon/src/wharf_daemon/entry/stage_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/stage_runner.py
@@ -41,8 +41,9 @@
             last = result.unwrap_err()
             ran = ran.join(last.ran)
             version = candidate.version
-            self._avoid(candidate, last, tried)
-            spent += last.code is not Code.UPSTREAM_FULL
+            if not _is_full(last):
+                tried.add(candidate.upstream)
+                spent += 1
             if spent >= self._policy.max_attempts:
                 break
             if not self._may_try_again(task, last, answer):
@@ -56,16 +57,14 @@
             if answer.next_sequence and candidate.version != version:
                 detail = f"version {version!r} began the answer and is gone"
                 return Err(Refusal.unknown(Code.ANSWER_BROKEN, detail))
-            return await self._attempt_runner.run(task, candidate, number, answer)
+            result = await self._attempt_runner.run(task, candidate, number, answer)
+            if _is_full(result.err()):
+                # Before the release, which gives the room to the next call.
+                self._links.observe_full(candidate)
+            return result
         finally:
             self._admission.release(candidate, task.stage.pool)
 
-    def _avoid(self, candidate, refusal, tried):
-        if refusal.code is Code.UPSTREAM_FULL and refusal.ran is Ran.NO:
-            self._links.observe_full(candidate.upstream)
-        else:
-            tried.add(candidate.upstream)
-
     def _may_try_again(self, task, refusal, answer):
         if refusal.ran is Ran.NO:
             return True
@@ -78,3 +77,11 @@
     def _can_resume(self, task):
         pool = self._feed.document.folder.pools.get(task.stage.pool)
         return pool is not None and pool.kind == "engine"
+
+
+def _is_full(refusal):
+    return (
+        refusal is not None
+        and refusal.code is Code.UPSTREAM_FULL
+        and refusal.ran is Ran.NO
+    )
