Keep new calls from upstreams that the platform lists as leaving

Cause: an upstream whose host leaves without its sidecar being told got new calls for as long as its link was open. Ruled out: believing the list about who is live (it lags and may be wrong, the link knows better); a watch by each sidecar (1,700 of them). Change: entries read the list about every 2 s and leave out upstreams whose address it shows as leaving; the last list holds while the store is down.

--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -17,6 +17,7 @@
 from wharf_daemon.entry.attempt_runner import AttemptRunner
 from wharf_daemon.entry.caller_api import CallerApi
 from wharf_daemon.entry.claim_service import ClaimService
+from wharf_daemon.entry.host_feed import HostFeed
 from wharf_daemon.entry.link_set import LinkSet
 from wharf_daemon.entry.order_sender import OrderSender
 from wharf_daemon.entry.pipeline_runner import PipelineRunner
@@ -80,6 +81,8 @@
         self.facts.news.subscribe(self._broadcast_facts)
         self._follower = asyncio.create_task(self.feed.follow(self.store, self._rng))
         self._admitter = asyncio.create_task(self.admission.run())
+        hosts = HostFeed(self.store, self.feed, self.links, self._rng)
+        self._host_reader = asyncio.create_task(hosts.run())
         self._claims.start()
         self._driver = asyncio.create_task(self._rollout_driver().run())
 
@@ -108,6 +111,7 @@
         await self._claims.stop(self.settings.stop_grace)
         self._follower.cancel()
         self._admitter.cancel()
+        self._host_reader.cancel()
         self._driver.cancel()
         await asyncio.gather(self._driver, return_exceptions=True)
         self.links.close()
