Measure what the system adds to a one-stage call

make bench-overhead alternates direct calls and calls through one entry and one sidecar process, and takes the processes' own processor time under 32 callers.

--- a/packages/standins/src/wharf_standins/process_fleet.py
+++ b/packages/standins/src/wharf_standins/process_fleet.py
@@ -23,6 +23,9 @@
 STOP_SECONDS = 30.0
 POLL_SECONDS = 0.02
 LIMIT = 64
+# Positions in /proc/PID/stat after the command's name.
+USER_TICKS_FIELD = 11
+SYSTEM_TICKS_FIELD = 12
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +63,7 @@
         self.address_by_name = {name: _free_address() for name in names}
         self.operators_by_name = {name: _free_address() for name in names}
         self.engine_by_name = {}
+        self.engine_url_by_name = {}
         self.platform = Platform()
         self.is_store_cut = False
 
@@ -88,9 +92,10 @@
         engine = Engine(name, data_centre, service_time=self._service_time)
         self.engine_by_name[name] = engine
         site = await self._site(engine.application())
+        self.engine_url_by_name[name] = f"http://127.0.0.1:{site.port}"
         settings = self._settings(name, f"sidecar-{name}", data_centre) | {
             "upstream": name,
-            "upstream_url": f"http://127.0.0.1:{site.port}",
+            "upstream_url": self.engine_url_by_name[name],
             "cold_limit": LIMIT,
             "max_limit": LIMIT,
         }
@@ -111,6 +116,13 @@
         process.send_signal(signal.SIGTERM)
         return await asyncio.wait_for(process.wait(), STOP_SECONDS)
 
+    def processor_seconds(self, name):
+        """Return the processor time that a process has used, in seconds."""
+        stat = Path(f"/proc/{self._process_by_name[name].pid}/stat").read_text()
+        fields = stat.rpartition(")")[2].split()
+        ticks = int(fields[USER_TICKS_FIELD]) + int(fields[SYSTEM_TICKS_FIELD])
+        return ticks / os.sysconf("SC_CLK_TCK")
+
     async def control(self, *arguments) -> CommandResult:
         """Run wharfctl."""
         process = await asyncio.create_subprocess_exec(
