--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := coordination wire platform daemon control standins
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 
-.PHONY: demo test lint setup bench-overhead
+.PHONY: bench-overhead histories trial-rollouts demo test lint setup
 
 demo: setup
 	$(BIN)/python -m wharf_standins demo
@@ -12,6 +12,12 @@
 bench-overhead: setup
 	$(BIN)/python -m wharf_standins bench-overhead
 
+histories: setup
+	$(BIN)/python -m wharf_standins histories --seeds 1-200 --requests 500
+
+trial-rollouts: setup
+	$(BIN)/python -m wharf_standins trial-rollouts
+
 test: setup
 	$(BIN)/python -m pytest
 
--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -1,6 +1,7 @@
 """The entry: the process that callers reach through the balancer."""
 
 import asyncio
+import uuid
 from contextlib import contextmanager
 from dataclasses import asdict
 from itertools import count
@@ -14,9 +15,13 @@
 from wharf_daemon.configuration_feed import ConfigurationFeed
 from wharf_daemon.entry.attempt_runner import AttemptRunner
 from wharf_daemon.entry.caller_api import CallerApi
+from wharf_daemon.entry.claim_service import ClaimService
 from wharf_daemon.entry.link_set import LinkSet
+from wharf_daemon.entry.order_sender import OrderSender
 from wharf_daemon.entry.pipeline_runner import PipelineRunner
 from wharf_daemon.entry.request_reader import RequestReader
+from wharf_daemon.entry.rollout_driver import RolloutDriver
+from wharf_daemon.entry.rollout_table import RolloutTable
 from wharf_daemon.entry.stage_runner import StageRunner
 from wharf_daemon.entry.version_router import VersionRouter
 from wharf_daemon.fact_feed import FactFeed
@@ -42,12 +47,16 @@
         self.stopping = False
         self._closed = False
         self._rng = Random(settings.seed)
-        self._incarnation = f"{self._rng.getrandbits(48):012x}"
+        # Never from the seed: two incarnations must not give the same request id.
+        self._incarnation = uuid.uuid4().hex[:12]
         self._request_numbers = count()
         self._running = 0
         self._idle = asyncio.Event()
         self._idle.set()
         self.links = LinkSet(self, self._rng)
+        self.orders = OrderSender(
+            self.links, self.feed, f"{settings.name}-{self._incarnation}"
+        )
 
     async def start(self):
         """Listen for callers and operators, follow the store, open links."""
@@ -66,6 +75,8 @@
         self.feed.documents.subscribe(self._on_document)
         self.facts.news.subscribe(self._broadcast_facts)
         self._follower = asyncio.create_task(self.feed.follow(self.store, self._rng))
+        self._claims.start()
+        self._driver = asyncio.create_task(self._rollout_driver().run())
 
     @property
     def port(self):
@@ -89,7 +100,10 @@
             log.warning("stop_grace_spent", running=self._running)
         self._closed = True
         await self._callers.stop()
+        await self._claims.stop(self.settings.stop_grace)
         self._follower.cancel()
+        self._driver.cancel()
+        await asyncio.gather(self._driver, return_exceptions=True)
         self.links.close()
         await self._session.close()
         await self._operators.stop()
@@ -134,7 +148,9 @@
             "stopping": self.stopping,
             "running": self._running,
             "store_calls": self.store.calls_by_kind,
+            "claims": self._claims.dump(),
             "facts": self.facts.dump(),
+            "rollouts": self.rollouts.dump(),
             "links": [
                 {
                     "address": address,
@@ -148,19 +164,30 @@
             ],
         }
 
+    def _rollout_driver(self):
+        name = f"{self.settings.name}-{self._incarnation}"
+        return RolloutDriver(
+            name, self.store, self.rollouts, self.facts, self.metrics, self._rng
+        )
+
     def _caller_application(self):
         settings = self.settings
+        self.rollouts = RolloutTable(self.feed, self.facts)
         attempt_runner = AttemptRunner(self.links, self.feed)
         attempt_runner.outcomes.subscribe(self._count_attempt)
+        attempt_runner.outcomes.subscribe(self.rollouts.add_outcome)
         stage_runner = StageRunner(
             self.links,
             Chooser(self._rng, settings.data_centre),
             self.feed,
-            VersionRouter(self.feed),
+            VersionRouter(self.feed, self.rollouts, self.links),
             attempt_runner,
             settings.max_answer,
         )
-        runner = PipelineRunner(stage_runner, self.feed, self.metrics)
+        self._claims = ClaimService(
+            stage_runner, self.store, f"{settings.name}-{self._incarnation}", self._rng
+        )
+        runner = PipelineRunner(self._claims.runner, self.feed, self.metrics)
         reader = RequestReader(self.feed, settings.max_body)
         return CallerApi(self, reader, runner, settings.max_body).application()
 
--- a/packages/platform/src/wharf_platform/__init__.py
+++ b/packages/platform/src/wharf_platform/__init__.py
@@ -3,9 +3,15 @@
 from wharf_platform.call_gate import CallGate
 from wharf_platform.call_kind import CallKind
 from wharf_platform.conditional_update import Change, ConditionalUpdate
-from wharf_platform.lease_keeper import LeaseKeeper, lease_key, read_lease
+from wharf_platform.lease_keeper import (
+    ORDERS_SUBJECT,
+    LeaseKeeper,
+    lease_key,
+    read_lease,
+)
 from wharf_platform.object_client import ObjectClient
 from wharf_platform.platform_host import PlatformHost
+from wharf_platform.rollout_change import RolloutChange, find_rollout
 from wharf_platform.store_error import (
     Conflict,
     StoreError,
@@ -16,6 +22,7 @@
 
 __all__ = [
     "ABSENT",
+    "ORDERS_SUBJECT",
     "CallGate",
     "CallKind",
     "Change",
@@ -24,10 +31,12 @@
     "LeaseKeeper",
     "ObjectClient",
     "PlatformHost",
+    "RolloutChange",
     "StoreError",
     "StoredObject",
     "Unavailable",
     "UnknownOutcome",
+    "find_rollout",
     "lease_key",
     "read_lease",
 ]
--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -5,12 +5,16 @@
 import defopt
 
 from wharf_standins.demo import demo
+from wharf_standins.history.command import histories
 from wharf_standins.overhead_bench import bench_overhead
+from wharf_standins.rollout_trial.command import trial_rollouts
 from wharf_standins.serve import engine, platform
 
 __all__ = []
 
 if __name__ == "__main__":
-    sys.exit(
-        defopt.run([bench_overhead, demo, engine, platform], no_negated_flags=True)
-    )
+    commands = [
+        *(demo, engine, platform),
+        *(bench_overhead, trial_rollouts, histories),
+    ]
+    sys.exit(defopt.run(commands, no_negated_flags=True))
