--- a/packages/standins/src/wharf_standins/batch_model.py
+++ b/packages/standins/src/wharf_standins/batch_model.py
@@ -11,16 +11,16 @@
 class BatchModel:
     """Continuous batching: the service time grows with the runs at a time.
 
-    An engine is cold until it has completed `warm_after` runs. While cold, more
-    than `cold_bearable` runs at a time are `cold_factor` times slower and fail;
-    with `cold_bearable` 0 the engine is always warm.
+    An engine is cold until it has completed `warm_after` runs. While cold, each
+    run is `cold_factor` times slower, and more than `cold_bearable` runs at a time
+    fail; with `cold_bearable` 0 the engine is always warm.
     """
 
     service_time: float = 0.01
     slope: float = 0.02
     cold_bearable: int = 0
-    cold_factor: float = 4.0
-    warm_after: int = 20
+    cold_factor: float = 3.0
+    warm_after: int = 10
     completed: int = 0
 
     @property
@@ -41,7 +41,7 @@
         seconds = self.service_time * (1 + self.slope * (running - 1))
         if cached:
             seconds *= CACHE_HIT_FACTOR
-        if self.is_overloaded(running):
+        if self.is_cold:
             seconds *= self.cold_factor
         return seconds
 
--- /dev/null
+++ b/packages/standins/src/wharf_standins/demo/exchange.py
@@ -0,0 +1,52 @@
+"""A system of the Exchange's shape: three data centres, five services."""
+
+from wharf_standins.loopback import Loopback
+
+__all__ = ["BAD_VERSION", "CUSTOMERS", "DATA_CENTRES", "GOOD_VERSION", "exchange"]
+
+DATA_CENTRES = ("windhoek", "okahandja", "rehoboth")
+CUSTOMERS = ("kavango", "namib", "swakop", "tsumeb", "zambezi")
+BAD_VERSION = "2"
+GOOD_VERSION = "3"
+RUNNERS = 6
+NEW_RUNNERS = 3
+COLD_BEARABLE = 2
+
+
+def exchange():
+    """Return the system, with runners of two new versions beside the old one."""
+    three = DATA_CENTRES
+    shape = {
+        "encode": three,
+        "retrieve": three,
+        "rerank": three,
+        "hold": three,
+        "model": three * ((RUNNERS + 2 * NEW_RUNNERS) // len(three)),
+    }
+    return Loopback(
+        shape,
+        _pipelines(),
+        entries=2,
+        customers=CUSTOMERS,
+        versions=dict(_new_versions()),
+        services=("hold",),
+        cold_bearable=COLD_BEARABLE,
+    )
+
+
+def _pipelines():
+    stages = ("encode", "retrieve", "rerank")
+    steps = [{"name": stage, "pool": stage} for stage in stages]
+    generate = {"name": "generate", "pool": "model"}
+    hold = {"name": "hold", "pool": "hold", "idempotent": False}
+    return {
+        "report": {"stages": [*steps, generate], "priority": "patient"},
+        "question": {"stages": [generate], "priority": "interactive"},
+        "hold": {"stages": [hold], "priority": "urgent"},
+    }
+
+
+def _new_versions():
+    for number in range(NEW_RUNNERS):
+        yield f"model-{RUNNERS + number}", BAD_VERSION
+        yield f"model-{RUNNERS + NEW_RUNNERS + number}", GOOD_VERSION
--- a/packages/standins/src/wharf_standins/engine.py
+++ b/packages/standins/src/wharf_standins/engine.py
@@ -49,6 +49,7 @@
     runs: list[RunRecord] = field(default_factory=list)
     faults: list[FaultRule] = field(default_factory=list)
     is_down: bool = False
+    overloads: int = 0
 
     def __post_init__(self):
         self.batch = BatchModel(self.service_time, cold_bearable=self.cold_bearable)
@@ -212,6 +213,7 @@
         if fault and fault.kind is FaultKind.FAIL:
             return web.Response(status=500, text="failed", headers=self._headers())
         if self.batch.is_overloaded(record.running):
+            self.overloads += 1
             text = "fell over while cold"
             return web.Response(status=500, text=text, headers=self._headers())
         return None
--- a/packages/standins/src/wharf_standins/loopback.py
+++ b/packages/standins/src/wharf_standins/loopback.py
@@ -10,6 +10,7 @@
 from wharf_platform import ObjectClient
 from wharf_platform.configuration import CONFIGURATION_KEY, Document, Folder
 from wharf_standins.engine import Engine
+from wharf_standins.plain_service import PlainService
 from wharf_standins.platform import Platform
 
 __all__ = ["Loopback"]
@@ -21,7 +22,8 @@
     """Stand-ins, sidecars and entries on free ports, stopped on exit.
 
     `shape` maps a pool's name to its upstreams' data centres, `versions` an
-    upstream's name to its version where that is not the pool's.
+    upstream's name to its version where that is not the pool's. `services` names
+    the pools of plain services; `cold_bearable` is that of the engines.
     """
 
     def __init__(
@@ -32,6 +34,8 @@
         customers=("acme",),
         seed=1,
         versions=None,
+        services=(),
+        cold_bearable=0,
     ):
         self._shape = shape
         self._pipelines = pipelines
@@ -39,6 +43,8 @@
         self._customers = customers
         self._seed = seed
         self._versions = versions or {}
+        self._services = services
+        self._cold_bearable = cold_bearable
         self._stack = AsyncExitStack()
         self.engine_by_name = {}
         self.sidecar_by_name = {}
@@ -54,9 +60,9 @@
         for pool, data_centres in self._shape.items():
             for number, data_centre in enumerate(data_centres):
                 await self._start_upstream(f"{pool}-{number}", data_centre)
-        await self.publish(Document(revision=1, folder=self.folder()))
         for number in range(self._entry_count):
             await self._start_entry(f"entry-{number}")
+        await self.publish(Document(revision=1, folder=self.folder()))
         await self._until_linked()
         return self
 
@@ -79,7 +85,13 @@
             {
                 "data_centres": {name: {} for name in names},
                 "customers": {name: {} for name in self._customers},
-                "pools": {name: {} for name in self._shape},
+                "pools": {name: {"kind": self._kind(name)} for name in self._shape},
+                "entries": {
+                    entry.settings.name: {
+                        "operators": f"127.0.0.1:{entry.operators_port}"
+                    }
+                    for entry in self.entries
+                },
                 "upstreams": upstreams,
                 "pipelines": self._pipelines,
             }
@@ -115,8 +127,15 @@
         await daemon.start()
         self._stack.push_async_callback(daemon.stop)
 
+    def _kind(self, pool):
+        return "service" if pool in self._services else "engine"
+
     async def _start_upstream(self, name, data_centre):
-        engine = Engine(name, data_centre)
+        kind = self._kind(name.rpartition("-")[0])
+        if kind == "service":
+            engine = PlainService(name, data_centre)
+        else:
+            engine = Engine(name, data_centre, cold_bearable=self._cold_bearable)
         site = await self._site(engine.application())
         settings = SidecarSettings(
             name=f"sidecar-{name}",
@@ -126,6 +145,7 @@
             platform=self.platform_url,
             upstream=name,
             upstream_url=f"http://127.0.0.1:{site.port}",
+            upstream_kind=kind,
             seed=self._seed,
         )
         sidecar = Sidecar(settings)
