--- a/packages/daemon/src/wharf_daemon/main.py
+++ b/packages/daemon/src/wharf_daemon/main.py
@@ -17,46 +17,74 @@
 
 EXIT_OK = 0
 EXIT_BAD_SETTINGS = 2
+EXIT_NOT_STARTED = 3
 
 
 def entry(
     settings: Path,
     *,
+    name: str | None = None,
+    data_centre: str | None = None,
     listen: str | None = None,
+    operators_listen: str | None = None,
     platform: str | None = None,
     check: bool = False,
 ):
     """Run an entry, the process that callers reach.
 
     :param settings: JSON file with comments
+    :param name: name of this process, in place of the file's
+    :param data_centre: where it runs, in place of the file's
     :param listen: HOST:PORT for callers, in place of the file's
+    :param operators_listen: HOST:PORT for operators, in place of the file's
     :param platform: URL of the platform, in place of the file's
     :param check: only validate the settings
     """
-    overrides = {"listen": listen, "platform": platform}
+    overrides = {
+        "name": name,
+        "data_centre": data_centre,
+        "listen": listen,
+        "operators_listen": operators_listen,
+        "platform": platform,
+    }
     return _run(EntrySettings, Entry, settings, overrides, check)
 
 
 def sidecar(
     settings: Path,
     *,
+    name: str | None = None,
+    data_centre: str | None = None,
     listen: str | None = None,
+    operators_listen: str | None = None,
     platform: str | None = None,
     check: bool = False,
 ):
     """Run a sidecar, the process beside an upstream.
 
     :param settings: JSON file with comments
+    :param name: name of this process, in place of the file's
+    :param data_centre: where it runs, in place of the file's
     :param listen: HOST:PORT for entries, in place of the file's
+    :param operators_listen: HOST:PORT for operators, in place of the file's
     :param platform: URL of the platform, in place of the file's
     :param check: only validate the settings
     """
-    overrides = {"listen": listen, "platform": platform}
+    overrides = {
+        "name": name,
+        "data_centre": data_centre,
+        "listen": listen,
+        "operators_listen": operators_listen,
+        "platform": platform,
+    }
     return _run(SidecarSettings, Sidecar, settings, overrides, check)
 
 
 def main():
-    """Run the command line; exit with 2 on settings with a fault."""
+    """Run the command line.
+
+    It exits with 2 on settings with a fault, with 3 when it can't listen.
+    """
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -76,9 +104,16 @@
                 print(fault, file=sys.stderr)
             return EXIT_BAD_SETTINGS
         case Ok(settings):
-            if not check:
-                asyncio.run(_serve(daemon, settings))
-            return EXIT_OK
+            return EXIT_OK if check else _start(daemon, settings)
+
+
+def _start(daemon, settings):
+    try:
+        asyncio.run(_serve(daemon, settings))
+    except OSError as error:
+        print(f"{settings.name}: {error}", file=sys.stderr)
+        return EXIT_NOT_STARTED
+    return EXIT_OK
 
 
 async def _serve(daemon, settings):
--- a/packages/daemon/src/wharf_daemon/settings.py
+++ b/packages/daemon/src/wharf_daemon/settings.py
@@ -1,11 +1,14 @@
 """Settings common to both daemons."""
 
+from typing import Annotated
+
 from pydantic import BaseModel, ConfigDict, Field
 
 __all__ = ["Address", "CommonSettings"]
 
-Address = str
-ADDRESS_PATTERN = r"^[^:\s]+:\d{1,5}$"
+Address = Annotated[str, Field(pattern=r"^[^:\s]+:\d{1,5}$")]
+# Bounded so that the ids of requests and attempts fit into messages.
+MAX_NAME_LENGTH = 64
 
 
 class CommonSettings(BaseModel):
@@ -13,10 +16,10 @@
 
     model_config = ConfigDict(extra="forbid", frozen=True)
 
-    name: str = Field(min_length=1, max_length=200)
+    name: str = Field(min_length=1, max_length=MAX_NAME_LENGTH)
     data_centre: str = Field(min_length=1, max_length=100)
-    listen: Address = Field(pattern=ADDRESS_PATTERN)
-    operators_listen: Address = Field(pattern=ADDRESS_PATTERN)
+    listen: Address
+    operators_listen: Address
     platform: str = Field(pattern=r"^http://\S+$")
     stop_grace: float = Field(default=60.0, gt=0, le=3600)
     seed: int | None = None
