--- a/packages/standins/src/wharf_standins/demo/command.py
+++ b/packages/standins/src/wharf_standins/demo/command.py
@@ -6,7 +6,7 @@
 import structlog
 
 from wharf_standins.demo.course import Course
-from wharf_standins.demo.exchange import exchange
+from wharf_standins.demo.exchange import exchange, slow_when_cold
 
 __all__ = ["demo"]
 
@@ -24,6 +24,7 @@
 async def _demo():
     _say("starting 3 data centres, 24 upstreams with their sidecars, 2 entries")
     async with exchange() as system:
+        slow_when_cold(system)
         checks = await Course(system, _say).run()
     print()
     for check in checks:
--- a/packages/standins/src/wharf_standins/demo/exchange.py
+++ b/packages/standins/src/wharf_standins/demo/exchange.py
@@ -2,7 +2,14 @@
 
 from wharf_standins.loopback import Loopback
 
-__all__ = ["BAD_VERSION", "CUSTOMERS", "DATA_CENTRES", "GOOD_VERSION", "exchange"]
+__all__ = [
+    "BAD_VERSION",
+    "CUSTOMERS",
+    "DATA_CENTRES",
+    "GOOD_VERSION",
+    "exchange",
+    "slow_when_cold",
+]
 
 DATA_CENTRES = ("windhoek", "okahandja", "rehoboth")
 CUSTOMERS = ("kavango", "namib", "swakop", "tsumeb", "zambezi")
@@ -11,6 +18,8 @@
 RUNNERS = 6
 NEW_RUNNERS = 3
 COLD_BEARABLE = 2
+COLD_FACTOR = 3.0
+WARM_AFTER_RUNS = 10
 
 
 def exchange():
@@ -34,6 +43,13 @@
     )
 
 
+def slow_when_cold(system):
+    """Let cold upstreams show that they are: by answers that take longer."""
+    for engine in system.engine_by_name.values():
+        engine.batch.cold_factor = COLD_FACTOR
+        engine.batch.warm_after = WARM_AFTER_RUNS
+
+
 def _pipelines():
     stages = ("encode", "retrieve", "rerank")
     steps = [{"name": stage, "pool": stage} for stage in stages]
