--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,14 @@
 PACKAGES := coordination wire platform daemon control standins
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 
-.PHONY: histories trial-rollouts demo test lint setup
+.PHONY: bench-overhead histories trial-rollouts demo test lint setup
 
 demo: setup
 	$(BIN)/python -m wharf_standins demo
 
+bench-overhead: setup
+	$(BIN)/python -m wharf_standins bench-overhead
+
 histories: setup
 	$(BIN)/python -m wharf_standins histories --seeds 1-200 --requests 500
 
