--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -4,6 +4,7 @@
 
 import defopt
 
+from wharf_standins.bench import bench
 from wharf_standins.demo import demo
 from wharf_standins.history.command import histories
 from wharf_standins.overhead_bench import bench_overhead
@@ -15,6 +16,6 @@
 if __name__ == "__main__":
     commands = [
         *(demo, engine, platform),
-        *(bench_overhead, trial_rollouts, histories),
+        *(bench, bench_overhead, trial_rollouts, histories),
     ]
     sys.exit(defopt.run(commands, no_negated_flags=True))
