--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,14 @@
 PACKAGES := coordination wire platform daemon control standins
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 
-.PHONY: demo test lint setup
+.PHONY: demo test lint setup bench-claims
 
 demo: setup
 	$(BIN)/python -m wharf_standins demo
 
+bench-claims: setup
+	$(BIN)/python -m wharf_standins claims-bench
+
 test: setup
 	$(BIN)/python -m pytest
 
--- /dev/null
+++ b/packages/standins/src/wharf_standins/claims_bench/claim_client.py
@@ -0,0 +1,61 @@
+"""Claims of several entries under one scheme."""
+
+import asyncio
+from random import Random
+
+from xxhash import xxh64_intdigest
+
+from wharf_coordination import CallBudget
+from wharf_coordination.claims import ClaimPlace
+from wharf_platform import CallGate, ObjectClient
+from wharf_platform.claims import ClaimStore
+from wharf_standins.claims_bench.scheme import (
+    GroupCommit,
+    ObjectPerKey,
+    PreferredWriter,
+)
+
+__all__ = ["ClaimClients"]
+
+# High, so that the store's own limit shows and not that of one process.
+CALLS_PER_SECOND = 2000.0
+
+
+class ClaimClients:
+    """One claim store for each entry, each with a client of its own."""
+
+    def __init__(self, session, url, scheme, entries):
+        self._scheme = scheme
+        self.clients = [self._client(session, url, n) for n in range(entries)]
+        interval = getattr(scheme, "interval", 0.0)
+        self._stores = [
+            ClaimStore(client, Random(number), interval=interval)
+            for number, client in enumerate(self.clients)
+        ]
+
+    async def apply(self, entry, unit, operation):
+        """Return what the operation came to, given to `entry`."""
+        place = ClaimPlace.of(unit)
+        match self._scheme:
+            case ObjectPerKey():
+                own = ClaimPlace(int.from_bytes(unit.digest), place.bucket)
+                return await self._stores[entry].apply(own, operation)
+            case GroupCommit():
+                return await self._stores[entry].apply(place, operation)
+            case PreferredWriter(hop=hop):
+                writer = self._preferred(place)
+                await asyncio.sleep(hop)
+                outcome = await self._stores[writer].apply(place, operation)
+                await asyncio.sleep(hop)
+                return outcome
+
+    def _preferred(self, place):
+        weights = [
+            xxh64_intdigest(f"{place.shard}/{entry}".encode())
+            for entry in range(len(self._stores))
+        ]
+        return weights.index(max(weights))
+
+    def _client(self, session, url, number):
+        budget = CallBudget(CALLS_PER_SECOND)
+        return ObjectClient(session, url, gate=CallGate(Random(number), budget))
--- /dev/null
+++ b/packages/standins/src/wharf_standins/claims_bench/command.py
@@ -0,0 +1,100 @@
+"""The command that measures claims."""
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+
+import aiohttp
+
+from wharf_coordination.claims import Claim, ClaimUnit, Finish, Granted
+from wharf_daemon.http_site import HttpSite
+from wharf_standins.claims_bench.claim_client import ClaimClients
+from wharf_standins.claims_bench.measurement import Measurement
+from wharf_standins.claims_bench.scheme import (
+    GroupCommit,
+    ObjectPerKey,
+    PreferredWriter,
+)
+from wharf_standins.platform import Platform
+
+__all__ = ["claims_bench"]
+
+STORE_DELAY_SECONDS = 0.003
+ANSWER = b'{"hold": "anvil 3", "until": "2026-12-01"}'
+ENTRY_COUNTS = (1, 4, 16)
+SCHEMES = (
+    ObjectPerKey(),
+    GroupCommit(0.0),
+    GroupCommit(0.02),
+    GroupCommit(0.05),
+    PreferredWriter(0.0),
+    PreferredWriter(0.02),
+    PreferredWriter(0.05),
+)
+
+
+def claims_bench(*, rate: float = 150.0, seconds: float = 2.0):
+    """Measure claims, each recorded as done, against calls of the store.
+
+    :param rate: claims offered a second by all entries together
+    :param seconds: time of each run
+    """
+    print(Measurement.HEADER)
+    for scheme in SCHEMES:
+        for entries in ENTRY_COUNTS:
+            print(asyncio.run(_measure(scheme, entries, rate, seconds)), flush=True)
+
+
+async def _measure(scheme, entries, rate, seconds):
+    platform = Platform(delay=STORE_DELAY_SECONDS)
+    site = HttpSite(platform.application(), "127.0.0.1:0")
+    await site.start()
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        url = f"http://127.0.0.1:{site.port}"
+        run = _Run(ClaimClients(session, url, scheme, entries))
+        elapsed = await run.offer(entries, rate, seconds)
+    await site.stop()
+    calls = platform.calls_by_kind
+    return Measurement(
+        scheme=str(scheme),
+        entries=entries,
+        offered=rate,
+        seconds=elapsed,
+        latencies=run.latencies,
+        refused=run.refused,
+        writes=calls["write"],
+        reads=calls["read"],
+        written_bytes=platform.written_bytes,
+    )
+
+
+@dataclass
+class _Run:
+    clients: ClaimClients
+    latencies: list[float] = field(default_factory=list)
+    refused: int = 0
+
+    async def offer(self, entries, rate, seconds):
+        """Offer claims at `rate`, open loop; return the seconds until all ended."""
+        loop = asyncio.get_running_loop()
+        begin = loop.time()
+        tasks = []
+        for number in range(round(rate * seconds)):
+            await asyncio.sleep(max(0.0, begin + number / rate - loop.time()))
+            tasks.append(asyncio.create_task(self._claim(number % entries, number)))
+        await asyncio.gather(*tasks)
+        return loop.time() - begin
+
+    async def _claim(self, entry, number):
+        loop = asyncio.get_running_loop()
+        unit = ClaimUnit("acme", "hold", f"{int(time.time())}-{number}", "book")
+        claim = Claim(unit.digest, f"token-{number}", unit.digest)
+        begin = loop.time()
+        outcome = await self.clients.apply(entry, unit, claim)
+        if outcome.is_err() or outcome.unwrap() != Granted():
+            self.refused += 1
+            return
+        self.latencies.append(loop.time() - begin)
+        finish = Finish(unit.digest, claim.token, ANSWER)
+        await self.clients.apply(entry, unit, finish)
--- a/packages/standins/src/wharf_standins/platform.py
+++ b/packages/standins/src/wharf_standins/platform.py
@@ -40,6 +40,7 @@
     object_by_key: dict[str, tuple[int, bytes]] = field(default_factory=dict)
     calls_by_kind: Counter = field(default_factory=Counter)
     refused_by_kind: Counter = field(default_factory=Counter)
+    written_bytes: int = 0
 
     def __post_init__(self):
         self._changed = asyncio.Condition()
@@ -100,6 +101,7 @@
             value = await request.read()
         except web.HTTPRequestEntityTooLarge:
             return web.Response(status=413)
+        self.written_bytes += len(value)
         return await self._write(request, CallKind.WRITE, value)
 
     async def _delete(self, request):
