--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -3,6 +3,7 @@
 import asyncio
 import uuid
 from contextlib import contextmanager
+from dataclasses import asdict
 from itertools import count
 from random import Random
 
@@ -19,6 +20,8 @@
 from wharf_daemon.entry.order_sender import OrderSender
 from wharf_daemon.entry.pipeline_runner import PipelineRunner
 from wharf_daemon.entry.request_reader import RequestReader
+from wharf_daemon.entry.rollout_driver import RolloutDriver
+from wharf_daemon.entry.rollout_table import RolloutTable
 from wharf_daemon.entry.stage_runner import StageRunner
 from wharf_daemon.entry.version_router import VersionRouter
 from wharf_daemon.fact_feed import FactFeed
@@ -73,6 +76,7 @@
         self.facts.news.subscribe(self._broadcast_facts)
         self._follower = asyncio.create_task(self.feed.follow(self.store, self._rng))
         self._claims.start()
+        self._driver = asyncio.create_task(self._rollout_driver().run())
 
     @property
     def port(self):
@@ -98,6 +102,8 @@
         await self._callers.stop()
         await self._claims.stop(self.settings.stop_grace)
         self._follower.cancel()
+        self._driver.cancel()
+        await asyncio.gather(self._driver, return_exceptions=True)
         self.links.close()
         await self._session.close()
         await self._operators.stop()
@@ -144,27 +150,37 @@
             "store_calls": self.store.calls_by_kind,
             "claims": self._claims.dump(),
             "facts": self.facts.dump(),
+            "rollouts": self.rollouts.dump(),
             "links": [
                 {
                     "address": address,
                     "upstream": link.name,
                     "open": link.is_open,
                     "in_flight": link.in_flight,
-                    "revision": link.peer_revision,
+                    "revision": link.load.revision if link.load else None,
+                    "load": asdict(link.load) if link.load else None,
                 }
                 for address, link in sorted(self.links.by_address.items())
             ],
         }
 
+    def _rollout_driver(self):
+        name = f"{self.settings.name}-{self._incarnation}"
+        return RolloutDriver(
+            name, self.store, self.rollouts, self.facts, self.metrics, self._rng
+        )
+
     def _caller_application(self):
         settings = self.settings
+        self.rollouts = RolloutTable(self.feed, self.facts)
         attempt_runner = AttemptRunner(self.links, self.feed)
         attempt_runner.outcomes.subscribe(self._count_attempt)
+        attempt_runner.outcomes.subscribe(self.rollouts.add_outcome)
         stage_runner = StageRunner(
             self.links,
             Chooser(self._rng, settings.data_centre),
             self.feed,
-            VersionRouter(self.feed),
+            VersionRouter(self.feed, self.rollouts, self.links),
             attempt_runner,
             settings.max_answer,
         )
--- a/packages/platform/src/wharf_platform/__init__.py
+++ b/packages/platform/src/wharf_platform/__init__.py
@@ -11,6 +11,7 @@
 )
 from wharf_platform.object_client import ObjectClient
 from wharf_platform.platform_host import PlatformHost
+from wharf_platform.rollout_change import RolloutChange, find_rollout
 from wharf_platform.store_error import (
     Conflict,
     StoreError,
@@ -30,10 +31,12 @@
     "LeaseKeeper",
     "ObjectClient",
     "PlatformHost",
+    "RolloutChange",
     "StoreError",
     "StoredObject",
     "Unavailable",
     "UnknownOutcome",
+    "find_rollout",
     "lease_key",
     "read_lease",
 ]
--- a/packages/standins/src/wharf_standins/process_fleet.py
+++ b/packages/standins/src/wharf_standins/process_fleet.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 import aiohttp
+from aiohttp import web
 
 from wharf_daemon.http_site import HttpSite
 from wharf_standins.engine import Engine
@@ -38,6 +39,7 @@
 
     `shape` maps a pool's name to its upstreams' data centres. Stand-ins of the
     platform and the upstreams run in this process, where tests can reach them.
+    `is_store_cut` makes the store unavailable to the daemons, not to wharfctl.
     """
 
     def __init__(self, directory: Path, shape, pipelines, entries=2, service_time=0.01):
@@ -59,6 +61,7 @@
         self.operators_by_name = {name: _free_address() for name in names}
         self.engine_by_name = {}
         self.platform = Platform()
+        self.is_store_cut = False
 
     async def __aenter__(self):
         self.session = await self._stack.enter_async_context(
@@ -66,12 +69,14 @@
         )
         site = await self._site(self.platform.application())
         self.platform_url = f"http://127.0.0.1:{site.port}"
+        site = await self._site(self._cuttable_platform())
+        self._daemons_platform_url = f"http://127.0.0.1:{site.port}"
         self._stack.push_async_callback(self._end_processes)
         self._write_folder()
-        for name in self.data_centre_by_upstream:
-            await self.start_sidecar(name)
-        for name in self.entry_names:
-            await self.start_entry(name)
+        await asyncio.gather(
+            *(self.start_sidecar(name) for name in self.data_centre_by_upstream),
+            *(self.start_entry(name) for name in self.entry_names),
+        )
         return self
 
     async def __aexit__(self, *exc_info):
@@ -93,8 +98,11 @@
 
     async def start_entry(self, name, **settings):
         """Start an entry; `settings` go before the usual ones."""
+        if name not in self.address_by_name:
+            self.address_by_name[name] = _free_address()
+            self.operators_by_name[name] = _free_address()
         data_centre = next(iter(self.data_centre_by_upstream.values()))
-        usual = self._settings(name, name, data_centre) | {"drain_delay": 1.0}
+        usual = self._settings(name, name, data_centre) | {"drain_delay": 0.5}
         await self._start("entry", name, usual | settings)
 
     async def stop(self, name):
@@ -153,9 +161,19 @@
             "data_centre": data_centre,
             "listen": self.address_by_name[key],
             "operators_listen": self.operators_by_name[key],
-            "platform": self.platform_url,
+            "platform": self._daemons_platform_url,
         }
 
+    def _cuttable_platform(self):
+        @web.middleware
+        async def cut(http, handler):
+            response = await handler(http)
+            return web.Response(status=503) if self.is_store_cut else response
+
+        application = self.platform.application()
+        application.middlewares.append(cut)
+        return application
+
     async def _start(self, kind, name, settings):
         path = self.directory / f"{name}.json"
         path.write_text("// written by the test\n" + json.dumps(settings))
