--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,7 @@
 
 bench-claims: setup
 	$(BIN)/python -m wharf_standins claims-bench
+	$(BIN)/python -m wharf_standins outage-trial
 
 histories: setup
 	$(BIN)/python -m wharf_standins histories --seeds 1-200 --requests 500
--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -7,11 +7,20 @@
 from wharf_standins.claims_bench import claims_bench
 from wharf_standins.demo import demo
 from wharf_standins.history.command import histories
+from wharf_standins.outage_trial import outage_trial
 from wharf_standins.rollout_trial.command import trial_rollouts
 from wharf_standins.serve import engine, platform
 
 __all__ = []
 
 if __name__ == "__main__":
-    commands = [claims_bench, demo, engine, platform, trial_rollouts, histories]
+    commands = [
+        claims_bench,
+        outage_trial,
+        demo,
+        engine,
+        platform,
+        trial_rollouts,
+        histories,
+    ]
     sys.exit(defopt.run(commands, no_negated_flags=True))
