--- a/packages/platform/src/wharf_platform/lease_keeper.py
+++ b/packages/platform/src/wharf_platform/lease_keeper.py
@@ -17,7 +17,8 @@
 # The lease whose holder may give orders to upstreams.
 ORDERS_SUBJECT = "rollouts"
 
-CHECKS_PER_DURATION = 6
+HOLDER_CHECKS_PER_DURATION = 6
+OTHERS_CHECKS_PER_DURATION = 2
 BACKOFF = Backoff(first=0.1, longest=2.0)
 
 _RECORD = TypeAdapter(LeaseRecord)
@@ -49,10 +50,7 @@
             stepped = await self.step()
             failures = 0 if stepped.is_ok() else failures + 1
             self._report()
-            delay = self.lease.duration / CHECKS_PER_DURATION
-            if failures:
-                delay = BACKOFF.delay(failures, self._rng)
-            await asyncio.sleep(delay)
+            await asyncio.sleep(self._delay(failures))
 
     async def step(self) -> Result[None, StoreError]:
         """Read the record once and write what the lease then wants."""
@@ -74,6 +72,13 @@
             value = _RECORD.dump_json(self.lease.given_up())
             await self._client.put(self._key, value, read.unwrap().version)
 
+    def _delay(self, failures):
+        if failures:
+            return BACKOFF.delay(failures, self._rng)
+        is_held = self.is_held()
+        checks = HOLDER_CHECKS_PER_DURATION if is_held else OTHERS_CHECKS_PER_DURATION
+        return self.lease.duration / checks
+
     async def _read(self):
         read = (await self._client.get(self._key)).and_then(_with_record)
         if read.is_err():
