Let preferred sidecars write the claims of all entries

Claims now go over the existing links to the sidecar that rendezvous hashing prefers for the shard, among those beside upstreams whose stages may not repeat. Ruled out: links between entries, which would be a second mesh with addresses to keep. A writer that doesn't reply costs a second; then the entry writes itself, and the claimant's token shows what was already done.

--- a/packages/coordination/src/wharf_coordination/__init__.py
+++ b/packages/coordination/src/wharf_coordination/__init__.py
@@ -22,6 +22,7 @@
 from wharf_coordination.priority import Priority
 from wharf_coordination.ran import Ran
 from wharf_coordination.refusal import Refusal
+from wharf_coordination.rendezvous import by_preference
 from wharf_coordination.seen_set import SeenSet
 
 __all__ = [
@@ -45,6 +46,7 @@
     "Ran",
     "ReceiveWindow",
     "Refusal",
+    "by_preference",
     "SeenSet",
     "SendWindow",
     "chunk_cost",
--- a/packages/daemon/src/wharf_daemon/entry/claim_service.py
+++ b/packages/daemon/src/wharf_daemon/entry/claim_service.py
@@ -5,7 +5,7 @@
 
 from wharf_coordination import Lease
 from wharf_daemon.entry.claimed_stage_runner import ClaimedStageRunner
-from wharf_platform import LeaseKeeper, ObjectClient
+from wharf_platform import LeaseKeeper
 from wharf_platform.claims import ClaimRecorder, ClaimStore, ClaimTidier
 
 __all__ = ["ClaimService"]
@@ -17,11 +17,10 @@
 class ClaimService:
     """Wrap a stage runner with claims and delete those past their retention."""
 
-    def __init__(self, stage_runner, client: ObjectClient, name, rng: Random):
-        store = ClaimStore(client, rng)
+    def __init__(self, stage_runner, store: ClaimStore, name, rng: Random):
         self._recorder = ClaimRecorder(store, rng)
         self._lease_keeper = LeaseKeeper(
-            client, TIDY_SUBJECT, Lease(name, TIDY_LEASE_SECONDS), rng
+            store.client, TIDY_SUBJECT, Lease(name, TIDY_LEASE_SECONDS), rng
         )
         self._tidier = ClaimTidier(store, self._lease_keeper)
         self._tasks = []
--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -16,8 +16,10 @@
 from wharf_daemon.entry.attempt_runner import AttemptRunner
 from wharf_daemon.entry.caller_api import CallerApi
 from wharf_daemon.entry.claim_service import ClaimService
+from wharf_daemon.entry.forwarded_claims import ForwardedClaims
 from wharf_daemon.entry.link_set import LinkSet
 from wharf_daemon.entry.order_sender import OrderSender
+from wharf_daemon.entry.pending_replies import PendingReplies
 from wharf_daemon.entry.pipeline_runner import PipelineRunner
 from wharf_daemon.entry.request_reader import RequestReader
 from wharf_daemon.entry.rollout_driver import RolloutDriver
@@ -54,9 +56,8 @@
         self._idle = asyncio.Event()
         self._idle.set()
         self.links = LinkSet(self, self._rng)
-        self.orders = OrderSender(
-            self.links, self.feed, f"{settings.name}-{self._incarnation}"
-        )
+        self.replies = PendingReplies(f"{settings.name}-{self._incarnation}")
+        self.orders = OrderSender(self.links, self.feed, self.replies)
 
     async def start(self):
         """Listen for callers and operators, follow the store, open links."""
@@ -184,9 +185,11 @@
             attempt_runner,
             settings.max_answer,
         )
-        self._claims = ClaimService(
-            stage_runner, self.store, f"{settings.name}-{self._incarnation}", self._rng
+        claim_store = ForwardedClaims(
+            self.store, self._rng, self.links, self.feed, self.replies
         )
+        name = f"{settings.name}-{self._incarnation}"
+        self._claims = ClaimService(stage_runner, claim_store, name, self._rng)
         runner = PipelineRunner(self._claims.runner, self.feed, self.metrics)
         reader = RequestReader(self.feed, settings.max_body)
         return CallerApi(self, reader, runner, settings.max_body).application()
--- a/packages/daemon/src/wharf_daemon/entry/order_sender.py
+++ b/packages/daemon/src/wharf_daemon/entry/order_sender.py
@@ -1,12 +1,10 @@
 """Sending of orders to upstreams through their sidecars."""
 
-import asyncio
-from itertools import count
-
 from result import Err, Result
 
 from wharf_coordination import Code, Refusal
-from wharf_wire import Order, OrderResult
+from wharf_daemon.entry.pending_replies import PendingReplies
+from wharf_wire import Order
 
 __all__ = ["OrderSender"]
 
@@ -16,12 +14,10 @@
 class OrderSender:
     """Give orders over the links of this entry."""
 
-    def __init__(self, links, feed, name):
+    def __init__(self, links, feed, replies: PendingReplies):
         self._links = links
         self._feed = feed
-        self._name = name
-        self._numbers = count()
-        self._result_by_id = {}
+        self._replies = replies
 
     async def send(
         self, upstream, operation, subject, fencing
@@ -37,26 +33,9 @@
         link = self._links.by_address.get(settings.address)
         if link is None or not link.is_open:
             return Err(Refusal.not_run(Code.LINK_LOST, f"no link to {upstream!r}"))
-        order = Order(
-            f"{self._name}/{next(self._numbers)}", operation, subject, fencing
-        )
-        return await self._send(link, order)
-
-    def resolve(self, message: OrderResult):
-        """Hand the result of an order to its sender, if that still waits."""
-        result = self._result_by_id.get(message.id)
-        if result is not None and not result.done():
-            result.set_result(message.to_result())
-
-    async def _send(self, link, order):
-        result = asyncio.get_running_loop().create_future()
-        self._result_by_id[order.id] = result
-        try:
-            async with asyncio.timeout(RESULT_SECONDS):
-                await link.send(order)
-                return await result
-        except TimeoutError:
+        order = Order(self._replies.next_id(), operation, subject, fencing)
+        reply = await self._replies.ask(link, order, RESULT_SECONDS)
+        if reply is None:
             detail = f"no result of order {order.id}"
             return Err(Refusal.unknown(Code.UNKNOWN_OUTCOME, detail))
-        finally:
-            del self._result_by_id[order.id]
+        return reply.to_result()
--- a/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
+++ b/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
@@ -21,6 +21,7 @@
     Call,
     Cancel,
     Chunk,
+    ClaimReply,
     ConfigurationOffer,
     Credit,
     End,
@@ -189,8 +190,8 @@
                 self._entry.feed.offer(document, self.name)
             case Facts():
                 self._entry.facts.receive(message)
-            case OrderResult():
-                self._entry.orders.resolve(message)
+            case ClaimReply() | OrderResult():
+                self._entry.replies.resolve(message)
             case _:
                 return self._unexpected(message)
         return Ok(None)
--- /dev/null
+++ b/packages/daemon/src/wharf_daemon/sidecar/claim_writer.py
@@ -0,0 +1,30 @@
+"""Writing of claims on behalf of the entries."""
+
+from random import Random
+
+from result import Err, Ok
+
+from wharf_platform import ObjectClient, Unavailable
+from wharf_platform.claims import ClaimStore
+from wharf_wire import ClaimReply, ClaimRequest
+from wharf_wire.claim_reply import NOT_WRITTEN
+
+__all__ = ["ClaimWriter"]
+
+
+class ClaimWriter:
+    """Commit the claims of many entries together."""
+
+    def __init__(self, client: ObjectClient, rng: Random):
+        self._store = ClaimStore(client, rng)
+
+    async def handle(self, request: ClaimRequest) -> ClaimReply | None:
+        """Return the reply to `request`; None if a write may have happened."""
+        operation = request.to_operation()
+        match await self._store.apply(request.place, operation):
+            case Ok(outcome):
+                return ClaimReply.of(request.id, outcome)
+            case Err(Unavailable()):
+                return ClaimReply(request.id, NOT_WRITTEN)
+            case Err(_):
+                return None
--- a/packages/daemon/src/wharf_daemon/sidecar/link_server.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/link_server.py
@@ -14,6 +14,7 @@
 from wharf_wire import (
     Call,
     Cancel,
+    ClaimRequest,
     ConfigurationOffer,
     Credit,
     Facts,
@@ -116,6 +117,8 @@
                 self._sidecar.feed.offer(document, self.peer)
             case Facts():
                 self._sidecar.facts.receive(message)
+            case ClaimRequest():
+                asyncio.ensure_future(self._claim(message))
             case Order():
                 asyncio.ensure_future(self._order(message))
             case _:
@@ -132,6 +135,11 @@
             # A task, since the reader must never wait for a write.
             asyncio.ensure_future(self.offer_configuration())
 
+    async def _claim(self, request):
+        reply = await self._sidecar.claims.handle(request)
+        if reply:
+            await self.send_quietly(reply)
+
     async def _order(self, order):
         result = await self._sidecar.orders.handle(order)
         await self.send_quietly(OrderResult.from_result(order.id, result))
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -14,6 +14,7 @@
 from wharf_daemon.http_site import HttpSite, split_address
 from wharf_daemon.metrics import Metrics
 from wharf_daemon.operators_api import OperatorsApi
+from wharf_daemon.sidecar.claim_writer import ClaimWriter
 from wharf_daemon.sidecar.link_server import LinkServer
 from wharf_daemon.sidecar.order_handler import OrderHandler
 from wharf_daemon.sidecar.upstream_client import UpstreamClient
@@ -55,11 +56,12 @@
         self.upstream = UpstreamClient(
             self._session, self.settings.upstream_url, self._observe_incarnation
         )
+        self.store = ObjectClient(
+            self._session, self.settings.platform, gate=CallGate(self._rng)
+        )
+        self.claims = ClaimWriter(self.store, self._rng)
         self.orders = OrderHandler(
-            ObjectClient(
-                self._session, self.settings.platform, gate=CallGate(self._rng)
-            ),
-            UpstreamOrders(self._session, self.settings.upstream_url),
+            self.store, UpstreamOrders(self._session, self.settings.upstream_url)
         )
         self._operators = HttpSite(
             OperatorsApi(self, self.metrics).application(),
@@ -160,6 +162,7 @@
             "limit": self.gate.limit,
             "incarnation": self.gate.incarnation,
             "service_time": self._service_time,
+            "store_calls": self.store.calls_by_kind,
             "fencing": self.orders.guard.current,
             "facts": self.facts.dump(),
             "links": sorted(link.peer for link in self.links),
--- a/packages/standins/tests/test_claims_on_loopback.py
+++ b/packages/standins/tests/test_claims_on_loopback.py
@@ -74,3 +74,46 @@
     status, refusal = await answer(system, 1, body='{"anvil": 4}')
     assert (status, refusal["code"]) == (422, 2012)
     assert bookings(system) == 1
+
+
+async def test_claims_of_all_entries_are_written_by_the_preferred_sidecars(system):
+    for number in range(RESENDS):
+        headers = {"Idempotency-Key": f"hold-{number}"}
+        assert (await answer(system, number % 2, **headers))[0] == 200
+    writers = {
+        name
+        for name, sidecar in system.sidecar_by_name.items()
+        if sidecar.store.calls_by_kind["write"]
+    }
+    assert writers <= {"desk-0", "desk-1"}
+    assert not any(entry.store.calls_by_kind["write"] > 2 for entry in system.entries)
+
+
+async def test_entry_writes_itself_when_the_writers_do_not_reply(system, monkeypatch):
+    async def be_silent(request):
+        return None
+
+    for sidecar in system.sidecar_by_name.values():
+        monkeypatch.setattr(sidecar.claims, "handle", be_silent)
+    answers = await asyncio.gather(answer(system, 0), answer(system, 1))
+    assert [status for status, _ in answers] == [200, 200]
+    assert bookings(system) == 1
+
+
+async def test_reply_lost_after_the_claim_was_written_still_runs_it_once(
+    system, monkeypatch
+):
+    for sidecar in system.sidecar_by_name.values():
+        monkeypatch.setattr(sidecar.claims, "handle", without_reply(sidecar.claims))
+    answers = await asyncio.gather(answer(system, 0), answer(system, 1))
+    assert [status for status, _ in answers] == [200, 200]
+    assert bookings(system) == 1
+
+
+def without_reply(claims):
+    handle = claims.handle
+
+    async def lose_reply(request):
+        await handle(request)
+
+    return lose_reply
--- a/packages/wire/src/wharf_wire/__init__.py
+++ b/packages/wire/src/wharf_wire/__init__.py
@@ -3,6 +3,8 @@
 from wharf_wire.call import Call
 from wharf_wire.cancel import Cancel
 from wharf_wire.chunk import Chunk
+from wharf_wire.claim_reply import ClaimReply
+from wharf_wire.claim_request import ClaimRequest
 from wharf_wire.codec import Message, decode, encode
 from wharf_wire.configuration_offer import ConfigurationOffer
 from wharf_wire.credit import Credit
@@ -21,6 +23,8 @@
     "Call",
     "Cancel",
     "Chunk",
+    "ClaimReply",
+    "ClaimRequest",
     "ConfigurationOffer",
     "Credit",
     "End",
--- a/packages/wire/src/wharf_wire/codec.py
+++ b/packages/wire/src/wharf_wire/codec.py
@@ -10,6 +10,8 @@
 from wharf_wire.call import Call
 from wharf_wire.cancel import Cancel
 from wharf_wire.chunk import Chunk
+from wharf_wire.claim_reply import ClaimReply
+from wharf_wire.claim_request import ClaimRequest
 from wharf_wire.configuration_offer import ConfigurationOffer
 from wharf_wire.credit import Credit
 from wharf_wire.end import End
@@ -27,6 +29,8 @@
     Call
     | Cancel
     | Chunk
+    | ClaimReply
+    | ClaimRequest
     | ConfigurationOffer
     | Credit
     | End
