--- a/packages/coordination/src/wharf_coordination/claims/claim_place.py
+++ b/packages/coordination/src/wharf_coordination/claims/claim_place.py
@@ -7,7 +7,7 @@
 __all__ = ["BUCKET_SECONDS", "SHARDS", "UNDATED", "ClaimPlace", "bucket_of"]
 
 # Part of the store's format: entries that differ here would not see each other.
-SHARDS = 16
+SHARDS = 8
 BUCKET_SECONDS = 10
 UNDATED = -1
 
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -59,6 +59,7 @@
         self.store = ObjectClient(
             self._session, self.settings.platform, gate=CallGate(self._rng)
         )
+        self.store.gate.calls.subscribe(self._count_store_call)
         self.claims = ClaimWriter(self.store, self._rng)
         self.orders = OrderHandler(
             self.store, UpstreamOrders(self._session, self.settings.upstream_url)
@@ -196,6 +197,9 @@
         for link in tuple(self.links):
             link.report(report)
 
+    def _count_store_call(self, kind):
+        self.metrics.store_calls.labels(kind).inc()
+
     def _broadcast_facts(self, message):
         for link in tuple(self.links):
             asyncio.ensure_future(link.send_quietly(message))
--- a/packages/platform/src/wharf_platform/claims/claim_store.py
+++ b/packages/platform/src/wharf_platform/claims/claim_store.py
@@ -20,7 +20,7 @@
 
 __all__ = ["ClaimStore"]
 
-COMMIT_INTERVAL_SECONDS = 0.02
+COMMIT_INTERVAL_SECONDS = 0.05
 MAX_WRITERS = 64
 
 
