--- a/packages/daemon/tests/test_claimed_stage_runner.py
+++ b/packages/daemon/tests/test_claimed_stage_runner.py
@@ -1,8 +1,7 @@
 """Claimed stages on several entries over one store that loses and delays."""
 
 import asyncio
-from collections import Counter, defaultdict
-from dataclasses import dataclass, field
+from collections import defaultdict
 from random import Random
 
 import pytest
@@ -13,80 +12,15 @@
 from wharf_daemon.entry.claimed_stage_runner import ClaimedStageRunner
 from wharf_daemon.entry.request import Request
 from wharf_daemon.entry.stage_task import StageTask
-from wharf_platform import Conflict, StoredObject, Unavailable, UnknownOutcome
 from wharf_platform.claims import ClaimRecorder, ClaimStore, ClaimTidier
 from wharf_platform.configuration import Stage
+from wharf_standins.faulty_store import FaultyStore
 
 NOW = 1_764_827_506.0
 KEY = "1764827506-hold"
 BOOK = Stage(name="book", pool="desk", idempotent=False)
 
 
-@dataclass
-class FaultyStore:
-    """An object store in memory; faults are drawn from `rng`."""
-
-    rng: Random
-    down: bool = False
-    loss: float = 0.0
-    refusal: float = 0.0
-    conditional: bool = True
-    object_by_key: dict = field(default_factory=dict)
-    calls: Counter = field(default_factory=Counter)
-    version: int = 0
-
-    async def get(self, key):
-        await self._travel("get")
-        if self._is_refused():
-            return Err(Unavailable(key, "refused"))
-        return Ok(self.object_by_key.get(key) or StoredObject.absent(key))
-
-    async def put(self, key, value, version):
-        return await self._write(key, value, version)
-
-    async def delete(self, key, version):
-        return await self._write(key, None, version)
-
-    async def list_versions(self, prefix):
-        items = self.object_by_key.items()
-        return Ok({key: item.version for key, item in items if key.startswith(prefix)})
-
-    async def _write(self, key, value, version):
-        await self._travel("put")
-        if self._is_refused():
-            return Err(Unavailable(key, "refused"))
-        if self.rng.random() < self.loss / 2:
-            asyncio.ensure_future(self._arrive_late(key, value, version))
-            return Err(UnknownOutcome(key, "still under way"))
-        written = self._store(key, value, version)
-        if self.rng.random() < self.loss:
-            return Err(UnknownOutcome(key, "the answer was lost"))
-        return written
-
-    def _store(self, key, value, version):
-        held = self.object_by_key.get(key, StoredObject.absent(key))
-        if self.conditional and held.version != version:
-            return Err(Conflict(key, held.version))
-        self.version += 1
-        if value is None:
-            self.object_by_key.pop(key, None)
-            return Ok(StoredObject.absent(key))
-        self.object_by_key[key] = StoredObject(key, self.version, value)
-        return Ok(self.object_by_key[key])
-
-    async def _arrive_late(self, key, value, version):
-        await asyncio.sleep(0.03)
-        self._store(key, value, version)
-
-    async def _travel(self, kind):
-        self.calls[kind] += 1
-        for _ in range(self.rng.randrange(5)):
-            await asyncio.sleep(0)
-
-    def _is_refused(self):
-        return self.down or self.rng.random() < self.refusal
-
-
 class FakeStageRunner:
     """Record each start and end as `outcomes` draws."""
 
--- /dev/null
+++ b/packages/standins/src/wharf_standins/faulty_store.py
@@ -0,0 +1,88 @@
+"""An object store in memory that refuses, loses answers and delays writes."""
+
+import asyncio
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+from result import Err, Ok
+
+from wharf_platform import Conflict, StoredObject, Unavailable, UnknownOutcome
+
+__all__ = ["FaultyStore"]
+
+LATE_SECONDS = 0.03
+
+
+@dataclass
+class FaultyStore:
+    """An object store in memory with the interface of `ObjectClient`.
+
+    `refusal` and `loss` are the probabilities that a call is refused without
+    effect, and that the answer of a write is lost; half as many writes again
+    arrive late. With `conditional` false, the last write wins.
+    """
+
+    rng: Random
+    down: bool = False
+    loss: float = 0.0
+    refusal: float = 0.0
+    conditional: bool = True
+    object_by_key: dict = field(default_factory=dict)
+    calls: Counter = field(default_factory=Counter)
+    version: int = 0
+
+    async def get(self, key):
+        """Return the object under `key`, absent or not."""
+        await self._travel("get")
+        if self._is_refused():
+            return Err(Unavailable(key, "refused"))
+        return Ok(self.object_by_key.get(key) or StoredObject.absent(key))
+
+    async def put(self, key, value, version):
+        """Write `value` only if the object still has `version`."""
+        return await self._write(key, value, version)
+
+    async def delete(self, key, version):
+        """Delete the object only if it still has `version`."""
+        return await self._write(key, None, version)
+
+    async def list_versions(self, prefix):
+        """Return the version of each object whose key begins with `prefix`."""
+        items = self.object_by_key.items()
+        return Ok({key: item.version for key, item in items if key.startswith(prefix)})
+
+    async def _write(self, key, value, version):
+        await self._travel("put")
+        if self._is_refused():
+            return Err(Unavailable(key, "refused"))
+        if self.rng.random() < self.loss / 2:
+            asyncio.ensure_future(self._arrive_late(key, value, version))
+            return Err(UnknownOutcome(key, "still under way"))
+        written = self._store(key, value, version)
+        if self.rng.random() < self.loss:
+            return Err(UnknownOutcome(key, "the answer was lost"))
+        return written
+
+    def _store(self, key, value, version):
+        held = self.object_by_key.get(key, StoredObject.absent(key))
+        if self.conditional and held.version != version:
+            return Err(Conflict(key, held.version))
+        self.version += 1
+        if value is None:
+            self.object_by_key.pop(key, None)
+            return Ok(StoredObject.absent(key))
+        self.object_by_key[key] = StoredObject(key, self.version, value)
+        return Ok(self.object_by_key[key])
+
+    async def _arrive_late(self, key, value, version):
+        await asyncio.sleep(LATE_SECONDS)
+        self._store(key, value, version)
+
+    async def _travel(self, kind):
+        self.calls[kind] += 1
+        for _ in range(self.rng.randrange(5)):
+            await asyncio.sleep(0)
+
+    def _is_refused(self):
+        return self.down or self.rng.random() < self.refusal
