--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 PACKAGES := coordination wire platform daemon control standins
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 
-.PHONY: bench bench-overhead histories trial-rollouts demo test lint setup
+.PHONY: demo test lint setup
+.PHONY: bench bench-claims bench-overhead histories trial-rollouts
 
 bench: setup
 	$(BIN)/python -m wharf_standins bench
@@ -15,6 +16,10 @@
 bench-overhead: setup
 	$(BIN)/python -m wharf_standins bench-overhead
 
+bench-claims: setup
+	$(BIN)/python -m wharf_standins claims-bench
+	$(BIN)/python -m wharf_standins outage-trial
+
 histories: setup
 	$(BIN)/python -m wharf_standins histories --seeds 1-200 --requests 500
 
--- a/packages/coordination/src/wharf_coordination/__init__.py
+++ b/packages/coordination/src/wharf_coordination/__init__.py
@@ -63,6 +63,7 @@
     "ReceiveWindow",
     "Refusal",
     "RetryBudget",
+    "ranked",
     "SeenSet",
     "SendWindow",
     "ServiceTimes",
@@ -71,6 +72,5 @@
     "WarmUp",
     "bound_for",
     "chunk_cost",
-    "ranked",
     "subset",
 ]
