--- a/packages/coordination/src/wharf_coordination/rollout/share_plan.py
+++ b/packages/coordination/src/wharf_coordination/rollout/share_plan.py
@@ -6,7 +6,7 @@
 
 PULSED_STEP = 1
 PULSE_SHARE = 0.9
-PULSE_FRACTION = 0.035
+PULSE_FRACTION = 0.033
 PULSES_PER_ROLLOUT = 8
 MIN_PULSE_PERIOD_SECONDS = 1.0
 GUARD_FRACTION = 0.08
@@ -24,7 +24,7 @@
     """
 
     duration: float
-    shares: tuple[float, ...] = (0.01, 0.015, 0.25, 0.5, 0.95)
+    shares: tuple[float, ...] = (0.01, 0.012, 0.25, 0.5, 0.95)
     begin_fractions: tuple[float, ...] = (0.0, 0.05, 0.5, 0.58, 0.66)
     finish_fraction: float = 0.76
 
