Start, stop and show rollouts with wharfctl, and try them on real daemons

Cause: operators had no command for rollouts, and only the pure parts were tried.

Change: wharfctl rollout start, stop and status; trial-daemons rolls out a version of each kind through real entries and sidecars on loopback.

--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 
 trial-rollouts: setup
 	$(BIN)/python -m wharf_standins trial-rollouts
+	$(BIN)/python -m wharf_standins trial-daemons
 
 test: setup
 	$(BIN)/python -m pytest
--- a/packages/control/src/wharf_control/main.py
+++ b/packages/control/src/wharf_control/main.py
@@ -6,6 +6,7 @@
 
 from wharf_control.data_centre_commands import bring_back, take_out
 from wharf_control.folder_commands import apply, check, show
+from wharf_control.rollout_commands import ROLLOUT_COMMANDS
 from wharf_control.state_commands import dump, status
 
 __all__ = ["COMMANDS", "main"]
@@ -16,6 +17,7 @@
     "show": show,
     "take-out": take_out,
     "bring-back": bring_back,
+    "rollout": ROLLOUT_COMMANDS,
     "status": status,
     "dump": dump,
 }
--- /dev/null
+++ b/packages/control/tests/test_rollout_commands.py
@@ -0,0 +1,116 @@
+"""Requests to start, stop and show rollouts."""
+
+import json
+
+import pytest
+
+from wharf_control import rollout_commands
+from wharf_control.change_refused import Invalid
+from wharf_control.exit_code import ExitCode
+from wharf_control.outcome import Outcome
+from wharf_control.rollout_start import RolloutStart
+from wharf_coordination.rollout import RolloutOutcome, RouteEvidence
+from wharf_platform import StoredObject
+from wharf_platform.configuration import Document, Folder
+
+PLATFORM = "http://127.0.0.1:1"
+
+
+@pytest.fixture
+def document():
+    upstream = {"pool": "model", "data_centre": "dc-1", "address": "127.0.0.1:1"}
+    newer = upstream | {"address": "127.0.0.1:2", "version": "2"}
+    folder = {
+        "data_centres": {"dc-1": {}},
+        "pools": {"model": {}},
+        "upstreams": {"model-1": upstream, "model-2": newer},
+    }
+    return Document(revision=1, folder=Folder.model_validate(folder))
+
+
+def begin(document, pool="model", old="1", new="2", deadline=60.0):
+    request = RolloutStart("r1", pool, old, new, deadline)
+    return request.fields(document, wall_now=1000.0)
+
+
+def test_start_adds_a_record(document):
+    rollout = begin(document)["rollouts"]["model"]
+    assert (rollout.old_version, rollout.new_version) == ("1", "2")
+    assert (rollout.duration, rollout.started_at) == (60.0, 1000.0)
+    assert rollout.is_running
+
+
+@pytest.mark.parametrize(
+    ("changes", "place"),
+    [
+        ({"pool": "none"}, "pool"),
+        ({"old": "0"}, "from"),
+        ({"new": "1"}, "to"),
+        ({"new": "3"}, "to"),
+        ({"deadline": 1.0}, "deadline"),
+        ({"deadline": float("nan")}, "deadline"),
+        ({"deadline": 1e9}, "deadline"),
+    ],
+)
+def test_start_names_what_is_wrong(document, changes, place):
+    refused = begin(document, **changes)
+    assert isinstance(refused, Invalid)
+    assert refused.place == place
+
+
+def test_second_start_is_refused_while_one_runs(document):
+    running = document.successor("op", **begin(document))
+    assert begin(running).place == "pool"
+    rollout = running.rollouts["model"].take_back("errors", (), 0).unwrap()
+    ended = running.successor("op", rollouts={"model": rollout})
+    assert "rollouts" in begin(ended)
+
+
+@pytest.fixture
+def published(document, monkeypatch):
+    """Let commands work on a document in memory; return the changed fields."""
+    changed = []
+
+    def run(platform, wait, fields):
+        changed.append(fields(document.successor("op", **begin(document))))
+        return Outcome(ExitCode.OK, ("accepted",))
+
+    monkeypatch.setattr(rollout_commands.Publisher, "run", run)
+    return changed
+
+
+def test_stop_takes_the_rollout_back(published):
+    assert rollout_commands.ROLLOUT_COMMANDS["stop"]("model", platform=PLATFORM) == 0
+    rollout = published[0]["rollouts"]["model"]
+    assert rollout.outcome is RolloutOutcome.TAKEN_BACK
+    assert rollout.reason == "stopped by an operator"
+
+
+def test_stop_without_a_rollout_is_refused(published):
+    rollout_commands.ROLLOUT_COMMANDS["stop"]("none", platform=PLATFORM)
+    assert published[0].place == "rollout"
+
+
+def test_status_shows_the_outcome_with_its_evidence(document, monkeypatch, capsys):
+    evidence = RouteEvidence("ask/generate", 90, 1, 0.1, 10, 9, 0.2)
+    rollout = begin(document)["rollouts"]["model"]
+    rollout = rollout.take_back("errors", (evidence,), 3).unwrap()
+    held = document.successor("op", rollouts={"model": rollout})
+
+    async def get(client, key):
+        return rollout_commands.Ok(StoredObject(key, 1, held.to_json()))
+
+    monkeypatch.setattr(rollout_commands.ObjectClient, "get", get)
+    status = rollout_commands.ROLLOUT_COMMANDS["status"]
+    assert status("model", platform=PLATFORM) == 0
+    shown = capsys.readouterr().out
+    assert "taken back" in shown
+    assert "errors" in shown
+    assert "9 of 10 failed, median 200.0 ms" in shown
+    assert status("model", platform=PLATFORM, json=True) == 0
+    report = json.loads(capsys.readouterr().out)["rollouts"]["model"]
+    assert (report["outcome"], report["evidence"][0]["new_failures"]) == (
+        "taken back",
+        9,
+    )
+    assert status("none", platform=PLATFORM) == ExitCode.FAULTY
--- a/packages/coordination/src/wharf_coordination/rollout/rollout.py
+++ b/packages/coordination/src/wharf_coordination/rollout/rollout.py
@@ -11,7 +11,7 @@
 
 __all__ = ["MAX_DURATION_SECONDS", "MIN_DURATION_SECONDS", "Rollout"]
 
-MIN_DURATION_SECONDS = 1.0
+MIN_DURATION_SECONDS = 30.0
 MAX_DURATION_SECONDS = 12 * 3600.0
 
 
--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -7,10 +7,11 @@
 from wharf_standins.demo import demo
 from wharf_standins.history.command import histories
 from wharf_standins.rollout_trial.command import trial_rollouts
+from wharf_standins.rollout_trial.daemon_command import trial_daemons
 from wharf_standins.serve import engine, platform
 
 __all__ = []
 
 if __name__ == "__main__":
-    commands = [demo, engine, platform, trial_rollouts, histories]
+    commands = [demo, engine, platform, trial_rollouts, trial_daemons, histories]
     sys.exit(defopt.run(commands, no_negated_flags=True))
