Order the new version into upstreams, a few loads at a time

Cause: new upstreams start without the version, and the weight store is rate-limited.

Ruled out: loads ordered by each sidecar by itself, since no one would count them.

Change: the holder of the lease orders load_version with its fencing number, at most max_loads at a time. Rollouts and orders share one lease. Histories don't wait for the stop of a daemon that was killed.

--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -23,6 +23,7 @@
 from wharf_daemon.entry.rollout_driver import RolloutDriver
 from wharf_daemon.entry.rollout_table import RolloutTable
 from wharf_daemon.entry.stage_runner import StageRunner
+from wharf_daemon.entry.version_loader import VersionLoader
 from wharf_daemon.entry.version_router import VersionRouter
 from wharf_daemon.fact_feed import FactFeed
 from wharf_daemon.http_site import HttpSite
@@ -166,8 +167,15 @@
 
     def _rollout_driver(self):
         name = f"{self.settings.name}-{self._incarnation}"
+        loader = VersionLoader(self.orders, self.feed, self.settings.max_loads)
         return RolloutDriver(
-            name, self.store, self.rollouts, self.facts, self.metrics, self._rng
+            name,
+            self.store,
+            self.rollouts,
+            self.facts,
+            loader,
+            self.metrics,
+            self._rng,
         )
 
     def _caller_application(self):
--- a/packages/daemon/src/wharf_daemon/entry/rollout_driver.py
+++ b/packages/daemon/src/wharf_daemon/entry/rollout_driver.py
@@ -10,6 +10,7 @@
 from wharf_coordination import Code, Lease, Refusal
 from wharf_coordination.rollout import Advance, Finish, TakeBack, Wait
 from wharf_platform import (
+    ORDERS_SUBJECT,
     ConditionalUpdate,
     LeaseKeeper,
     RolloutChange,
@@ -19,7 +20,6 @@
 
 __all__ = ["RolloutDriver"]
 
-LEASE_SUBJECT = "rollouts"
 LEASES_PER_ROLLOUT = 20
 MIN_LEASE_SECONDS = 1.0
 MAX_LEASE_SECONDS = 30.0
@@ -36,11 +36,12 @@
     and each write is conditional and carries the lease's fencing number.
     """
 
-    def __init__(self, name, store, table, facts, metrics, rng):
+    def __init__(self, name, store, table, facts, loader, metrics, rng):
         self._name = name
         self._store = store
         self._table = table
         self._facts = facts
+        self._loader = loader
         self._metrics = metrics
         self._rng = rng
         self._keeper = None
@@ -54,7 +55,10 @@
                 running = self._table.running()
                 self._contend(running)
                 self._look(running)
-                if self._may_write():
+                if self._is_elected():
+                    fencing = self._keeper.lease.fencing
+                    self._loader.load(running, fencing, self._now())
+                if self._is_elected() and not self._is_writing():
                     self._writer = asyncio.create_task(self._drive(running))
                 pauses = (part.look_interval for part in running)
                 await asyncio.sleep(min(pauses, default=IDLE_SECONDS))
@@ -67,7 +71,7 @@
             duration = longest / LEASES_PER_ROLLOUT
             duration = min(MAX_LEASE_SECONDS, max(MIN_LEASE_SECONDS, duration))
             lease = Lease(self._name, duration)
-            self._keeper = LeaseKeeper(self._store, LEASE_SUBJECT, lease, self._rng)
+            self._keeper = LeaseKeeper(self._store, ORDERS_SUBJECT, lease, self._rng)
             self._contender = asyncio.create_task(self._keeper.run())
         elif not running and self._contender:
             self._contender.cancel()
@@ -82,9 +86,11 @@
                 log.warning("version_vetoed", subject=fact.subject, reason=fact.reason)
                 self._facts.state(fact)
 
-    def _may_write(self):
-        is_writing = self._writer is not None and not self._writer.done()
-        return self._contender and self._keeper.is_held() and not is_writing
+    def _is_elected(self):
+        return self._contender is not None and self._keeper.is_held()
+
+    def _is_writing(self):
+        return self._writer is not None and not self._writer.done()
 
     async def _drive(self, running):
         for participant in running:
--- a/packages/daemon/src/wharf_daemon/entry/settings.py
+++ b/packages/daemon/src/wharf_daemon/entry/settings.py
@@ -10,8 +10,9 @@
 class EntrySettings(CommonSettings):
     """What an entry is told; `peers` are sidecars to ask before any configuration.
 
-    Sizes are in bytes. At a planned stop the entry shows not ready and keeps
-    accepting requests for `drain_delay` seconds, so that the balancer notices.
+    Sizes are in bytes. `max_loads` bounds the versions that upstreams load at a
+    time. At a planned stop the entry shows not ready and keeps accepting requests
+    for `drain_delay` seconds, so that the balancer notices.
     """
 
     peers: tuple[Address, ...] = ()
@@ -19,3 +20,4 @@
     max_answer: int = Field(default=8 << 20, ge=1, le=64 << 20)
     drain_delay: float = Field(default=3.0, ge=0, le=600)
     max_requests: int = Field(default=2000, ge=1)
+    max_loads: int = Field(default=2, ge=1, le=1000)
--- /dev/null
+++ b/packages/daemon/src/wharf_daemon/entry/version_loader.py
@@ -0,0 +1,69 @@
+"""Loading of a rollout's new version into the upstreams that declare it."""
+
+import asyncio
+
+from result import Err, Ok
+
+from wharf_coordination import Ran, Refusal
+from wharf_coordination.rollout import LoadLimiter
+
+__all__ = ["VersionLoader"]
+
+LOAD_OPERATION = "load_version"
+LOAD_TIMEOUT_SECONDS = 300.0
+
+
+class VersionLoader:
+    """Order loads, a few at a time, since the weight store is rate-limited.
+
+    An upstream that has not loaded the version refuses its calls as not run, so
+    nothing waits for a load. Orders name the wanted state, so that the next
+    holder of the lease may give them all again.
+    """
+
+    def __init__(self, orders, feed, max_loads):
+        self._orders = orders
+        self._feed = feed
+        self._limiter = LoadLimiter(max_loads, LOAD_TIMEOUT_SECONDS)
+        self._loaded = set()
+        self._tasks = set()
+
+    def load(self, running, fencing, now):
+        """Order the next loads for the running rollouts."""
+        document = self._feed.document
+        for participant in running:
+            rollout = participant.rollout
+            waiting = [
+                name
+                for name in _upstreams(document, rollout)
+                if (rollout.id, name) not in self._loaded
+            ]
+            for name in self._limiter.begin(waiting, now):
+                task = asyncio.create_task(self._order(rollout, name, fencing))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+
+    async def _order(self, rollout, name, fencing):
+        version = rollout.new_version
+        obeyed = await self._orders.send(name, LOAD_OPERATION, version, fencing)
+        match obeyed:
+            case Ok(_):
+                self._loaded.add((rollout.id, name))
+                self._limiter.end(name)
+            case Err(Refusal(ran=Ran.NO)):
+                self._limiter.end(name)
+            case Err(_):
+                # It may still load, so it counts until its time is over.
+                pass
+
+
+def _upstreams(document, rollout):
+    folder = document.folder
+    pool = folder.pools.get(rollout.pool)
+    if pool is None or pool.kind != "engine":
+        return []
+    return [
+        name
+        for name, upstream in sorted(folder.upstreams.items())
+        if upstream.pool == rollout.pool and upstream.version == rollout.new_version
+    ]
--- a/packages/standins/src/wharf_standins/history/injector.py
+++ b/packages/standins/src/wharf_standins/history/injector.py
@@ -86,10 +86,10 @@
 
     async def _kill_entry(self):
         entry = self._system.entries[1]
-        begin = self._now()
-        await kill_entry(entry)
-        self._span(SpanKind.DOWN, entry.settings.name, begin)
         await self._system.replace_entry(1)
+        self._span(SpanKind.DOWN, entry.settings.name, self._now())
+        self._system.killed.append(entry)
+        await kill_entry(entry)
 
     async def _stop_entry(self):
         entry = self._system.entries[1]
@@ -101,7 +101,9 @@
     async def _kill_sidecar(self):
         name = "model-2"
         begin = self._now()
-        await kill_sidecar(self._system.sidecar_by_name[name])
+        sidecar = self._system.sidecar_by_name[name]
+        self._system.killed.append(sidecar)
+        await kill_sidecar(sidecar)
         await asyncio.sleep(FAULT_SECONDS / 2)
         await self._system.replace_sidecar(name)
         self._span(SpanKind.DOWN, name, begin, self._now())
--- a/packages/standins/src/wharf_standins/loopback.py
+++ b/packages/standins/src/wharf_standins/loopback.py
@@ -21,7 +21,8 @@
     """Stand-ins, sidecars and entries on free ports, stopped on exit.
 
     `shape` maps a pool's name to its upstreams' data centres, `versions` an
-    upstream's name to its version where that is not the pool's.
+    upstream's name to its version where that is not the pool's. Daemons in `killed`
+    are not stopped on exit.
     """
 
     def __init__(
@@ -44,6 +45,7 @@
         self.sidecar_by_name = {}
         self._address_by_name = {}
         self.entries = []
+        self.killed = []
         self.platform = Platform()
 
     async def __aenter__(self):
@@ -113,7 +115,11 @@
 
     async def _run(self, daemon):
         await daemon.start()
-        self._stack.push_async_callback(daemon.stop)
+        self._stack.push_async_callback(self._stop, daemon)
+
+    async def _stop(self, daemon):
+        if daemon not in self.killed:
+            await daemon.stop()
 
     async def _start_upstream(self, name, data_centre):
         engine = Engine(name, data_centre)
