--- a/packages/coordination/src/wharf_coordination/rollout/evidence.py
+++ b/packages/coordination/src/wharf_coordination/rollout/evidence.py
@@ -90,6 +90,20 @@
             if count >= MIN_RECENT and self._new_total_by_route[route] < calls
         )
 
+    def calls_at_usual_load(self, now) -> int:
+        """Return the new version's kept calls at the old one's median load or above."""
+        bands = sorted(
+            cell.band
+            for cell, samples in self._old_by_cell.items()
+            for _ in self._recent(samples, now)
+        )
+        usual = bands[len(bands) // 2] if bands else 0
+        return sum(
+            len(samples)
+            for cell, samples in self._new_by_cell.items()
+            if cell.band >= usual
+        )
+
     def summary(self, now) -> list[RouteEvidence]:
         """Return the evidence for each route."""
         cells = [*self._old_by_cell, *self._new_by_cell]
