--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 PACKAGES := coordination wire platform daemon control standins
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 
-.PHONY: propagation histories trial-rollouts demo test lint setup
+.PHONY: bench-overhead propagation histories trial-rollouts demo test lint setup
 
 demo: setup
 	$(BIN)/python -m wharf_standins demo
@@ -12,6 +12,9 @@
 propagation: setup
 	$(BIN)/python -m wharf_standins propagation
 
+bench-overhead: setup
+	$(BIN)/python -m wharf_standins bench-overhead
+
 histories: setup
 	$(BIN)/python -m wharf_standins histories --seeds 1-200 --requests 500
 
