--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -6,8 +6,8 @@
 
 from wharf_standins.demo import demo
 from wharf_standins.history.command import histories
-from wharf_standins.propagation.command import propagation
 from wharf_standins.overhead_bench import bench_overhead
+from wharf_standins.propagation.command import propagation
 from wharf_standins.rollout_trial.command import trial_rollouts
 from wharf_standins.rollout_trial.daemon_command import trial_daemons
 from wharf_standins.serve import engine, platform
