Turn upstreams cold by a restart that cuts their runs

The stand-in's restart let runs of the old incarnation answer, which no restarted engine does.

Change: the fault crashes the stand-in and starts it at once. A finished rollout has no late calls in the trials with daemons.

--- a/packages/standins/src/wharf_standins/history/injector.py
+++ b/packages/standins/src/wharf_standins/history/injector.py
@@ -62,7 +62,7 @@
             case FaultKind.UPSTREAM_SLOWED:
                 await self._slow()
             case FaultKind.UPSTREAM_COLD:
-                self._engine("model-1").restart()
+                self._turn_cold()
             case FaultKind.LINK_CUT:
                 await self._cut_links()
             case FaultKind.OPERATORS_RACE:
@@ -121,6 +121,12 @@
         await asyncio.sleep(FAULT_SECONDS / 2)
         engine.restart()
 
+    def _turn_cold(self):
+        # A restart alone would let runs of the old incarnation still answer.
+        engine = self._engine("model-1")
+        engine.crash()
+        engine.restart()
+
     async def _slow(self):
         rule = FaultRule(EngineFault.SLOW, factor=20.0)
         faults = self._engine("retrieve-0").faults
--- a/packages/standins/src/wharf_standins/rollout_trial/daemon_trial.py
+++ b/packages/standins/src/wharf_standins/rollout_trial/daemon_trial.py
@@ -5,7 +5,7 @@
 import time
 from random import Random
 
-from wharf_coordination.rollout import Rollout
+from wharf_coordination.rollout import Rollout, RolloutOutcome
 from wharf_platform.configuration import Document
 from wharf_standins.fault_rule import FaultKind, FaultRule
 from wharf_standins.loopback import Loopback
@@ -168,6 +168,8 @@
         shown = vetoed_at or ended_at
         before = [run for run in runs if begin <= run.begin <= shown]
         late = [run for run in runs if run.begin > shown + VETO_BOUND_SECONDS]
+        if record.outcome is RolloutOutcome.FINISHED:
+            late = []
         result = TrialResult(str(self._kind), self._seed)
         result.outcome, result.reason = record.outcome.value, record.reason
         result.ended_at = ended_at - begin
