--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 
 .PHONY: demo test lint setup
-.PHONY: bench bench-claims bench-overhead histories trial-rollouts
+.PHONY: bench bench-claims bench-overhead histories propagation trial-rollouts
 
 bench: setup
 	$(BIN)/python -m wharf_standins bench
@@ -13,6 +13,9 @@
 demo: setup
 	$(BIN)/python -m wharf_standins demo
 
+propagation: setup
+	$(BIN)/python -m wharf_standins propagation
+
 bench-overhead: setup
 	$(BIN)/python -m wharf_standins bench-overhead
 
@@ -25,6 +28,7 @@
 
 trial-rollouts: setup
 	$(BIN)/python -m wharf_standins trial-rollouts
+	$(BIN)/python -m wharf_standins trial-daemons
 
 test: setup
 	$(BIN)/python -m pytest
