--- a/Makefile
+++ b/Makefile
@@ -4,18 +4,31 @@
 PACKAGES := coordination wire platform daemon control standins
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 
-.PHONY: bench histories trial-rollouts demo test lint setup
+.PHONY: demo test lint setup
+.PHONY: bench bench-claims bench-overhead histories propagation trial-rollouts
+
 bench: setup
 	$(BIN)/python -m wharf_standins bench
 
 demo: setup
 	$(BIN)/python -m wharf_standins demo
 
+propagation: setup
+	$(BIN)/python -m wharf_standins propagation
+
+bench-overhead: setup
+	$(BIN)/python -m wharf_standins bench-overhead
+
+bench-claims: setup
+	$(BIN)/python -m wharf_standins claims-bench
+	$(BIN)/python -m wharf_standins outage-trial
+
 histories: setup
 	$(BIN)/python -m wharf_standins histories --seeds 1-200 --requests 500
 
 trial-rollouts: setup
 	$(BIN)/python -m wharf_standins trial-rollouts
+	$(BIN)/python -m wharf_standins trial-daemons
 
 test: setup
 	$(BIN)/python -m pytest
--- a/packages/daemon/src/wharf_daemon/sidecar/link_server.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/link_server.py
@@ -14,6 +14,7 @@
 from wharf_wire import (
     Call,
     Cancel,
+    ClaimRequest,
     ConfigurationOffer,
     Credit,
     Facts,
@@ -81,9 +82,7 @@
         revision = self._sidecar.feed.document.revision
         if revision > self.peer_revision:
             self.peer_revision = revision
-            await self.send_quietly(
-                ConfigurationOffer(revision, self._sidecar.feed.json)
-            )
+            await self.send_quietly(self._sidecar.feed.message())
 
     async def _read(self):
         async for frame in self._socket:
@@ -111,11 +110,13 @@
             case Hello(name=name, revision=revision):
                 self.peer = name
                 self._observe_revision(revision)
-            case ConfigurationOffer(revision=revision, document=document):
+            case ConfigurationOffer(revision=revision):
                 self.peer_revision = max(self.peer_revision, revision)
-                self._sidecar.feed.offer(document, self.peer)
+                self._sidecar.feed.receive(message, self.peer)
             case Facts():
                 self._sidecar.facts.receive(message)
+            case ClaimRequest():
+                asyncio.ensure_future(self._claim(message))
             case Order():
                 asyncio.ensure_future(self._order(message))
             case _:
@@ -132,6 +133,11 @@
             # A task, since the reader must never wait for a write.
             asyncio.ensure_future(self.offer_configuration())
 
+    async def _claim(self, request):
+        reply = await self._sidecar.claims.handle(request)
+        if reply:
+            await self.send_quietly(reply)
+
     async def _order(self, order):
         result = await self._sidecar.orders.handle(order)
         await self.send_quietly(OrderResult.from_result(order.id, result))
