Begin a lost whole answer anew instead of joining it to its retry

Cause: an answer that isn't streamed comes as one chunk; when the link was lost after it and before the closing frame, the retry asked to resume behind it and the second whole answer was joined to the first. Change: only streams of engines resume; everything else starts empty.

--- a/packages/daemon/src/wharf_daemon/entry/stage_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/stage_runner.py
@@ -48,7 +48,8 @@
                 break
             if not self._may_try_again(task, last, answer):
                 break
-            if not self._can_resume(task):
+            if not (task.streaming and self._can_resume(task)):
+                # What can't be resumed is begun anew, never joined.
                 answer = AnswerAssembler(self._max_answer)
         return Err(Refusal(last.code, ran.join(last.ran), last.detail))
 
