Number the bench's arrivals across its warm-up

Cause: a hold of the measured phase had the key of one of the warm-up, so that about half of the holds were answered from their records. Change: the measured phase goes on counting where the warm-up ended.

--- a/packages/standins/src/wharf_standins/bench/arrival.py
+++ b/packages/standins/src/wharf_standins/bench/arrival.py
@@ -25,8 +25,11 @@
     customer: str
 
 
-def arrivals(shape, load, seconds, seed):
-    """Return the arrivals at `load` times the capacity of `shape`."""
+def arrivals(shape, load, seconds, seed, first_number=0):
+    """Return the arrivals at `load` times the capacity of `shape`.
+
+    They are numbered from `first_number`, so that no two phases share a number.
+    """
     rng = Random(seed)
     rate = shape.capacity() * load
     customers = tuple(shape.share_by_customer)
@@ -36,7 +39,7 @@
     while (at := at + rng.expovariate(rate * _factor(at))) < seconds:
         kind = rng.choices(REQUEST_CLASSES, shares)[0]
         customer = rng.choices(customers, weights)[0]
-        result.append(Arrival(len(result), at, kind, customer))
+        result.append(Arrival(first_number + len(result), at, kind, customer))
     return result
 
 
--- a/packages/standins/src/wharf_standins/bench/run.py
+++ b/packages/standins/src/wharf_standins/bench/run.py
@@ -29,10 +29,12 @@
 async def _run(shape, scenario, variant, seconds, seed):
     async with World(shape, variant, seed) as world:
         caller = Caller(world.session, world.entry_urls)
-        await caller.send_all(arrivals(shape, WARM_UP_LOAD, WARM_UP_SECONDS, seed))
+        warm_up = arrivals(shape, WARM_UP_LOAD, WARM_UP_SECONDS, seed)
+        await caller.send_all(warm_up)
         faults = FaultRunner(world, seconds, Random(seed))
         tasks = [asyncio.create_task(faults.run(each)) for each in scenario.faults]
-        outcomes = await caller.send_all(arrivals(shape, scenario.load, seconds, seed))
+        load = arrivals(shape, scenario.load, seconds, seed, len(warm_up))
+        outcomes = await caller.send_all(load)
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
