Condemn requests that crash upstreams, and clear their neighbours

Cause: a request that crashes each upstream that runs it was retried on up to four, and again on each resend by its caller.

Change: the sidecar reports a connection that breaks in the midst of an answer as UPSTREAM_CRASHED and raises a suspicion, a fact that names the request's fingerprint and the death. Suspicions spread to all entries; a suspect runs again only where no other suspect runs, which the sidecar enforces; an answer clears it by a fact; a second death condemns it, at the entries' door under any key. Facts are now bounded by kind, so that a flood of suspicions can't push out vetoes.

Ruled out: status errors and slow answers as deaths; condemning at the first death; a third try when other deaths are frequent, which breaks the bound of two.

--- a/packages/coordination/src/wharf_coordination/__init__.py
+++ b/packages/coordination/src/wharf_coordination/__init__.py
@@ -9,13 +9,19 @@
 from wharf_coordination.chooser import Chooser
 from wharf_coordination.code import Code
 from wharf_coordination.deadline import Deadline
+from wharf_coordination.death_kind import DeathKind
+from wharf_coordination.death_watch import DeathWatch
 from wharf_coordination.fact import Fact, FactKind
 from wharf_coordination.fact_set import FactSet
+from wharf_coordination.fingerprint import request_fingerprint, stage_fingerprint
 from wharf_coordination.gate import Gate
 from wharf_coordination.monotone import Monotone
 from wharf_coordination.priority import Priority
 from wharf_coordination.ran import Ran
 from wharf_coordination.refusal import Refusal
+from wharf_coordination.suspects import Suspects
+from wharf_coordination.suspicion import Suspicion
+from wharf_coordination.verdict import Verdict
 
 __all__ = [
     "AnswerAssembler",
@@ -23,6 +29,8 @@
     "Chooser",
     "Code",
     "Deadline",
+    "DeathKind",
+    "DeathWatch",
     "Fact",
     "FactKind",
     "FactSet",
@@ -31,4 +39,9 @@
     "Priority",
     "Ran",
     "Refusal",
+    "Suspects",
+    "Suspicion",
+    "Verdict",
+    "request_fingerprint",
+    "stage_fingerprint",
 ]
--- a/packages/coordination/src/wharf_coordination/fact.py
+++ b/packages/coordination/src/wharf_coordination/fact.py
@@ -11,14 +11,17 @@
 
     VETO = "veto"
     CONDEMNED = "condemned"
+    SUSPECT = "suspect"
+    CLEARED = "cleared"
 
 
 @dataclass(frozen=True, slots=True)
 class Fact:
-    """State that `subject` is vetoed or condemned, and why.
+    """State what holds of `subject`, and why.
 
     The subject of a veto names a pool and a version, that of a condemnation is
-    the fingerprint of a request.
+    the fingerprint of a request. A suspicion, and what clears it, name the
+    fingerprint of a stage's request and the death of an upstream.
     """
 
     kind: FactKind
--- a/packages/coordination/src/wharf_coordination/fact_set.py
+++ b/packages/coordination/src/wharf_coordination/fact_set.py
@@ -1,5 +1,7 @@
 """A set of facts that only grows until its members expire."""
 
+import math
+from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -16,13 +18,16 @@
     """Accumulate facts; adding is idempotent and its order does not matter.
 
     Merging needs no agreement, so facts may travel by any path. `max_facts`
-    bounds the memory: the oldest fact is dropped first.
+    bounds the memory of each kind: its oldest fact is dropped first, so that a
+    flood of one kind can't push out another.
     """
 
     lifetime: float = LIFETIME_SECONDS
     max_facts: int = MAX_FACTS
     _fact_by_id: dict[tuple[FactKind, str], Fact] = field(default_factory=dict)
     _expiry_by_id: dict[tuple[FactKind, str], float] = field(default_factory=dict)
+    _count_by_kind: Counter[FactKind] = field(default_factory=Counter)
+    _next_expiry: float = math.inf
 
     def add(self, facts: Iterable[Fact], now, lifetime=None) -> list[Fact]:
         """Add facts for `lifetime` seconds; return those that were new.
@@ -35,10 +40,9 @@
         self._expire(now)
         fresh = [fact for fact in facts if fact.id not in self._fact_by_id]
         for fact in fresh:
-            self._fact_by_id[fact.id] = fact
-            self._expiry_by_id[fact.id] = now + (lifetime or self.lifetime)
-        while len(self._fact_by_id) > self.max_facts:
-            self._drop(next(iter(self._fact_by_id)))
+            self._hold(fact, now + (lifetime or self.lifetime))
+            if self._count_by_kind[fact.kind] > self.max_facts:
+                self._drop(next(id for id in self._fact_by_id if id[0] == fact.kind))
         return fresh
 
     def holds(self, kind, subject, now):
@@ -60,11 +64,21 @@
             for fact in self._fact_by_id.values()
         ]
 
+    def _hold(self, fact, expiry):
+        self._fact_by_id[fact.id] = fact
+        self._expiry_by_id[fact.id] = expiry
+        self._count_by_kind[fact.kind] += 1
+        self._next_expiry = min(self._next_expiry, expiry)
+
     def _expire(self, now):
+        if now < self._next_expiry:
+            return
         expired = [id for id, expiry in self._expiry_by_id.items() if expiry <= now]
         for id in expired:
             self._drop(id)
+        self._next_expiry = min(self._expiry_by_id.values(), default=math.inf)
 
     def _drop(self, id):
         del self._fact_by_id[id]
         del self._expiry_by_id[id]
+        self._count_by_kind[id[0]] -= 1
--- a/packages/daemon/src/wharf_daemon/entry/attempt_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/attempt_runner.py
@@ -78,6 +78,7 @@
             body=task.body,
             revision=self._feed.document.revision,
             resume_from=answer.next_sequence,
+            fingerprint=task.fingerprint,
         )
 
     def _now(self):
--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -13,6 +13,7 @@
 from wharf_daemon.configuration_feed import ConfigurationFeed
 from wharf_daemon.entry.attempt_runner import AttemptRunner
 from wharf_daemon.entry.caller_api import CallerApi
+from wharf_daemon.entry.crash_guard import CrashGuard
 from wharf_daemon.entry.link_set import LinkSet
 from wharf_daemon.entry.pipeline_runner import PipelineRunner
 from wharf_daemon.entry.request_reader import RequestReader
@@ -140,15 +141,16 @@
         settings = self.settings
         attempt_runner = AttemptRunner(self.links, self.feed)
         attempt_runner.outcomes.subscribe(self._count_attempt)
+        crash_guard = CrashGuard(attempt_runner, self.facts, self._incarnation)
         stage_runner = StageRunner(
             self.links,
             Chooser(self._rng, settings.data_centre),
             self.feed,
             VersionRouter(self.feed),
-            attempt_runner,
+            crash_guard,
             settings.max_answer,
         )
-        runner = PipelineRunner(stage_runner, self.feed, self.metrics)
+        runner = PipelineRunner(stage_runner, self.feed, self.metrics, crash_guard)
         reader = RequestReader(self.feed, settings.max_body)
         return CallerApi(self, reader, runner, settings.max_body).application()
 
--- a/packages/daemon/src/wharf_daemon/entry/pipeline_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/pipeline_runner.py
@@ -5,7 +5,7 @@
 
 from result import Err, Ok, Result
 
-from wharf_coordination import Ran, Refusal
+from wharf_coordination import Ran, Refusal, stage_fingerprint
 from wharf_daemon.entry.request import Request
 from wharf_daemon.entry.stage_task import StageTask
 
@@ -15,8 +15,9 @@
 class PipelineRunner:
     """Feed each stage the caller's input and the answers of the stages before."""
 
-    def __init__(self, stage_runner, feed, metrics):
+    def __init__(self, stage_runner, feed, metrics, crash_guard):
         self._stage_runner = stage_runner
+        self._crash_guard = crash_guard
         self._feed = feed
         self._metrics = metrics
 
@@ -25,13 +26,18 @@
 
         With `on_chunk`, the last stage's chunks are also passed on as they come.
         """
+        judged = self._crash_guard.admit(request)
+        if judged.is_err():
+            return judged
         stages = self._feed.document.folder.pipelines[request.pipeline].stages
         answers = {}
         outcome = Ok(request.body)
         for stage in stages:
             is_last = stage is stages[-1]
             body = self._input(request, answers)
-            task = StageTask(request, stage, body, on_chunk if is_last else None)
+            fingerprint = stage_fingerprint(request.fingerprint, stage.name)
+            relay = on_chunk if is_last else None
+            task = StageTask(request, stage, body, relay, fingerprint)
             outcome = await self._run_stage(task)
             if outcome.is_err():
                 return Err(self._refusal(outcome.unwrap_err(), answers))
--- a/packages/daemon/src/wharf_daemon/entry/request.py
+++ b/packages/daemon/src/wharf_daemon/entry/request.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from wharf_coordination import Deadline, Priority
+from wharf_coordination import Deadline, Priority, request_fingerprint
 
 __all__ = ["Request"]
 
@@ -19,3 +19,8 @@
     key: str | None
     streaming: bool
     body: bytes
+
+    @property
+    def fingerprint(self):
+        """Return what recognises the request under any key."""
+        return request_fingerprint(self.pipeline, self.customer, self.body)
--- a/packages/daemon/src/wharf_daemon/entry/stage_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/stage_runner.py
@@ -53,6 +53,8 @@
         return self._chooser.choose(candidates, now)
 
     def _may_retry(self, task, refusal):
+        if refusal.code is Code.REQUEST_CONDEMNED:
+            return False
         return refusal.ran is Ran.NO or task.stage.idempotent
 
     def _now(self):
--- a/packages/daemon/src/wharf_daemon/entry/stage_task.py
+++ b/packages/daemon/src/wharf_daemon/entry/stage_task.py
@@ -11,12 +11,16 @@
 
 @dataclass(frozen=True, slots=True)
 class StageTask:
-    """The stage, its input, and where the chunks of a stream go."""
+    """The stage, its input, and where the chunks of a stream go.
+
+    `fingerprint` recognises this stage of the request, whatever its key.
+    """
 
     request: Request
     stage: Stage
     body: bytes
     on_chunk: Callable[[bytes], Awaitable[None]] | None = None
+    fingerprint: str = ""
 
     @property
     def streaming(self):
--- a/packages/daemon/src/wharf_daemon/fact_feed.py
+++ b/packages/daemon/src/wharf_daemon/fact_feed.py
@@ -26,9 +26,9 @@
         self._facts = FactSet()
         self.news = Subject()
 
-    def state(self, fact: Fact):
-        """Hold a fact that this process found out by itself."""
-        self._add([(fact, None)])
+    def state(self, fact: Fact, lifetime=None):
+        """Hold a fact that this process found out, for `lifetime` seconds."""
+        self._add([(fact, lifetime)])
 
     def receive(self, message: Facts):
         """Hold the facts that a peer has sent."""
--- a/packages/daemon/src/wharf_daemon/sidecar/link_server.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/link_server.py
@@ -120,18 +120,25 @@
             return
         begin = asyncio.get_running_loop().time()
         succeeded = False
+        crashes = self._sidecar.crashes
+        epoch = crashes.begin(call)
         try:
             count = 0
             async for body in self._sidecar.upstream.run(call):
                 await self.send(Chunk(call.attempt, call.resume_from + count, body))
                 count += 1
             succeeded = True
+            crashes.answer(epoch)
             elapsed = asyncio.get_running_loop().time() - begin
             await self.send(End(call.attempt, call.resume_from + count, elapsed))
             self._count(call, Code.OK)
         except UpstreamError as failure:
+            if failure.refusal.code is Code.UPSTREAM_CRASHED:
+                # The entry must know its request for a suspect before it fails.
+                await self.send(crashes.crash(call, epoch))
             await self._fail(call, failure.refusal)
         finally:
+            crashes.end(call)
             elapsed = asyncio.get_running_loop().time() - begin
             self._sidecar.release(elapsed, succeeded)
 
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -14,6 +14,7 @@
 from wharf_daemon.http_site import HttpSite, split_address
 from wharf_daemon.metrics import Metrics
 from wharf_daemon.operators_api import OperatorsApi
+from wharf_daemon.sidecar.crash_watch import CrashWatch
 from wharf_daemon.sidecar.link_server import LinkServer
 from wharf_daemon.sidecar.upstream_client import UpstreamClient
 from wharf_wire import MAX_FRAME_BYTES, Hello, Load
@@ -31,13 +32,14 @@
 
     def __init__(self, settings):
         self.settings = settings
+        self._rng = Random(settings.seed)
         self.metrics = Metrics()
         self.feed = ConfigurationFeed(self.metrics)
         self.facts = FactFeed()
         self.gate = Gate(settings.cold_limit, settings.max_limit)
+        self.crashes = CrashWatch(self.facts, self.gate, self._run_name())
         self.links = set()
         self.leaving = False
-        self._rng = Random(settings.seed)
         self._service_time = 0.0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -120,6 +122,9 @@
             return Err(Refusal.not_run(Code.UPSTREAM_LEAVING))
         if self.settings.data_centre in self.feed.document.out_data_centres:
             return Err(Refusal.not_run(Code.DATA_CENTRE_OUT))
+        judged = self.crashes.admit(call)
+        if judged.is_err():
+            return judged
         admitted = self.gate.enter(self._now())
         if admitted.is_ok():
             self._idle.clear()
@@ -177,6 +182,9 @@
         for link in tuple(self.links):
             asyncio.ensure_future(link.offer_configuration())
 
+    def _run_name(self):
+        return f"{self.settings.upstream}/{self._rng.getrandbits(48):012x}"
+
     def _observe_incarnation(self, incarnation):
         self.gate.observe_incarnation(incarnation, self._now())
 
--- a/packages/daemon/src/wharf_daemon/sidecar/upstream_client.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/upstream_client.py
@@ -57,6 +57,10 @@
         except TimeoutError as error:
             failure = Refusal.unknown(Code.DEADLINE_PASSED, "upstream timed out")
             raise UpstreamError(failure) from error
+        except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+            raise UpstreamError(self._crashed(error)) from error
+        except aiohttp.ClientPayloadError as error:
+            raise UpstreamError(self._crashed(error)) from error
         except (aiohttp.ClientError, ValueError, KeyError) as error:
             failure = Refusal.unknown(Code.UPSTREAM_FAILED, repr(error))
             raise UpstreamError(failure) from error
@@ -71,6 +75,9 @@
             RESUME_HEADER: str(call.resume_from),
         }
 
+    def _crashed(self, error):
+        return Refusal.unknown(Code.UPSTREAM_CRASHED, repr(error))
+
     def _check_status(self, response):
         if response.status == 200:
             return
--- a/packages/standins/src/wharf_standins/loopback.py
+++ b/packages/standins/src/wharf_standins/loopback.py
@@ -23,12 +23,21 @@
     `shape` maps a pool's name to its upstreams' data centres.
     """
 
-    def __init__(self, shape, pipelines, entries=1, customers=("acme",), seed=1):
+    def __init__(
+        self,
+        shape,
+        pipelines,
+        entries=1,
+        customers=("acme",),
+        seed=1,
+        engine_type=Engine,
+    ):
         self._shape = shape
         self._pipelines = pipelines
         self._entry_count = entries
         self._customers = customers
         self._seed = seed
+        self._engine_type = engine_type
         self._stack = AsyncExitStack()
         self.engine_by_name = {}
         self.sidecar_by_name = {}
@@ -84,7 +93,7 @@
         return f"http://127.0.0.1:{self.entries[number].port}"
 
     async def _start_upstream(self, name, data_centre):
-        engine = Engine(name, data_centre)
+        engine = self._engine_type(name, data_centre)
         site = await self._site(engine.application())
         settings = SidecarSettings(
             name=f"sidecar-{name}",
--- a/packages/wire/src/wharf_wire/call.py
+++ b/packages/wire/src/wharf_wire/call.py
@@ -15,7 +15,8 @@
     """Ask the sidecar to run one attempt of a stage.
 
     `time_left` is in seconds; `attempt` is unique for each attempt; `resume_from`
-    is the first chunk that the entry still needs.
+    is the first chunk that the entry still needs; `fingerprint` tells by which
+    request the upstream died, if it does.
     """
 
     attempt: Name
@@ -31,4 +32,5 @@
     body: Body
     revision: Count
     resume_from: Count = 0
+    fingerprint: Name = ""
     kind: Literal["call"] = "call"
