--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -6,8 +6,14 @@
 
 from wharf_standins.demo import demo
 from wharf_standins.serve import engine, platform
+from wharf_standins.slopes.peers import ask_streams, serve_upstreams
+from wharf_standins.slopes.profile_relay import profile_relay
 
 __all__ = []
 
 if __name__ == "__main__":
-    sys.exit(defopt.run([demo, engine, platform], no_negated_flags=True))
+    commands = [
+        *(demo, engine, platform),
+        *(profile_relay, ask_streams, serve_upstreams),
+    ]
+    sys.exit(defopt.run(commands, no_negated_flags=True))
--- /dev/null
+++ b/packages/standins/src/wharf_standins/slopes/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement of what each unit of load costs, for docs/CAPACITY.md."""
--- /dev/null
+++ b/packages/standins/src/wharf_standins/slopes/peers.py
@@ -0,0 +1,136 @@
+"""The processes around a measured entry: stand-ins, sidecars and callers."""
+
+import asyncio
+import json
+import subprocess
+import sys
+from contextlib import AsyncExitStack, contextmanager
+from functools import partial
+
+import aiohttp
+
+from wharf_daemon import Sidecar, SidecarSettings
+from wharf_daemon.http_site import HttpSite
+from wharf_platform import ObjectClient
+from wharf_platform.configuration import CONFIGURATION_KEY, Document, Folder
+from wharf_standins.engine import Engine
+from wharf_standins.platform import Platform
+
+__all__ = ["ask_streams", "peer_process", "serve_upstreams"]
+
+ANY_PORT = "127.0.0.1:0"
+CONCURRENCY_LIMIT = 512
+REQUEST_BYTES = 1000
+
+
+@contextmanager
+def peer_process(command, *arguments):
+    """Run a command of the stand-ins; yield its process, ended afterwards."""
+    words = [sys.executable, "-m", "wharf_standins", command, *map(str, arguments)]
+    running = subprocess.Popen(
+        words, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True
+    )
+    try:
+        yield running
+    finally:
+        running.stdin.close()
+        running.wait(timeout=30)
+
+
+def serve_upstreams(upstreams: int, tokens: int, seconds_per_token: float):
+    """Run a platform, engines and sidecars until standard input closes.
+
+    :param upstreams: number of engines, each with a sidecar
+    :param tokens: tokens of each answer
+    :param seconds_per_token: pace of each stream
+    """
+    make = partial(Engine, service_time=tokens * seconds_per_token, tokens=tokens)
+    asyncio.run(_serve_upstreams(upstreams, make))
+
+
+def ask_streams(url: str, requests: int):
+    """Run streamed requests at once; print how many ended whole.
+
+    :param url: of the pipeline
+    :param requests: how many run at the same time
+    """
+    print(asyncio.run(_ask_streams(url, requests)), flush=True)
+
+
+async def _serve_upstreams(count, make_engine):
+    async with AsyncExitStack() as stack:
+        session = await stack.enter_async_context(aiohttp.ClientSession())
+        platform = await _site(stack, Platform().application())
+        url = f"http://127.0.0.1:{platform.port}"
+        addresses = [
+            await _start_upstream(stack, f"model-{number}", url, make_engine)
+            for number in range(count)
+        ]
+        value = Document(revision=1, folder=_folder(addresses)).to_json()
+        await ObjectClient(session, url).put(CONFIGURATION_KEY, value, 0)
+        print(url, flush=True)
+        await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
+
+
+async def _start_upstream(stack, name, platform_url, make_engine):
+    site = await _site(stack, make_engine(name, "dc-1").application())
+    settings = SidecarSettings(
+        name=f"sidecar-{name}",
+        data_centre="dc-1",
+        listen=ANY_PORT,
+        operators_listen=ANY_PORT,
+        platform=platform_url,
+        upstream=name,
+        upstream_url=f"http://127.0.0.1:{site.port}",
+        cold_limit=CONCURRENCY_LIMIT,
+        max_limit=CONCURRENCY_LIMIT,
+        seed=1,
+    )
+    sidecar = Sidecar(settings)
+    await sidecar.start()
+    stack.push_async_callback(sidecar.stop)
+    return f"127.0.0.1:{sidecar.port}"
+
+
+async def _site(stack, application):
+    site = HttpSite(application, ANY_PORT)
+    await site.start()
+    stack.push_async_callback(site.stop)
+    return site
+
+
+def _folder(addresses):
+    limits = {"cold_limit": CONCURRENCY_LIMIT, "max_limit": CONCURRENCY_LIMIT}
+    upstreams = {
+        f"model-{number}": {"pool": "model", "data_centre": "dc-1", "address": address}
+        | limits
+        for number, address in enumerate(addresses)
+    }
+    return Folder.model_validate(
+        {
+            "data_centres": {"dc-1": {}},
+            "customers": {"acme": {}},
+            "pools": {"model": {}},
+            "upstreams": upstreams,
+            "pipelines": {"ask": {"stages": [{"name": "answer", "pool": "model"}]}},
+        }
+    )
+
+
+async def _ask_streams(url, requests):
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        asks = (_ask(session, url, number) for number in range(requests))
+        return sum(await asyncio.gather(*asks))
+
+
+async def _ask(session, url, number):
+    body = json.dumps({"note": f"{number:0{REQUEST_BYTES}}"})
+    headers = {
+        "Customer": "acme",
+        "Accept": "text/event-stream",
+        "Deadline-Seconds": "60",
+    }
+    async with session.post(url, data=body, headers=headers) as response:
+        text = await response.text()
+        return "event: end" in text
