Send the parts of an answer together when they come fast

Cause: an entry spent 102 us on each streamed token (measured before this change, 48 streams over 4 upstreams): a frame, a task switch, a JSON document and a write for each. At 15,000 tokens a second that is one and a half cores.

Change: the sidecar gathers the parts of one answer for gather_seconds (25 ms, under half of the 64 ms that callers expect between tokens) and sends them as one Chunk; the first part goes at once, the end of the answer cuts the wait short, and the window still counts each part. The entry takes them in one step and writes their events at once, with only the text going through the JSON encoder.

The test of slow readers counts all parts of a chunk now, against the same bound.

Ruled out: joining the texts into one event (callers would see fewer, larger chunks, and a resume could no longer name the first part it needs).

--- a/packages/coordination/src/wharf_coordination/answer.py
+++ b/packages/coordination/src/wharf_coordination/answer.py
@@ -23,27 +23,27 @@
     size: int = 0
     chunks: list[bytes] = field(default_factory=list)
 
-    def add(self, sequence, body) -> Result[bool, Refusal]:
-        """Take a chunk; return whether it was new."""
-        if sequence < self.next_sequence:
-            return Ok(False)
+    def add(self, sequence, bodies) -> Result[list[bytes], Refusal]:
+        """Take the chunks from number `sequence` on; return those that were new."""
         if sequence > self.next_sequence:
             detail = f"expected chunk {self.next_sequence}, got {sequence}"
             return Err(Refusal.unknown(Code.ANSWER_BROKEN, detail))
-        if self.size + len(body) > self.max_bytes:
+        fresh = list(bodies[self.next_sequence - sequence :])
+        size = self.size + sum(map(len, fresh))
+        if size > self.max_bytes:
             detail = f"answer exceeds {self.max_bytes} bytes"
             return Err(Refusal.unknown(Code.ANSWER_TOO_LARGE, detail))
-        self.next_sequence += 1
-        self.size += len(body)
-        self.chunks.append(body)
-        return Ok(True)
+        self.next_sequence += len(fresh)
+        self.size = size
+        self.chunks += fresh
+        return Ok(fresh)
 
     def close(self, count) -> Result[bytes, Refusal]:
         """Return the whole answer if exactly `count` chunks were received.
 
         >>> answer = AnswerAssembler(max_bytes=10)
-        >>> answer.add(0, b"ab")
-        Ok(True)
+        >>> answer.add(0, [b"ab"])
+        Ok([b'ab'])
         >>> answer.close(1)
         Ok(b'ab')
         """
--- a/packages/daemon/src/wharf_daemon/entry/attempt_inbox.py
+++ b/packages/daemon/src/wharf_daemon/entry/attempt_inbox.py
@@ -24,7 +24,7 @@
         """Take a frame from the link; a broken window ends the attempt."""
         if self.is_broken:
             return
-        if isinstance(frame, Chunk) and not self._window.accept(chunk_cost(frame.body)):
+        if isinstance(frame, Chunk) and not self._window.accept(_cost(frame)):
             self.is_broken = True
             refusal = Refusal.unknown(Code.ANSWER_BROKEN, "window was exceeded")
             frame = Failed.from_refusal(self._attempt, refusal)
@@ -38,4 +38,8 @@
         """Return the credit to grant after `frame` was consumed, or 0."""
         if not isinstance(frame, Chunk):
             return 0
-        return self._window.consume(chunk_cost(frame.body))
+        return self._window.consume(_cost(frame))
+
+
+def _cost(chunk):
+    return sum(map(chunk_cost, chunk.bodies))
--- a/packages/daemon/src/wharf_daemon/entry/attempt_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/attempt_runner.py
@@ -57,12 +57,12 @@
                 match frame:
                     case Failed():
                         return Err(frame.to_refusal())
-                    case Chunk(sequence=sequence, body=body):
-                        added = answer.add(sequence, body)
+                    case Chunk():
+                        added = answer.add(frame.sequence, frame.bodies)
                         if added.is_err():
                             return added
-                        if added.unwrap() and task.on_chunk:
-                            await task.on_chunk(body)
+                        if task.on_chunks and (bodies := added.unwrap()):
+                            await task.on_chunks(bodies)
                     case end:
                         return answer.close(end.count)
         finally:
--- a/packages/daemon/src/wharf_daemon/entry/caller_api.py
+++ b/packages/daemon/src/wharf_daemon/entry/caller_api.py
@@ -72,7 +72,7 @@
     async def _stream(self, http, request):
         stream = EventStream(http, request.id)
         try:
-            outcome = await self._runner.run(request, stream.send_chunk)
+            outcome = await self._runner.run(request, stream.send_chunks)
             if outcome.is_err() and not stream.is_begun:
                 return self._refused(request.id, outcome.unwrap_err(), request.pipeline)
             await stream.close(outcome)
--- a/packages/daemon/src/wharf_daemon/entry/event_stream.py
+++ b/packages/daemon/src/wharf_daemon/entry/event_stream.py
@@ -1,5 +1,6 @@
 """An answer on its way to a caller as a stream of events."""
 
+import itertools
 import json
 
 from aiohttp import web
@@ -10,6 +11,8 @@
 
 __all__ = ["EventStream"]
 
+_ENCODER = json.JSONEncoder()
+
 
 class EventStream:
     """Send numbered chunks and one closing event that proves the answer whole.
@@ -30,21 +33,32 @@
         """Return whether the caller was sent anything."""
         return self.response.prepared
 
-    async def send_chunk(self, body):
-        """Send one chunk; wait while the caller reads too slowly."""
-        await self._send("chunk", {"sequence": self._count, "text": body.decode()})
-        self._count += 1
+    async def send_chunks(self, bodies):
+        """Send chunks in one write; wait while the caller reads too slowly."""
+        numbered = enumerate(bodies, self._count)
+        self._count += len(bodies)
+        await self._write("".join(itertools.starmap(_chunk_event, numbered)))
 
     async def close(self, outcome):
         """Send the closing event: the count of the chunks, or the refusal."""
         match outcome:
             case Ok(_):
-                await self._send("end", {"chunks": self._count})
+                await self._write(_event("end", {"chunks": self._count}))
             case Err(refusal):
-                await self._send("error", refusal_fields(self._request_id, refusal))
+                fields = refusal_fields(self._request_id, refusal)
+                await self._write(_event("error", fields))
 
-    async def _send(self, kind, data):
+    async def _write(self, events):
         if not self.response.prepared:
             await self.response.prepare(self._http)
-        event = f"event: {kind}\ndata: {json.dumps(data)}\n\n"
-        await self.response.write(event.encode())
+        await self.response.write(events.encode())
+
+
+def _chunk_event(sequence, body):
+    # Only the text needs the encoder, which is the dear part of an event.
+    text = _ENCODER.encode(body.decode())
+    return f'event: chunk\ndata: {{"sequence": {sequence}, "text": {text}}}\n\n'
+
+
+def _event(kind, data):
+    return f"event: {kind}\ndata: {json.dumps(data)}\n\n"
--- a/packages/daemon/src/wharf_daemon/entry/pipeline_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/pipeline_runner.py
@@ -21,10 +21,10 @@
         self._feed = feed
         self._metrics = metrics
 
-    async def run(self, request: Request, on_chunk=None) -> Result[bytes, Refusal]:
+    async def run(self, request: Request, on_chunks=None) -> Result[bytes, Refusal]:
         """Return the last stage's answer, or the first refusal.
 
-        With `on_chunk`, the last stage's chunks are also passed on as they come.
+        With `on_chunks`, the last stage's chunks are also passed on as they come.
         """
         judged = self._crash_guard.admit(request)
         if judged.is_err():
@@ -36,7 +36,7 @@
             is_last = stage is stages[-1]
             body = self._input(request, answers)
             fingerprint = stage_fingerprint(request.fingerprint, stage.name)
-            relay = on_chunk if is_last else None
+            relay = on_chunks if is_last else None
             task = StageTask(request, stage, body, relay, fingerprint)
             outcome = await self._run_stage(task)
             if outcome.is_err():
--- a/packages/daemon/src/wharf_daemon/entry/stage_task.py
+++ b/packages/daemon/src/wharf_daemon/entry/stage_task.py
@@ -19,10 +19,10 @@
     request: Request
     stage: Stage
     body: bytes
-    on_chunk: Callable[[bytes], Awaitable[None]] | None = None
+    on_chunks: Callable[[list[bytes]], Awaitable[None]] | None = None
     fingerprint: str = ""
 
     @property
     def streaming(self):
         """Return whether the answer goes to the caller in chunks."""
-        return self.on_chunk is not None
+        return self.on_chunks is not None
--- a/packages/daemon/src/wharf_daemon/sidecar/running_call.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/running_call.py
@@ -5,9 +5,10 @@
 
 from websockets.exceptions import ConnectionClosed
 
-from wharf_coordination import Code, Refusal, SendWindow, chunk_cost
+from wharf_coordination import Code, Refusal
+from wharf_daemon.sidecar.chunk_sender import ChunkSender
 from wharf_daemon.sidecar.upstream_client import UpstreamError
-from wharf_wire import Call, Chunk, End, Failed
+from wharf_wire import Call, End, Failed
 
 __all__ = ["RunningCall"]
 
@@ -19,14 +20,11 @@
         self._call = call
         self._sidecar = sidecar
         self._send = send
-        self._window = SendWindow()
-        self._credited = asyncio.Event()
-        self._sequence = call.resume_from
+        self._chunks = ChunkSender(call, send, sidecar.settings.gather_seconds)
 
     def credit(self, cost):
         """Allow more of the answer to be sent."""
-        self._window.credit(cost)
-        self._credited.set()
+        self._chunks.credit(cost)
 
     async def run(self):
         """Admit the call, run it and send its frames; end early if cancelled."""
@@ -52,6 +50,7 @@
             if refusal:
                 await self._fail(refusal)
         finally:
+            self._chunks.close()
             crashes.end(self._call)
             self._sidecar.release(self._now() - begin, refusal is None)
 
@@ -59,24 +58,19 @@
         try:
             async with asyncio.timeout(self._call.time_left):
                 async for body in self._sidecar.upstream.run(self._call):
-                    await self._send_chunk(body)
-                elapsed = self._now() - begin
-                await self._send(End(self._call.attempt, self._sequence, elapsed))
+                    await self._chunks.add(body)
+                await self._chunks.flush()
+                count, elapsed = self._chunks.sequence, self._now() - begin
+                await self._send(End(self._call.attempt, count, elapsed))
         except UpstreamError as failure:
+            self._chunks.close()
             return failure.refusal
         except TimeoutError:
+            self._chunks.close()
             return Refusal.unknown(Code.DEADLINE_PASSED)
         self._count(Code.OK)
         return None
 
-    async def _send_chunk(self, body):
-        while not self._window.is_open:
-            self._credited.clear()
-            await self._credited.wait()
-        self._window.sent(chunk_cost(body))
-        await self._send(Chunk(self._call.attempt, self._sequence, body))
-        self._sequence += 1
-
     async def _fail(self, refusal):
         self._count(refusal.code)
         await self._send(Failed.from_refusal(self._call.attempt, refusal))
--- a/packages/daemon/src/wharf_daemon/sidecar/settings.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/settings.py
@@ -10,7 +10,11 @@
 
 
 class SidecarSettings(CommonSettings):
-    """What a sidecar is told; `upstream` is its key in the configuration."""
+    """What a sidecar is told; `upstream` is its key in the configuration.
+
+    Tokens of one answer that follow each other within `gather_seconds` travel in
+    one frame.
+    """
 
     upstream: str = Field(min_length=1, max_length=200)
     upstream_url: str = Field(pattern=r"^http://\S+$")
@@ -18,3 +22,4 @@
     cold_limit: int = Field(default=2, ge=1, le=10_000)
     max_limit: int = Field(default=64, ge=1, le=10_000)
     load_interval: float = Field(default=0.25, gt=0, le=60)
+    gather_seconds: float = Field(default=0.025, ge=0, le=1)
--- a/packages/standins/src/wharf_standins/slopes/peers.py
+++ b/packages/standins/src/wharf_standins/slopes/peers.py
@@ -37,15 +37,22 @@
         running.wait(timeout=30)
 
 
-def serve_upstreams(upstreams: int, tokens: int, seconds_per_token: float):
+def serve_upstreams(
+    upstreams: int,
+    tokens: int,
+    seconds_per_token: float,
+    *,
+    gather_seconds: float = 0.025,
+):
     """Run a platform, engines and sidecars until standard input closes.
 
     :param upstreams: number of engines, each with a sidecar
     :param tokens: tokens of each answer
     :param seconds_per_token: pace of each stream
+    :param gather_seconds: setting of the sidecars
     """
     make = partial(Engine, service_time=tokens * seconds_per_token, tokens=tokens)
-    asyncio.run(_serve_upstreams(upstreams, make))
+    asyncio.run(_serve_upstreams(upstreams, make, gather_seconds))
 
 
 def ask_streams(url: str, requests: int):
@@ -57,13 +64,15 @@
     print(asyncio.run(_ask_streams(url, requests)), flush=True)
 
 
-async def _serve_upstreams(count, make_engine):
+async def _serve_upstreams(count, make_engine, gather_seconds):
     async with AsyncExitStack() as stack:
         session = await stack.enter_async_context(aiohttp.ClientSession())
         platform = await _site(stack, Platform().application())
         url = f"http://127.0.0.1:{platform.port}"
         addresses = [
-            await _start_upstream(stack, f"model-{number}", url, make_engine)
+            await _start_upstream(
+                stack, f"model-{number}", url, make_engine, gather_seconds
+            )
             for number in range(count)
         ]
         value = Document(revision=1, folder=_folder(addresses)).to_json()
@@ -72,7 +81,7 @@
         await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
 
 
-async def _start_upstream(stack, name, platform_url, make_engine):
+async def _start_upstream(stack, name, platform_url, make_engine, gather_seconds):
     site = await _site(stack, make_engine(name, "dc-1").application())
     settings = SidecarSettings(
         name=f"sidecar-{name}",
@@ -84,6 +93,7 @@
         upstream_url=f"http://127.0.0.1:{site.port}",
         cold_limit=CONCURRENCY_LIMIT,
         max_limit=CONCURRENCY_LIMIT,
+        gather_seconds=gather_seconds,
         seed=1,
     )
     sidecar = Sidecar(settings)
--- a/packages/standins/src/wharf_standins/slopes/relay.py
+++ b/packages/standins/src/wharf_standins/slopes/relay.py
@@ -37,10 +37,13 @@
         await entry.stop()
 
 
-async def relay_cpu(requests, tokens, on_begin=None, on_end=None) -> float:
+async def relay_cpu(
+    requests, tokens, on_begin=None, on_end=None, gather_seconds=0.025
+) -> float:
     """Return the processor seconds that an entry takes to relay streams at once."""
+    setting = f"--gather-seconds={gather_seconds}"
     with peer_process(
-        "serve-upstreams", UPSTREAMS, tokens, SECONDS_PER_TOKEN
+        "serve-upstreams", setting, UPSTREAMS, tokens, SECONDS_PER_TOKEN
     ) as upstreams:
         platform_url = await asyncio.to_thread(upstreams.stdout.readline)
         async with running_entry(platform_url.strip(), UPSTREAMS) as entry:
--- a/packages/standins/tests/test_sidecar_links.py
+++ b/packages/standins/tests/test_sidecar_links.py
@@ -119,6 +119,10 @@
     assert sidecar.metrics.dropped_frames._value.get() == 2
 
 
+def cost_of(chunk):
+    return sum(map(chunk_cost, chunk.bodies))
+
+
 async def test_slow_reader_holds_its_own_attempt_only(
     sidecar, engine, entry_peer, make_call
 ):
@@ -140,7 +144,7 @@
                 frame = await asyncio.wait_for(peer.receive(Chunk, End), 10)
                 if isinstance(frame, End):
                     break
-                cost_by_attempt[frame.attempt] += chunk_cost(frame.body)
+                cost_by_attempt[frame.attempt] += cost_of(frame)
             assert (frame.attempt, frame.count) == (f"quick-{number}", 8)
         most = WINDOW_BYTES + chunk_cost(body)
         assert max(cost_by_attempt.values()) <= most
@@ -150,8 +154,8 @@
             await peer.send(Credit(attempt, WINDOW_BYTES))
         while len(ended) < 2:
             match await asyncio.wait_for(peer.receive(Chunk, End), 10):
-                case Chunk(attempt=attempt, body=body):
-                    await peer.send(Credit(attempt, chunk_cost(body)))
+                case Chunk() as chunk:
+                    await peer.send(Credit(chunk.attempt, cost_of(chunk)))
                 case End() as end:
                     ended.append((end.attempt, end.count))
     assert sorted(ended) == [("slow-1", 2000), ("slow-2", 2000)]
