Report load when it moves, and by a heartbeat otherwise

Cause: each sidecar reported to each link every 0.25 s, also when nothing moved. Change: a pure schedule asks for a report at any change of limit, version, revision or leaving, when calls in flight moved by a sixteenth of the limit or the service time by a quarter, and after 2 s in any case. Ruled out: a longer interval alone (keeps the traffic at rest, and makes entries choose by older figures when load moves).

--- a/packages/coordination/src/wharf_coordination/__init__.py
+++ b/packages/coordination/src/wharf_coordination/__init__.py
@@ -25,6 +25,7 @@
 from wharf_coordination.priority import Priority
 from wharf_coordination.ran import Ran
 from wharf_coordination.refusal import Refusal
+from wharf_coordination.report_schedule import ReportSchedule
 from wharf_coordination.seen_set import SeenSet
 from wharf_coordination.suspects import Suspects
 from wharf_coordination.suspicion import Suspicion
@@ -53,6 +54,7 @@
     "Ran",
     "ReceiveWindow",
     "Refusal",
+    "ReportSchedule",
     "Suspects",
     "Suspicion",
     "Verdict",
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -8,7 +8,7 @@
 from result import Err, Result
 from websockets.asyncio.server import serve
 
-from wharf_coordination import Code, Gate, Refusal, SeenSet
+from wharf_coordination import Code, Gate, Refusal, ReportSchedule, SeenSet
 from wharf_daemon.configuration_feed import ConfigurationFeed
 from wharf_daemon.fact_feed import FactFeed
 from wharf_daemon.http_site import HttpSite, split_address
@@ -41,6 +41,7 @@
         self.links = set()
         self.seen = SeenSet()
         self.leaving = False
+        self._reports = ReportSchedule()
         self._service_time = 0.0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -181,10 +182,12 @@
     async def _report_load(self):
         while True:
             await asyncio.sleep(self.settings.load_interval)
-            self._broadcast_load()
+            if self._reports.is_due(self.load(), self._now()):
+                self._broadcast_load()
 
     def _broadcast_load(self):
         report = self.load()
+        self._reports.reported(report, self._now())
         for link in tuple(self.links):
             link.report(report)
 
