--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -6,6 +6,8 @@
 
 from wharf_standins.demo import demo
 from wharf_standins.serve import engine, platform
+from wharf_standins.slopes.command import slopes
+from wharf_standins.slopes.idle_entry import idle_entry
 from wharf_standins.slopes.peers import ask_streams, serve_upstreams
 from wharf_standins.slopes.profile_relay import profile_relay
 
@@ -14,6 +16,6 @@
 if __name__ == "__main__":
     commands = [
         *(demo, engine, platform),
-        *(profile_relay, ask_streams, serve_upstreams),
+        *(slopes, profile_relay, idle_entry, ask_streams, serve_upstreams),
     ]
     sys.exit(defopt.run(commands, no_negated_flags=True))
