--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -5,6 +5,8 @@
 import defopt
 
 from wharf_standins.demo import demo
+from wharf_standins.history.command import histories
+from wharf_standins.rollout_trial.command import trial_rollouts
 from wharf_standins.serve import engine, platform
 from wharf_standins.slopes.command import slopes
 from wharf_standins.slopes.idle_entry import idle_entry
@@ -15,7 +17,7 @@
 
 if __name__ == "__main__":
     commands = [
-        *(demo, engine, platform),
+        *(demo, engine, platform, trial_rollouts, histories),
         *(slopes, profile_relay, idle_entry, ask_streams, serve_upstreams),
     ]
     sys.exit(defopt.run(commands, no_negated_flags=True))
