--- a/packages/daemon/src/wharf_daemon/sidecar/running_call.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/running_call.py
@@ -12,15 +12,21 @@
 
 __all__ = ["RunningCall"]
 
+UPSTREAM_FAULTS = (
+    Code.UPSTREAM_CRASHED,
+    Code.UPSTREAM_FAILED,
+    Code.UPSTREAM_FULL,
+)
+
 
 class RunningCall:
     """Run a call on the upstream and send its answer as the entry's credit allows."""
 
-    def __init__(self, call: Call, sidecar, send):
+    def __init__(self, call: Call, sidecar, link):
         self._call = call
         self._sidecar = sidecar
-        self._send = send
-        self._chunks = ChunkSender(call, send, sidecar.settings.gather_seconds)
+        self._link = link
+        self._chunks = ChunkSender(call, link.send, sidecar.settings.gather_seconds)
 
     def credit(self, cost):
         """Allow more of the answer to be sent."""
@@ -29,7 +35,7 @@
     async def run(self):
         """Admit the call, run it and send its frames; end early if cancelled."""
         with suppress(ConnectionClosed):
-            admitted = self._sidecar.admit(self._call)
+            admitted = self._sidecar.admit(self._call, self._link)
             if admitted.is_err():
                 await self._fail(admitted.unwrap_err())
                 return
@@ -41,42 +47,55 @@
         crashes = self._sidecar.crashes
         epoch = crashes.begin(self._call)
         try:
-            refusal = await self._answer(begin)
-            if refusal is None:
-                crashes.answer(epoch)
-            elif refusal.code is Code.UPSTREAM_CRASHED:
-                # The entry must know its request for a suspect before it fails.
-                await self._send(crashes.crash(self._call, epoch))
-            if refusal:
-                await self._fail(refusal)
+            refusal = await self._answer()
         finally:
             self._chunks.close()
             crashes.end(self._call)
-            self._sidecar.release(self._now() - begin, refusal is None)
+            # Before the last frame, so that its receiver finds the room free.
+            self._sidecar.release(self._call, _proof(refusal))
+        if refusal:
+            if refusal.code is Code.UPSTREAM_CRASHED:
+                # The entry must know its request for a suspect before it fails.
+                await self._link.send(crashes.crash(self._call, epoch))
+            await self._fail(refusal)
+            return
+        crashes.answer(epoch)
+        self._count(Code.OK)
+        load, elapsed = self._sidecar.load(), self._now() - begin
+        frame = End(
+            self._call.attempt,
+            self._chunks.sequence,
+            elapsed,
+            load.in_flight,
+            load.limit,
+        )
+        await self._link.send(frame)
 
-    async def _answer(self, begin) -> Refusal | None:
+    async def _answer(self) -> Refusal | None:
         try:
             async with asyncio.timeout(self._call.time_left):
                 async for body in self._sidecar.upstream.run(self._call):
                     await self._chunks.add(body)
                 await self._chunks.flush()
-                count, elapsed = self._chunks.sequence, self._now() - begin
-                await self._send(End(self._call.attempt, count, elapsed))
         except UpstreamError as failure:
-            self._chunks.close()
             return failure.refusal
         except TimeoutError:
-            self._chunks.close()
             return Refusal.unknown(Code.DEADLINE_PASSED)
-        self._count(Code.OK)
         return None
 
     async def _fail(self, refusal):
         self._count(refusal.code)
-        await self._send(Failed.from_refusal(self._call.attempt, refusal))
+        await self._link.send(Failed.from_refusal(self._call.attempt, refusal))
 
     def _count(self, code):
         self._sidecar.metrics.attempts.labels(self._call.stage, code.label).inc()
 
     def _now(self):
         return asyncio.get_running_loop().time()
+
+
+def _proof(refusal):
+    """Return whether the end of a call shows the upstream well, ill, or neither."""
+    if refusal is None:
+        return True
+    return False if refusal.code in UPSTREAM_FAULTS else None
--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -4,9 +4,15 @@
 
 import defopt
 
+from wharf_standins.bench import bench
+from wharf_standins.claims_bench import claims_bench
 from wharf_standins.demo import demo
 from wharf_standins.history.command import histories
+from wharf_standins.outage_trial import outage_trial
+from wharf_standins.overhead_bench import bench_overhead
+from wharf_standins.propagation.command import propagation
 from wharf_standins.rollout_trial.command import trial_rollouts
+from wharf_standins.rollout_trial.daemon_command import trial_daemons
 from wharf_standins.serve import engine, platform
 from wharf_standins.slopes.command import slopes
 from wharf_standins.slopes.idle_entry import idle_entry
@@ -17,7 +23,9 @@
 
 if __name__ == "__main__":
     commands = [
-        *(demo, engine, platform, trial_rollouts, histories),
+        *(demo, engine, platform),
+        *(bench, bench_overhead, claims_bench, outage_trial),
+        *(histories, propagation, trial_daemons, trial_rollouts),
         *(slopes, profile_relay, idle_entry, ask_streams, serve_upstreams),
     ]
     sys.exit(defopt.run(commands, no_negated_flags=True))
--- a/packages/standins/tests/test_sidecar_links.py
+++ b/packages/standins/tests/test_sidecar_links.py
@@ -136,7 +136,7 @@
         while len(begun) < 2:
             begun.add((await asyncio.wait_for(peer.receive(Chunk), 10)).attempt)
         engine.tokens = 8
-        sidecar.gate.limit = 4
+        sidecar.gate.configure(4, 64)
         cost_by_attempt = Counter()
         for number in range(QUICK_CALLS):
             await peer.send(make_call(f"quick-{number}", streaming=True))
