--- a/packages/daemon/src/wharf_daemon/entry/detachable_sink.py
+++ b/packages/daemon/src/wharf_daemon/entry/detachable_sink.py
@@ -6,18 +6,18 @@
 class DetachableSink:
     """Pass chunks on until detached; drop them afterwards."""
 
-    def __init__(self, on_chunk):
-        self._on_chunk = on_chunk
+    def __init__(self, on_chunks):
+        self._on_chunks = on_chunks
 
     def detach(self):
         """Pass nothing on from now."""
-        self._on_chunk = None
+        self._on_chunks = None
 
-    async def send(self, body):
-        """Pass a chunk on; a caller that can't be reached is detached."""
-        if self._on_chunk is None:
+    async def send(self, bodies):
+        """Pass chunks on; a caller that can't be reached is detached."""
+        if self._on_chunks is None:
             return
         try:
-            await self._on_chunk(body)
+            await self._on_chunks(bodies)
         except OSError:
             self.detach()
--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -17,6 +17,7 @@
 from wharf_daemon.entry.attempt_runner import AttemptRunner
 from wharf_daemon.entry.caller_api import CallerApi
 from wharf_daemon.entry.claim_service import ClaimService
+from wharf_daemon.entry.crash_guard import CrashGuard
 from wharf_daemon.entry.forwarded_claims import ForwardedClaims
 from wharf_daemon.entry.link_set import LinkSet
 from wharf_daemon.entry.order_sender import OrderSender
@@ -193,6 +194,7 @@
         self.outcomes = attempt_runner.outcomes
         self.outcomes.subscribe(self._count_attempt)
         self.outcomes.subscribe(self.rollouts.add_outcome)
+        crash_guard = CrashGuard(attempt_runner, self.facts, self._incarnation)
         budget = TimeBudget(self.feed, self._policy.outliers)
         self.outcomes.subscribe(budget.observe)
         self.admission = Admission(
@@ -208,7 +210,7 @@
             self.feed,
             self.admission,
             self._policy,
-            attempt_runner,
+            crash_guard,
             settings.max_answer,
         )
         claim_store = ForwardedClaims(
@@ -216,7 +218,9 @@
         )
         name = f"{settings.name}-{self._incarnation}"
         self._claims = ClaimService(stage_runner, claim_store, name, self._rng)
-        runner = PipelineRunner(self._claims.runner, self.feed, self.metrics)
+        runner = PipelineRunner(
+            self._claims.runner, self.feed, self.metrics, crash_guard
+        )
         reader = RequestReader(self.feed, settings.max_body)
         return CallerApi(self, reader, runner, settings.max_body).application()
 
--- a/packages/daemon/src/wharf_daemon/sidecar/running_call.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/running_call.py
@@ -5,13 +5,18 @@
 
 from websockets.exceptions import ConnectionClosed
 
-from wharf_coordination import Code, Refusal, SendWindow, chunk_cost
+from wharf_coordination import Code, Refusal
+from wharf_daemon.sidecar.chunk_sender import ChunkSender
 from wharf_daemon.sidecar.upstream_client import UpstreamError
-from wharf_wire import Call, Chunk, End, Failed
+from wharf_wire import Call, End, Failed
 
 __all__ = ["RunningCall"]
 
-UPSTREAM_FAULTS = (Code.UPSTREAM_FAILED, Code.UPSTREAM_FULL)
+UPSTREAM_FAULTS = (
+    Code.UPSTREAM_CRASHED,
+    Code.UPSTREAM_FAILED,
+    Code.UPSTREAM_FULL,
+)
 
 
 class RunningCall:
@@ -21,14 +26,11 @@
         self._call = call
         self._sidecar = sidecar
         self._link = link
-        self._window = SendWindow()
-        self._credited = asyncio.Event()
-        self._sequence = call.resume_from
+        self._chunks = ChunkSender(call, link.send, sidecar.settings.gather_seconds)
 
     def credit(self, cost):
         """Allow more of the answer to be sent."""
-        self._window.credit(cost)
-        self._credited.set()
+        self._chunks.credit(cost)
 
     async def run(self):
         """Admit the call, run it and send its frames; end early if cancelled."""
@@ -42,18 +44,30 @@
     async def _run_admitted(self):
         begin = self._now()
         refusal = Refusal.unknown(Code.CALLER_LEFT)
+        crashes = self._sidecar.crashes
+        epoch = crashes.begin(self._call)
         try:
             refusal = await self._answer()
         finally:
+            self._chunks.close()
+            crashes.end(self._call)
             # Before the last frame, so that its receiver finds the room free.
             self._sidecar.release(self._call, _proof(refusal))
         if refusal:
+            if refusal.code is Code.UPSTREAM_CRASHED:
+                # The entry must know its request for a suspect before it fails.
+                await self._link.send(crashes.crash(self._call, epoch))
             await self._fail(refusal)
             return
+        crashes.answer(epoch)
         self._count(Code.OK)
         load, elapsed = self._sidecar.load(), self._now() - begin
         frame = End(
-            self._call.attempt, self._sequence, elapsed, load.in_flight, load.limit
+            self._call.attempt,
+            self._chunks.sequence,
+            elapsed,
+            load.in_flight,
+            load.limit,
         )
         await self._link.send(frame)
 
@@ -61,21 +75,14 @@
         try:
             async with asyncio.timeout(self._call.time_left):
                 async for body in self._sidecar.upstream.run(self._call):
-                    await self._send_chunk(body)
+                    await self._chunks.add(body)
+                await self._chunks.flush()
         except UpstreamError as failure:
             return failure.refusal
         except TimeoutError:
             return Refusal.unknown(Code.DEADLINE_PASSED)
         return None
 
-    async def _send_chunk(self, body):
-        while not self._window.is_open:
-            self._credited.clear()
-            await self._credited.wait()
-        self._window.sent(chunk_cost(body))
-        await self._link.send(Chunk(self._call.attempt, self._sequence, body))
-        self._sequence += 1
-
     async def _fail(self, refusal):
         self._count(refusal.code)
         await self._link.send(Failed.from_refusal(self._call.attempt, refusal))
--- a/packages/standins/src/wharf_standins/loopback.py
+++ b/packages/standins/src/wharf_standins/loopback.py
@@ -34,6 +34,7 @@
         entries=1,
         customers=("acme",),
         seed=1,
+        engine_type=Engine,
         versions=None,
         services=(),
         cold_bearable=0,
@@ -43,6 +44,7 @@
         self._entry_count = entries
         self._customers = customers
         self._seed = seed
+        self._engine_type = engine_type
         self._versions = versions or {}
         self._services = services
         self._cold_bearable = cold_bearable
@@ -141,7 +143,9 @@
         if kind == "service":
             engine = PlainService(name, data_centre)
         else:
-            engine = Engine(name, data_centre, cold_bearable=self._cold_bearable)
+            engine = self._engine_type(
+                name, data_centre, cold_bearable=self._cold_bearable
+            )
         site = await self._site(engine.application())
         settings = SidecarSettings(
             name=f"sidecar-{name}",
