--- a/packages/standins/src/wharf_standins/claims_bench/claim_client.py
+++ b/packages/standins/src/wharf_standins/claims_bench/claim_client.py
@@ -3,9 +3,7 @@
 import asyncio
 from random import Random
 
-from xxhash import xxh64_intdigest
-
-from wharf_coordination import CallBudget
+from wharf_coordination import CallBudget, by_preference
 from wharf_coordination.claims import ClaimPlace
 from wharf_platform import CallGate, ObjectClient
 from wharf_platform.claims import ClaimStore
@@ -50,11 +48,8 @@
                 return outcome
 
     def _preferred(self, place):
-        weights = [
-            xxh64_intdigest(f"{place.shard}/{entry}".encode())
-            for entry in range(len(self._stores))
-        ]
-        return weights.index(max(weights))
+        entries = [str(entry) for entry in range(len(self._stores))]
+        return int(by_preference(place.shard, entries)[0])
 
     def _client(self, session, url, number):
         budget = CallBudget(CALLS_PER_SECOND)
--- a/packages/standins/src/wharf_standins/claims_bench/command.py
+++ b/packages/standins/src/wharf_standins/claims_bench/command.py
@@ -33,14 +33,15 @@
 )
 
 
-def claims_bench(*, rate: float = 150.0, seconds: float = 2.0):
+def claims_bench(*, rate: float = 600.0, seconds: float = 2.0, only: str = ""):
     """Measure claims, each recorded as done, against calls of the store.
 
     :param rate: claims offered a second by all entries together
     :param seconds: time of each run
+    :param only: measure only schemes whose name contains this
     """
     print(Measurement.HEADER)
-    for scheme in SCHEMES:
+    for scheme in (scheme for scheme in SCHEMES if only in str(scheme)):
         for entries in ENTRY_COUNTS:
             print(asyncio.run(_measure(scheme, entries, rate, seconds)), flush=True)
 
