--- a/Makefile
+++ b/Makefile
@@ -4,11 +4,18 @@
 PACKAGES := coordination wire platform daemon control standins
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 
-.PHONY: histories trial-rollouts bench-claims demo test lint setup
+.PHONY: demo test lint setup
+.PHONY: bench bench-claims bench-overhead histories trial-rollouts
+
+bench: setup
+	$(BIN)/python -m wharf_standins bench
 
 demo: setup
 	$(BIN)/python -m wharf_standins demo
 
+bench-overhead: setup
+	$(BIN)/python -m wharf_standins bench-overhead
+
 bench-claims: setup
 	$(BIN)/python -m wharf_standins claims-bench
 	$(BIN)/python -m wharf_standins outage-trial
--- a/packages/coordination/src/wharf_coordination/rendezvous.py
+++ b/packages/coordination/src/wharf_coordination/rendezvous.py
@@ -1,25 +1,26 @@
-"""Rendezvous hashing: a choice on which all agree who see the same members."""
+"""Rendezvous hashing: the same choice by everyone, without agreement."""
 
-from collections.abc import Iterable
+import xxhash
 
-from xxhash import xxh64_intdigest
+__all__ = ["ranked", "subset"]
 
-__all__ = ["by_preference"]
 
+def ranked(key, names):
+    """Return `names` in the order in which `key` prefers them.
 
-def by_preference(subject, members: Iterable[str]) -> list[str]:
-    """Return `members` ordered by their preference for `subject`.
+    A name that comes or goes moves no other name's place relative to the rest.
 
-    A member that comes or goes changes the first choice of few subjects.
-
-    >>> by_preference("shard-1", ["a", "b", "c"])[0] in "abc"
-    True
-    >>> everyone = by_preference("shard-1", ["a", "b", "c"])
-    >>> by_preference("shard-1", everyone[1:]) == everyone[1:]
+    >>> ranked("entry-1", ["a", "b"]) == ranked("entry-1", ["b", "a"])
     True
     """
+    return sorted(names, key=lambda name: (_score(key, name), name))
+
+
+def subset(key, names, size):
+    """Return the `size` names that `key` prefers, or all when there are fewer."""
+    names = list(names)
+    return set(names if len(names) <= size else ranked(key, names)[:size])
 
-    def weight(member):
-        return xxh64_intdigest(f"{subject}\0{member}".encode())
 
-    return sorted(members, key=weight, reverse=True)
+def _score(key, name):
+    return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -11,8 +11,9 @@
 import structlog
 from result import Err, Ok
 
-from wharf_coordination import Chooser, Code, Refusal
+from wharf_coordination import Code, Refusal
 from wharf_daemon.configuration_feed import ConfigurationFeed
+from wharf_daemon.entry.admission import Admission
 from wharf_daemon.entry.attempt_runner import AttemptRunner
 from wharf_daemon.entry.caller_api import CallerApi
 from wharf_daemon.entry.claim_service import ClaimService
@@ -21,10 +22,12 @@
 from wharf_daemon.entry.order_sender import OrderSender
 from wharf_daemon.entry.pending_replies import PendingReplies
 from wharf_daemon.entry.pipeline_runner import PipelineRunner
+from wharf_daemon.entry.policy import EntryPolicy
 from wharf_daemon.entry.request_reader import RequestReader
 from wharf_daemon.entry.rollout_driver import RolloutDriver
 from wharf_daemon.entry.rollout_table import RolloutTable
 from wharf_daemon.entry.stage_runner import StageRunner
+from wharf_daemon.entry.time_budget import TimeBudget
 from wharf_daemon.entry.version_router import VersionRouter
 from wharf_daemon.fact_feed import FactFeed
 from wharf_daemon.http_site import HttpSite
@@ -41,7 +44,7 @@
 class Entry:
     """Take callers' requests and answer for their outcome."""
 
-    def __init__(self, settings):
+    def __init__(self, settings, policy=None):
         self.settings = settings
         self.metrics = Metrics()
         self.feed = ConfigurationFeed(self.metrics)
@@ -49,6 +52,7 @@
         self.stopping = False
         self._closed = False
         self._rng = Random(settings.seed)
+        self._policy = policy or EntryPolicy.standard(self._rng, settings.data_centre)
         # Never from the seed: two incarnations must not give the same request id.
         self._incarnation = uuid.uuid4().hex[:12]
         self._request_numbers = count()
@@ -76,6 +80,7 @@
         self.feed.documents.subscribe(self._on_document)
         self.facts.news.subscribe(self._broadcast_facts)
         self._follower = asyncio.create_task(self.feed.follow(self.store, self._rng))
+        self._admitter = asyncio.create_task(self.admission.run())
         self._claims.start()
         self._driver = asyncio.create_task(self._rollout_driver().run())
 
@@ -103,6 +108,7 @@
         await self._callers.stop()
         await self._claims.stop(self.settings.stop_grace)
         self._follower.cancel()
+        self._admitter.cancel()
         self._driver.cancel()
         await asyncio.gather(self._driver, return_exceptions=True)
         self.links.close()
@@ -148,6 +154,7 @@
             "revision": self.feed.document.revision,
             "stopping": self.stopping,
             "running": self._running,
+            "waiting": self.admission.dump(),
             "store_calls": self.store.calls_by_kind,
             "claims": self._claims.dump(),
             "facts": self.facts.dump(),
@@ -175,13 +182,24 @@
         settings = self.settings
         self.rollouts = RolloutTable(self.feed, self.facts)
         attempt_runner = AttemptRunner(self.links, self.feed)
-        attempt_runner.outcomes.subscribe(self._count_attempt)
-        attempt_runner.outcomes.subscribe(self.rollouts.add_outcome)
-        stage_runner = StageRunner(
+        self.outcomes = attempt_runner.outcomes
+        self.outcomes.subscribe(self._count_attempt)
+        self.outcomes.subscribe(self.rollouts.add_outcome)
+        budget = TimeBudget(self.feed, self._policy.outliers)
+        self.outcomes.subscribe(budget.observe)
+        self.admission = Admission(
             self.links,
-            Chooser(self._rng, settings.data_centre),
             self.feed,
             VersionRouter(self.feed, self.rollouts, self.links),
+            self._policy,
+            budget,
+            settings.max_requests,
+        )
+        stage_runner = StageRunner(
+            self.links,
+            self.feed,
+            self.admission,
+            self._policy,
             attempt_runner,
             settings.max_answer,
         )
@@ -205,7 +223,5 @@
         asyncio.ensure_future(self.links.send_all(message))
 
     def _on_document(self, document):
-        upstreams = document.folder.upstreams.values()
-        addresses = {upstream.address for upstream in upstreams}
-        self.links.reconcile(addresses or self.settings.peers)
+        self.links.follow(document)
         asyncio.ensure_future(self.links.offer_configuration())
--- a/packages/daemon/src/wharf_daemon/entry/forwarded_claims.py
+++ b/packages/daemon/src/wharf_daemon/entry/forwarded_claims.py
@@ -4,7 +4,7 @@
 
 from result import Err, Ok, Result
 
-from wharf_coordination import by_preference
+from wharf_coordination import ranked
 from wharf_coordination.claims import ClaimOperation, ClaimOutcome, ClaimPlace
 from wharf_daemon.entry.pending_replies import PendingReplies
 from wharf_platform import ObjectClient, StoreError, Unavailable, UnknownOutcome
@@ -62,7 +62,7 @@
             if upstream.pool in self._pools()
             and upstream.data_centre not in document.out_data_centres
         }
-        for name in by_preference(place.shard, address_by_name):
+        for name in ranked(place.shard, address_by_name):
             link = self._links.by_address.get(address_by_name[name])
             if link and link.is_open and not link.load.leaving:
                 return link
--- a/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
+++ b/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
@@ -178,7 +178,10 @@
         if not self.name and not isinstance(message, Hello):
             return self._unexpected(message)
         match message:
-            case Chunk() | End() | Failed():
+            case End():
+                self._entry.links.observe_end(self, message)
+                self._deliver(message)
+            case Chunk() | Failed():
                 self._deliver(message)
             case Load():
                 self._observe_load(message)
@@ -204,6 +207,7 @@
         if self.load is None:
             log.info("link_opened", address=self.address, upstream=self.name)
         self.load = load
+        self._entry.links.observe_report(self)
         self._observe_revision(load.revision)
 
     def _observe_revision(self, revision):
--- a/packages/daemon/src/wharf_daemon/sidecar/link_server.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/link_server.py
@@ -148,7 +148,7 @@
         if not self._sidecar.seen.add(call.attempt):
             self._sidecar.metrics.dropped_frames.inc()
             return
-        running = RunningCall(call, self._sidecar, self.send)
+        running = RunningCall(call, self._sidecar, self)
         task = asyncio.create_task(running.run())
         self._call_by_attempt[call.attempt] = running
         self._task_by_attempt[call.attempt] = task
--- a/packages/daemon/src/wharf_daemon/sidecar/running_call.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/running_call.py
@@ -11,14 +11,16 @@
 
 __all__ = ["RunningCall"]
 
+UPSTREAM_FAULTS = (Code.UPSTREAM_FAILED, Code.UPSTREAM_FULL)
+
 
 class RunningCall:
     """Run a call on the upstream and send its answer as the entry's credit allows."""
 
-    def __init__(self, call: Call, sidecar, send):
+    def __init__(self, call: Call, sidecar, link):
         self._call = call
         self._sidecar = sidecar
-        self._send = send
+        self._link = link
         self._window = SendWindow()
         self._credited = asyncio.Event()
         self._sequence = call.resume_from
@@ -31,7 +33,7 @@
     async def run(self):
         """Admit the call, run it and send its frames; end early if cancelled."""
         with suppress(ConnectionClosed):
-            admitted = self._sidecar.admit(self._call)
+            admitted = self._sidecar.admit(self._call, self._link)
             if admitted.is_err():
                 await self._fail(admitted.unwrap_err())
                 return
@@ -41,24 +43,29 @@
         begin = self._now()
         refusal = Refusal.unknown(Code.CALLER_LEFT)
         try:
-            refusal = await self._answer(begin)
-            if refusal:
-                await self._fail(refusal)
+            refusal = await self._answer()
         finally:
-            self._sidecar.release(self._now() - begin, refusal is None)
+            # Before the last frame, so that its receiver finds the room free.
+            self._sidecar.release(self._call, _proof(refusal))
+        if refusal:
+            await self._fail(refusal)
+            return
+        self._count(Code.OK)
+        load, elapsed = self._sidecar.load(), self._now() - begin
+        frame = End(
+            self._call.attempt, self._sequence, elapsed, load.in_flight, load.limit
+        )
+        await self._link.send(frame)
 
-    async def _answer(self, begin) -> Refusal | None:
+    async def _answer(self) -> Refusal | None:
         try:
             async with asyncio.timeout(self._call.time_left):
                 async for body in self._sidecar.upstream.run(self._call):
                     await self._send_chunk(body)
-                elapsed = self._now() - begin
-                await self._send(End(self._call.attempt, self._sequence, elapsed))
         except UpstreamError as failure:
             return failure.refusal
         except TimeoutError:
             return Refusal.unknown(Code.DEADLINE_PASSED)
-        self._count(Code.OK)
         return None
 
     async def _send_chunk(self, body):
@@ -66,15 +73,22 @@
             self._credited.clear()
             await self._credited.wait()
         self._window.sent(chunk_cost(body))
-        await self._send(Chunk(self._call.attempt, self._sequence, body))
+        await self._link.send(Chunk(self._call.attempt, self._sequence, body))
         self._sequence += 1
 
     async def _fail(self, refusal):
         self._count(refusal.code)
-        await self._send(Failed.from_refusal(self._call.attempt, refusal))
+        await self._link.send(Failed.from_refusal(self._call.attempt, refusal))
 
     def _count(self, code):
         self._sidecar.metrics.attempts.labels(self._call.stage, code.label).inc()
 
     def _now(self):
         return asyncio.get_running_loop().time()
+
+
+def _proof(refusal):
+    """Return whether the end of a call shows the upstream well, ill, or neither."""
+    if refusal is None:
+        return True
+    return False if refusal.code in UPSTREAM_FAULTS else None
--- a/packages/platform/src/wharf_platform/configuration/upstream.py
+++ b/packages/platform/src/wharf_platform/configuration/upstream.py
@@ -9,7 +9,7 @@
     """One back end and the address of the sidecar beside it.
 
     `cold_limit` bounds concurrent calls while it warms up, `max_limit` at any
-    time.
+    time. It is never taken for warm before it has ended `warm_calls` calls.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -20,4 +20,5 @@
     version: str | None = Field(default=None, min_length=1, max_length=100)
     cold_limit: int = Field(default=2, ge=1, le=10_000)
     max_limit: int = Field(default=64, ge=1, le=10_000)
+    warm_calls: int = Field(default=20, ge=1, le=10_000)
     checks_fencing: bool = False
--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -4,10 +4,12 @@
 
 import defopt
 
+from wharf_standins.bench import bench
 from wharf_standins.claims_bench import claims_bench
 from wharf_standins.demo import demo
 from wharf_standins.history.command import histories
 from wharf_standins.outage_trial import outage_trial
+from wharf_standins.overhead_bench import bench_overhead
 from wharf_standins.rollout_trial.command import trial_rollouts
 from wharf_standins.serve import engine, platform
 
@@ -15,12 +17,8 @@
 
 if __name__ == "__main__":
     commands = [
-        claims_bench,
-        outage_trial,
-        demo,
-        engine,
-        platform,
-        trial_rollouts,
-        histories,
+        *(demo, engine, platform),
+        *(bench, bench_overhead, claims_bench, outage_trial),
+        *(histories, trial_rollouts),
     ]
     sys.exit(defopt.run(commands, no_negated_flags=True))
--- a/packages/standins/tests/test_histories.py
+++ b/packages/standins/tests/test_histories.py
@@ -9,7 +9,7 @@
 
 from aiohttp import ClientError
 
-from wharf_coordination import Refusal
+from wharf_coordination import Gate, Refusal
 from wharf_coordination.rollout import Participant
 from wharf_daemon import Entry, Sidecar
 from wharf_daemon.configuration_feed import ConfigurationFeed
@@ -152,13 +152,12 @@
 
 
 async def test_gate_that_is_ignored_is_found(monkeypatch):
-    monkeypatch.setattr(Sidecar, "admit", admit_all)
+    monkeypatch.setattr(Gate, "_bound", admit_one_more)
     assert "cold start" in promises(await make(FaultKind.UPSTREAM_SLOWED))
 
 
-def admit_all(sidecar, call):
-    sidecar.gate.limit = sidecar.gate.in_flight + 1
-    return sidecar.gate.enter(0.0)
+def admit_one_more(gate, priority, now):
+    return gate.in_flight + 1
 
 
 async def test_histories_under_faults_keep_all_promises():
