--- a/packages/standins/src/wharf_standins/claims_bench/claim_client.py
+++ b/packages/standins/src/wharf_standins/claims_bench/claim_client.py
@@ -3,7 +3,7 @@
 import asyncio
 from random import Random
 
-from wharf_coordination import CallBudget, by_preference
+from wharf_coordination import CallBudget, ranked
 from wharf_coordination.claims import ClaimPlace
 from wharf_platform import CallGate, ObjectClient
 from wharf_platform.claims import ClaimStore
@@ -49,7 +49,7 @@
 
     def _preferred(self, place):
         entries = [str(entry) for entry in range(len(self._stores))]
-        return int(by_preference(place.shard, entries)[0])
+        return int(ranked(f"shard-{place.shard}", entries)[0])
 
     def _client(self, session, url, number):
         budget = CallBudget(CALLS_PER_SECOND)
