--- a/packages/platform/src/wharf_platform/claims/shard_writer.py
+++ b/packages/platform/src/wharf_platform/claims/shard_writer.py
@@ -21,7 +21,6 @@
     Unavailable,
     UnknownOutcome,
 )
-from wharf_platform.stored_object import StoredObject
 
 __all__ = ["ShardWriter"]
 
@@ -37,6 +36,14 @@
     outcome: asyncio.Future
 
 
+@dataclass(frozen=True, slots=True)
+class _Held:
+    """The shard as the store has it under `version`."""
+
+    version: int
+    shard: ClaimShard
+
+
 class ShardWriter:
     """Commit all operations that wait by one conditional update after another.
 
@@ -53,7 +60,7 @@
         self._interval = interval
         self._retention = retention
         self._waiting = []
-        self._stored = None
+        self._held = None
         self._task = None
         self._next_commit_at = 0.0
 
@@ -117,26 +124,23 @@
         return Err(UnknownOutcome(self._key, f"given up after {last}"))
 
     async def _try(self, operations):
-        is_fresh = self._stored is None
+        is_fresh = self._held is None
         read = await self._read()
         if read.is_err():
             return read
-        stored = read.unwrap()
-        decoded = decode_shard(stored.value)
-        if decoded.is_err():
-            return Err(Unavailable(self._key, decoded.unwrap_err()))
-        shard = decoded.unwrap()
-        outcomes = self._apply(shard, operations)
-        self._stored = None
-        if not shard.is_changed and not is_fresh:
+        held = read.unwrap()
+        # Held on to again only once the store is known to have the same state.
+        self._held = None
+        outcomes = self._apply(held.shard, operations)
+        if not held.shard.is_changed and not is_fresh:
             # What others wrote since shows only in a fresh read.
             return await self._try(operations)
-        written = await self._write(stored, shard)
+        written = await self._write(held)
         if written.is_err():
             return written
         if is_fresh and self._place.is_dated and Granted() in outcomes:
             return await self._above_floor(written.unwrap(), outcomes)
-        self._stored = written.unwrap()
+        self._held = written.unwrap()
         return Ok(outcomes)
 
     async def _above_floor(self, written, outcomes):
@@ -148,7 +152,7 @@
             return Err(UnknownOutcome(self._key, f"floor: {read.unwrap_err()}"))
         if self._place.bucket < int(read.unwrap().value or 0):
             return Ok([KeyExpired() if o == Granted() else o for o in outcomes])
-        self._stored = written
+        self._held = written
         return Ok(outcomes)
 
     def _apply(self, shard: ClaimShard, operations):
@@ -157,15 +161,25 @@
             shard.drop_expired(now, self._retention.seconds)
         return [shard.apply(operation, now) for operation in operations]
 
-    async def _read(self) -> Result[StoredObject, StoreError]:
-        if self._stored is None:
-            return await self._client.get(self._key)
-        return Ok(self._stored)
-
-    async def _write(self, stored, shard) -> Result[StoredObject, StoreError]:
-        if not shard.is_changed:
-            return Ok(stored)
-        return await self._client.put(self._key, encode_shard(shard), stored.version)
+    async def _read(self) -> Result[_Held, StoreError]:
+        if self._held is not None:
+            return Ok(self._held)
+        read = await self._client.get(self._key)
+        return read.and_then(self._decoded)
+
+    def _decoded(self, stored) -> Result[_Held, StoreError]:
+        shard = decode_shard(stored.value)
+        if shard.is_err():
+            return Err(Unavailable(self._key, shard.unwrap_err()))
+        return Ok(_Held(stored.version, shard.unwrap()))
+
+    async def _write(self, held) -> Result[_Held, StoreError]:
+        if not held.shard.is_changed:
+            return Ok(held)
+        value = encode_shard(held.shard)
+        written = await self._client.put(self._key, value, held.version)
+        held.shard.is_changed = False
+        return written.map(lambda stored: _Held(stored.version, held.shard))
 
     def _delay(self, number, last):
         backoff = CONFLICT_BACKOFF if isinstance(last, Conflict) else FAILURE_BACKOFF
