--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -10,7 +10,9 @@
 from wharf_standins.history.command import histories
 from wharf_standins.outage_trial import outage_trial
 from wharf_standins.overhead_bench import bench_overhead
+from wharf_standins.propagation.command import propagation
 from wharf_standins.rollout_trial.command import trial_rollouts
+from wharf_standins.rollout_trial.daemon_command import trial_daemons
 from wharf_standins.serve import engine, platform
 
 __all__ = []
@@ -19,6 +21,6 @@
     commands = [
         *(demo, engine, platform),
         *(bench, bench_overhead, claims_bench, outage_trial),
-        *(histories, trial_rollouts),
+        *(histories, propagation, trial_daemons, trial_rollouts),
     ]
     sys.exit(defopt.run(commands, no_negated_flags=True))
--- a/packages/standins/src/wharf_standins/loopback.py
+++ b/packages/standins/src/wharf_standins/loopback.py
@@ -24,6 +24,7 @@
     `shape` maps a pool's name to its upstreams' data centres, `versions` an
     upstream's name to its version where that is not the pool's. `services` names
     the pools of plain services; `cold_bearable` is that of the engines.
+    Daemons in `killed` are not stopped on exit.
     """
 
     def __init__(
@@ -50,6 +51,7 @@
         self.sidecar_by_name = {}
         self._address_by_name = {}
         self.entries = []
+        self.killed = []
         self.platform = Platform()
 
     async def __aenter__(self):
@@ -125,7 +127,11 @@
 
     async def _run(self, daemon):
         await daemon.start()
-        self._stack.push_async_callback(daemon.stop)
+        self._stack.push_async_callback(self._stop, daemon)
+
+    async def _stop(self, daemon):
+        if daemon not in self.killed:
+            await daemon.stop()
 
     def _kind(self, pool):
         return "service" if pool in self._services else "engine"
