--- a/packages/daemon/src/wharf_daemon/entry/forwarded_claims.py
+++ b/packages/daemon/src/wharf_daemon/entry/forwarded_claims.py
@@ -46,7 +46,8 @@
             return self._after_silence(place, await super().apply(place, operation))
         outcome = reply.to_outcome()
         if outcome is None:
-            return Err(Unavailable(shard_key(place), "refused by the store"))
+            # The writer alone may be cut off from the store.
+            return await super().apply(place, operation)
         return Ok(outcome)
 
     def _after_silence(self, place, applied):
@@ -56,10 +57,11 @@
 
     def _writer_link(self, place):
         document = self._feed.document
+        pools = self._pools()
         address_by_name = {
             name: upstream.address
             for name, upstream in document.folder.upstreams.items()
-            if upstream.pool in self._pools()
+            if upstream.pool in pools
             and upstream.data_centre not in document.out_data_centres
         }
         for name in ranked(place.shard, address_by_name):
--- a/packages/standins/tests/test_claims_on_loopback.py
+++ b/packages/standins/tests/test_claims_on_loopback.py
@@ -100,6 +100,14 @@
     assert bookings(system) == 1
 
 
+async def test_writer_cut_off_from_the_store_refuses_nothing(system, monkeypatch):
+    for sidecar in system.sidecar_by_name.values():
+        monkeypatch.setattr(sidecar.store, "_base_url", "http://127.0.0.1:9")
+    assert (await answer(system, 0))[0] == 200
+    assert (await answer(system, 1))[0] == 200
+    assert bookings(system) == 1
+
+
 async def test_reply_lost_after_the_claim_was_written_still_runs_it_once(
     system, monkeypatch
 ):
