--- a/packages/standins/tests/test_claims_on_loopback.py
+++ b/packages/standins/tests/test_claims_on_loopback.py
@@ -3,8 +3,10 @@
 import asyncio
 import json
 
+import pytest
 import pytest_asyncio
 
+from wharf_daemon.entry import forwarded_claims
 from wharf_standins.loopback import Loopback
 
 STAGES = [
@@ -89,7 +91,14 @@
     assert not any(entry.store.calls_by_kind["write"] > 2 for entry in system.entries)
 
 
-async def test_entry_writes_itself_when_the_writers_do_not_reply(system, monkeypatch):
+@pytest.fixture
+def short_wait(monkeypatch):
+    monkeypatch.setattr(forwarded_claims, "REPLY_SECONDS", 0.1)
+
+
+async def test_entry_writes_itself_when_the_writers_do_not_reply(
+    system, monkeypatch, short_wait
+):
     async def be_silent(request):
         return None
 
@@ -109,7 +118,7 @@
 
 
 async def test_reply_lost_after_the_claim_was_written_still_runs_it_once(
-    system, monkeypatch
+    system, monkeypatch, short_wait
 ):
     for sidecar in system.sidecar_by_name.values():
         monkeypatch.setattr(sidecar.claims, "handle", without_reply(sidecar.claims))
