--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
 
 .PHONY: demo test lint setup
-.PHONY: bench bench-claims bench-overhead histories propagation trial-rollouts
+.PHONY: bench bench-claims bench-overhead histories propagation slopes trial-rollouts
 
 bench: setup
 	$(BIN)/python -m wharf_standins bench
@@ -26,6 +26,9 @@
 histories: setup
 	$(BIN)/python -m wharf_standins histories --seeds 1-200 --requests 500
 
+slopes: setup
+	$(BIN)/python -m wharf_standins slopes
+
 trial-rollouts: setup
 	$(BIN)/python -m wharf_standins trial-rollouts
 	$(BIN)/python -m wharf_standins trial-daemons
