--- a/packages/control/src/wharf_control/process_client.py
+++ b/packages/control/src/wharf_control/process_client.py
@@ -39,4 +39,4 @@
                     return Err(f"{url} answered status {response.status}")
                 return Ok(await response.json())
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
-            return Err(f"{url}: {error!r}")
+            return Err(f"{url}: {str(error) or repr(error)}")
--- a/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
+++ b/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
@@ -164,6 +164,7 @@
 
     def _on_lost(self):
         if self.load is not None:
+            self._entry.metrics.links.dec()
             log.info("link_lost", address=self.address, upstream=self.name)
         self._socket = None
         self.load = None
@@ -201,6 +202,7 @@
 
     def _observe_load(self, load):
         if self.load is None:
+            self._entry.metrics.links.inc()
             log.info("link_opened", address=self.address, upstream=self.name)
         self.load = load
         self._observe_revision(load.revision)
--- a/packages/standins/tests/test_entry_links.py
+++ b/packages/standins/tests/test_entry_links.py
@@ -204,6 +204,7 @@
     assert good_link._socket is good_socket
     assert entry.metrics.bad_messages._value.get() == 1
     await until(lambda: bad_link.is_open)
+    assert entry.metrics.links._value.get() == 2
     task.cancel()
 
 
