--- /dev/null
+++ b/packages/coordination/src/wharf_coordination/headroom.py
@@ -0,0 +1,22 @@
+"""Room that is kept free for more urgent calls."""
+
+from wharf_coordination.priority import Priority
+
+__all__ = ["bound_for"]
+
+RESERVED_SHARE_BY_PRIORITY = {
+    Priority.URGENT: 0.0,
+    Priority.INTERACTIVE: 0.0,
+    Priority.STANDARD: 0.1,
+    Priority.PATIENT: 0.25,
+}
+
+
+def bound_for(priority, limit):
+    """Return how many calls may run, under `limit`, for one more of `priority`.
+
+    >>> [bound_for(priority, 8) for priority in Priority]
+    [8, 8, 8, 6]
+    """
+    whole = int(limit)
+    return whole - int(whole * RESERVED_SHARE_BY_PRIORITY[priority])
--- a/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
+++ b/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
@@ -21,6 +21,7 @@
     Call,
     Cancel,
     Chunk,
+    ClaimReply,
     ConfigurationOffer,
     Credit,
     End,
@@ -178,7 +179,10 @@
         if not self.name and not isinstance(message, Hello):
             return self._unexpected(message)
         match message:
-            case Chunk() | End() | Failed():
+            case End():
+                self._entry.links.observe_end(self, message)
+                self._deliver(message)
+            case Chunk() | Failed():
                 self._deliver(message)
             case Load():
                 self._observe_load(message)
@@ -190,8 +194,8 @@
                 self._entry.feed.offer(document, self.name)
             case Facts():
                 self._entry.facts.receive(message)
-            case OrderResult():
-                self._entry.orders.resolve(message)
+            case ClaimReply() | OrderResult():
+                self._entry.replies.resolve(message)
             case _:
                 return self._unexpected(message)
         return Ok(None)
@@ -205,6 +209,7 @@
             self._entry.metrics.links.inc()
             log.info("link_opened", address=self.address, upstream=self.name)
         self.load = load
+        self._entry.links.observe_report(self)
         self._observe_revision(load.revision)
 
     def _observe_revision(self, revision):
