--- a/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
+++ b/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
@@ -13,11 +13,11 @@
 )
 from websockets.frames import CloseCode
 
-from wharf_coordination import Code, Refusal
+from wharf_coordination import Backoff, Code, Refusal
 from wharf_daemon.entry.attempt_inbox import AttemptInbox
+from wharf_daemon.link_options import LINK_OPTIONS
 from wharf_daemon.protocol_violation import closed_for_violation
 from wharf_wire import (
-    MAX_FRAME_BYTES,
     Call,
     Cancel,
     Chunk,
@@ -33,15 +33,11 @@
     decode,
     encode,
 )
-from wharf_wire.limits import MAX_QUEUED_FRAMES
 
 __all__ = ["SidecarLink"]
 
-FIRST_RETRY_SECONDS = 0.05
-MAX_RETRY_SECONDS = 2.0
+RECONNECT = Backoff(first=0.1, longest=2.0)
 STEADY_SECONDS = 1.0
-CONNECT_SECONDS = 3.0
-CLOSE_SECONDS = 2.0
 
 log = structlog.get_logger(__name__)
 
@@ -85,10 +81,7 @@
                 pass
             was_steady = self._now() - begin > STEADY_SECONDS
             failures = 0 if was_steady else failures + 1
-            bound = FIRST_RETRY_SECONDS * 2 ** min(failures, 10)
-            await asyncio.sleep(
-                self._rng.uniform(0.5, 1.0) * min(MAX_RETRY_SECONDS, bound)
-            )
+            await asyncio.sleep(RECONNECT.delay(failures, self._rng))
 
     async def attempt(self, call: Call):
         """Yield the frames that answer `call`, a `Failed` or `End` last.
@@ -131,15 +124,7 @@
                 await self._socket.send(encode(message))
 
     def _connect(self):
-        return connect(
-            f"ws://{self.address}",
-            compression=None,
-            proxy=None,
-            open_timeout=CONNECT_SECONDS,
-            close_timeout=CLOSE_SECONDS,
-            max_size=MAX_FRAME_BYTES,
-            max_queue=MAX_QUEUED_FRAMES,
-        )
+        return connect(f"ws://{self.address}", proxy=None, **LINK_OPTIONS)
 
     async def _serve(self, socket):
         await socket.send(encode(self._entry.hello()))
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -12,6 +12,7 @@
 from wharf_daemon.configuration_feed import ConfigurationFeed
 from wharf_daemon.fact_feed import FactFeed
 from wharf_daemon.http_site import HttpSite, split_address
+from wharf_daemon.link_options import LINK_OPTIONS
 from wharf_daemon.metrics import Metrics
 from wharf_daemon.operators_api import OperatorsApi
 from wharf_daemon.sidecar.claim_writer import ClaimWriter
@@ -20,8 +21,7 @@
 from wharf_daemon.sidecar.upstream_client import UpstreamClient
 from wharf_daemon.sidecar.upstream_orders import UpstreamOrders
 from wharf_platform import CallGate, ObjectClient
-from wharf_wire import MAX_FRAME_BYTES, Hello, Load
-from wharf_wire.limits import MAX_QUEUED_FRAMES
+from wharf_wire import Hello, Load
 
 __all__ = ["Sidecar"]
 
@@ -74,14 +74,7 @@
         )
         await self._operators.start()
         host, port = split_address(self.settings.listen)
-        self._server = await serve(
-            self._serve_link,
-            host,
-            port,
-            compression=None,
-            max_size=MAX_FRAME_BYTES,
-            max_queue=MAX_QUEUED_FRAMES,
-        )
+        self._server = await serve(self._serve_link, host, port, **LINK_OPTIONS)
         self.feed.documents.subscribe(self._on_document)
         self.facts.news.subscribe(self._broadcast_facts)
         self._reporter = asyncio.create_task(self._report_load())
--- a/packages/standins/src/wharf_standins/engine.py
+++ b/packages/standins/src/wharf_standins/engine.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field
 from random import Random
 
 from aiohttp import web
@@ -18,6 +18,7 @@
     VERSION_HEADER,
 )
 from wharf_standins.batch_model import BatchModel
+from wharf_standins.engine_reports import EngineReports
 from wharf_standins.fault_rule import FaultKind, FaultRule
 from wharf_standins.load_meter import LoadMeter
 from wharf_standins.order_book import OrderBook
@@ -66,10 +67,7 @@
         )
         application.router.add_post("/v1/run", self._run)
         application.router.add_post("/v1/stream", self._stream)
-        application.router.add_get("/v1/load", self._report_load)
-        application.router.add_get("/v1/cache-events", self._report_events)
-        application.router.add_get("/v1/orders", self._report_orders)
-        application.router.add_post("/v1/orders", self._order)
+        EngineReports(self).add_to(application)
         return application
 
     def crash(self):
@@ -218,36 +216,6 @@
             return web.Response(status=500, text=text, headers=self._headers())
         return None
 
-    async def _report_load(self, http):
-        report = {
-            "running": self.load.reported(self._now()),
-            "incarnation": f"{self.name}-{self.incarnation}",
-        }
-        return web.json_response(report)
-
-    async def _report_events(self, http):
-        after = int(http.query.get("after", "0"))
-        return web.json_response(self.cache.events(after, self._now()))
-
-    async def _report_orders(self, http):
-        return web.json_response(self._order_state())
-
-    async def _order(self, http):
-        order = await http.json()
-        now = self._now()
-        obeyed = self.orders.give(
-            order["operation"], order.get("subject", ""), int(order["fencing"]), now
-        )
-        return web.json_response(self._order_state(), status=200 if obeyed else 409)
-
-    def _order_state(self):
-        orders = [asdict(record) for record in self.orders.records[-20:]]
-        return {
-            "fencing": self.orders.fencing,
-            "versions": sorted(self.orders.versions),
-            "orders": orders,
-        }
-
     def _headers(self):
         return {INCARNATION_HEADER: f"{self.name}-{self.incarnation}"}
 
--- a/packages/standins/src/wharf_standins/process_fleet.py
+++ b/packages/standins/src/wharf_standins/process_fleet.py
@@ -2,39 +2,25 @@
 
 import asyncio
 import json
-import os
-import signal
 import socket
 import sys
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
 from pathlib import Path
 
 import aiohttp
 from aiohttp import web
 
 from wharf_daemon.http_site import HttpSite
+from wharf_standins.command_result import CommandResult
+from wharf_standins.daemon_process import DaemonProcess
 from wharf_standins.engine import Engine
 from wharf_standins.platform import Platform
 
-__all__ = ["CommandResult", "ProcessFleet"]
+__all__ = ["ProcessFleet"]
 
 START_SECONDS = 20.0
-STOP_SECONDS = 30.0
 POLL_SECONDS = 0.02
 LIMIT = 64
-# Positions in /proc/PID/stat after the command's name.
-USER_TICKS_FIELD = 11
-SYSTEM_TICKS_FIELD = 12
-
-
-@dataclass(frozen=True, slots=True)
-class CommandResult:
-    """How a run of wharfctl ended."""
-
-    code: int
-    output: str
-    errors: str
 
 
 class ProcessFleet:
@@ -112,16 +98,11 @@
 
     async def stop(self, name):
         """Ask a process to stop as planned; return its exit code."""
-        process = self._process_by_name.pop(name)
-        process.send_signal(signal.SIGTERM)
-        return await asyncio.wait_for(process.wait(), STOP_SECONDS)
+        return await self._process_by_name.pop(name).stop()
 
     def processor_seconds(self, name):
         """Return the processor time that a process has used, in seconds."""
-        stat = Path(f"/proc/{self._process_by_name[name].pid}/stat").read_text()
-        fields = stat.rpartition(")")[2].split()
-        ticks = int(fields[USER_TICKS_FIELD]) + int(fields[SYSTEM_TICKS_FIELD])
-        return ticks / os.sysconf("SC_CLK_TCK")
+        return self._process_by_name[name].processor_seconds()
 
     async def control(self, *arguments) -> CommandResult:
         """Run wharfctl."""
@@ -187,14 +168,9 @@
         return application
 
     async def _start(self, kind, name, settings):
-        path = self.directory / f"{name}.json"
-        path.write_text("// written by the test\n" + json.dumps(settings))
-        process = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-m", "wharf_daemon", kind, str(path)),
-            stderr=(self.directory / f"{name}.log").open("ab"),
-            env=os.environ | {"PYTHONUNBUFFERED": "1"},
+        self._process_by_name[name] = await DaemonProcess.start(
+            kind, self.directory, name, settings
         )
-        self._process_by_name[name] = process
         url = f"http://{self.operators_by_name[name]}/livez"
         async with asyncio.timeout(START_SECONDS):
             while not await self._answers(url):
--- a/packages/standins/tests/test_entry_links.py
+++ b/packages/standins/tests/test_entry_links.py
@@ -181,7 +181,7 @@
 
 
 async def test_wrong_count_is_never_taken_for_whole(sidecars, post):
-    task = post({"note": 1}, STREAM)
+    task = post({"note": 1}, STREAM | {"Deadline-Seconds": "1"})
     for _ in sidecars:
         [(hand, call)] = await next_calls(sidecars, 1)
         chunk = Chunk(call.attempt, call.resume_from, b"part")
