--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -58,6 +58,7 @@
         self._incarnation = uuid.uuid4().hex[:12]
         self._request_numbers = count()
         self._running = 0
+        self.metrics.running.set_function(lambda: self._running)
         self._idle = asyncio.Event()
         self._idle.set()
         self.links = LinkSet(self, self._rng)
--- a/packages/daemon/src/wharf_daemon/metrics.py
+++ b/packages/daemon/src/wharf_daemon/metrics.py
@@ -43,12 +43,19 @@
             buckets=STAGE_SECONDS_BUCKETS,
             registry=self.registry,
         )
-        self.links = Gauge("wharf_links", "Open links", registry=self.registry)
-        self.revision = Gauge(
-            "wharf_configuration_revision",
-            "Revision of the configuration in force",
-            registry=self.registry,
+        self.links = self._gauge("wharf_links", "Open links")
+        self.running = self._gauge(
+            "wharf_running", "Requests of an entry, or calls of a sidecar, under way"
+        )
+        self.limit = self._gauge(
+            "wharf_limit", "Calls at a time that a sidecar's gate admits"
         )
+        self.revision = self._gauge(
+            "wharf_configuration_revision", "Revision of the configuration in force"
+        )
+
+    def _gauge(self, name, text):
+        return Gauge(name, text, registry=self.registry)
 
     def _counter(self, name, text, labels):
         return Counter(name, text, labels, registry=self.registry)
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -40,6 +40,8 @@
         self.feed = ConfigurationFeed(self.metrics)
         self.facts = FactFeed()
         self.gate = gate or Gate(settings.cold_limit, settings.max_limit)
+        self.metrics.running.set_function(lambda: self.gate.in_flight)
+        self.metrics.limit.set_function(lambda: self.gate.limit)
         self.links = set()
         self.seen = SeenSet()
         self.leaving = False
--- a/packages/standins/tests/test_engine.py
+++ b/packages/standins/tests/test_engine.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from random import Random
 
 import aiohttp
 import pytest
@@ -10,6 +11,9 @@
 from wharf_daemon.http_site import HttpSite
 from wharf_standins.engine import Engine
 from wharf_standins.fault_rule import FaultKind, FaultRule
+from wharf_standins.load_meter import LoadMeter
+from wharf_standins.plain_service import PlainService
+from wharf_standins.prefix_cache import PrefixCache
 
 HEADERS = {"Attempt": "a", "Request": "r", "Version": "1"}
 BODY = json.dumps({"input": "note", "stages": {}})
@@ -83,3 +87,36 @@
     engine.orders.checks_fencing = False
     assert (await call("/v1/orders", data=old))[0] == 200
     assert (await call(Version="2"))[0] == 200
+
+
+def test_cache_events_come_late_and_with_gaps():
+    cache = PrefixCache(size=2, lag=1.0, loss=0.3, rng=Random(1))
+    for number in range(40):
+        assert not cache.use(f"note {number}".encode(), now=float(number))
+    assert cache.use(b"note 39", now=40.0)
+    published = cache.events(after=0, now=20.5)
+    numbers = [event["number"] for event in published]
+    assert max(event["at"] for event in published) <= 19.5
+    assert numbers == sorted(numbers)
+    assert 0 < len(numbers) < numbers[-1]
+    assert cache.events(after=numbers[-1], now=20.5) == []
+
+
+async def test_effect_of_a_plain_service_outlives_its_caller():
+    service = PlainService("hold-1", "dc-1", service_time=0.05)
+    site = HttpSite(service.application(), "127.0.0.1:0")
+    await site.start()
+    url = f"http://127.0.0.1:{site.port}/v1/run"
+    timeout = aiohttp.ClientTimeout(total=0.02)
+    async with aiohttp.ClientSession() as session:
+        with pytest.raises(TimeoutError):
+            await session.post(url, data=BODY, headers=HEADERS, timeout=timeout)
+    await site.stop()
+    assert service.effects_by_input == {'"note"': 1}
+
+
+def test_load_is_reported_late():
+    meter = LoadMeter(lag=1.0)
+    for second in range(3):
+        meter.change(1, now=float(second))
+    assert [meter.reported(now=at) for at in (0.5, 1.5, 2.5, 9.0)] == [0, 1, 2, 3]
