--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -21,10 +21,6 @@
     commands = [
         *(demo, engine, platform),
         *(bench, bench_overhead, claims_bench, outage_trial),
-<<<<<<< HEAD
         *(histories, propagation, trial_rollouts, trial_daemons),
-=======
-        *(histories, propagation, trial_daemons, trial_rollouts),
->>>>>>> main
     ]
     sys.exit(defopt.run(commands, no_negated_flags=True))
--- a/packages/standins/tests/test_histories.py
+++ b/packages/standins/tests/test_histories.py
@@ -190,7 +190,6 @@
 
 
 async def test_histories_under_faults_keep_all_promises():
-<<<<<<< HEAD
     sets = (
         LEAVING_FAULTS,
         (FaultKind.STORE_LOSES_ANSWERS, FaultKind.RESENDS),
@@ -199,8 +198,3 @@
     runs = (make(*faults, seconds=3.6) for faults in sets)
     for faults, history in zip(sets, await asyncio.gather(*runs), strict=True):
         assert check_history(history) == [], faults
-=======
-    runs = [make(*LEAVING_FAULTS, seconds=3.6)]
-    for violations in map(check_history, await asyncio.gather(*runs)):
-        assert violations == []
->>>>>>> main
