--- a/packages/coordination/src/wharf_coordination/__init__.py
+++ b/packages/coordination/src/wharf_coordination/__init__.py
@@ -12,11 +12,14 @@
 from wharf_coordination.chooser import Chooser
 from wharf_coordination.code import Code
 from wharf_coordination.deadline import Deadline
+from wharf_coordination.death_kind import DeathKind
+from wharf_coordination.death_watch import DeathWatch
 from wharf_coordination.drain_rate import DrainRate
 from wharf_coordination.fact import Fact, FactKind
 from wharf_coordination.fact_set import FactSet
 from wharf_coordination.fair_queue import FairQueue
 from wharf_coordination.fencing_guard import FencingGuard
+from wharf_coordination.fingerprint import request_fingerprint, stage_fingerprint
 from wharf_coordination.flow_window import ReceiveWindow, SendWindow, chunk_cost
 from wharf_coordination.gate import Gate
 from wharf_coordination.gate_pass import GatePass
@@ -29,11 +32,15 @@
 from wharf_coordination.ran import Ran
 from wharf_coordination.refusal import Refusal
 from wharf_coordination.rendezvous import ranked, subset
+from wharf_coordination.report_schedule import ReportSchedule
 from wharf_coordination.retry_budget import RetryBudget
 from wharf_coordination.seen_set import SeenSet
 from wharf_coordination.service_times import ServiceTimes
 from wharf_coordination.stage_times import StageTimes
+from wharf_coordination.suspects import Suspects
+from wharf_coordination.suspicion import Suspicion
 from wharf_coordination.upstream_view import UpstreamView
+from wharf_coordination.verdict import Verdict
 from wharf_coordination.warm_up import WarmUp
 
 __all__ = [
@@ -45,6 +52,8 @@
     "Chooser",
     "Code",
     "Deadline",
+    "DeathKind",
+    "DeathWatch",
     "DrainRate",
     "Fact",
     "FactKind",
@@ -62,15 +71,21 @@
     "Ran",
     "ReceiveWindow",
     "Refusal",
+    "ReportSchedule",
     "RetryBudget",
-    "ranked",
     "SeenSet",
     "SendWindow",
     "ServiceTimes",
     "StageTimes",
+    "Suspects",
+    "Suspicion",
     "UpstreamView",
+    "Verdict",
     "WarmUp",
     "bound_for",
     "chunk_cost",
+    "ranked",
+    "request_fingerprint",
+    "stage_fingerprint",
     "subset",
 ]
--- a/packages/daemon/src/wharf_daemon/entry/claimed_stage_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/claimed_stage_runner.py
@@ -119,9 +119,9 @@
     async def _run_detached(self, task, place, claim):
         # A caller that leaves does not stop the stage, so that its resend gets
         # the answer rather than "unknown".
-        sink = DetachableSink(task.on_chunk)
+        sink = DetachableSink(task.on_chunks)
         if task.streaming:
-            task = replace(task, on_chunk=sink.send)
+            task = replace(task, on_chunks=sink.send)
         run = asyncio.create_task(self._run_and_record(task, place, claim))
         self._runs.add(run)
         run.add_done_callback(self._runs.discard)
@@ -156,7 +156,7 @@
             detail = "has run, its answer was not kept"
             return Err(Refusal.unknown(Code.ANSWER_TOO_LARGE, detail))
         if task.streaming:
-            await task.on_chunk(answer)
+            await task.on_chunks([answer])
         return Ok(answer)
 
     def _now(self):
--- a/packages/daemon/src/wharf_daemon/entry/time_budget.py
+++ b/packages/daemon/src/wharf_daemon/entry/time_budget.py
@@ -8,6 +8,8 @@
 
 TIMED_CODES = (Code.OK, Code.DEADLINE_PASSED)
 
+FAULT_CODES = (Code.LINK_LOST, Code.UPSTREAM_CRASHED, Code.UPSTREAM_FAILED)
+
 
 class TimeBudget:
     """Know what each stage takes and so how late a stage may start."""
@@ -24,7 +26,7 @@
         usual = self._times.expected(pipeline, stage, now)
         is_timed = outcome.code in TIMED_CODES
         slowness = outcome.elapsed / usual if is_timed and usual else None
-        failed = outcome.code in (Code.LINK_LOST, Code.UPSTREAM_FAILED)
+        failed = outcome.code in FAULT_CODES
         self._outliers.observe(outcome.candidate.upstream, slowness, failed, now)
         if is_timed:
             self._times.observe(pipeline, stage, outcome.elapsed, now)
--- a/packages/daemon/tests/test_claimed_stage_runner.py
+++ b/packages/daemon/tests/test_claimed_stage_runner.py
@@ -37,8 +37,8 @@
         await asyncio.sleep(0.01)
         if end == "unknown":
             return Err(Refusal.unknown(Code.LINK_LOST))
-        if task.on_chunk:
-            await task.on_chunk(b"answer ")
+        if task.on_chunks:
+            await task.on_chunks([b"answer "])
         return Ok(f"answer {task.request.id}".encode())
 
 
@@ -55,14 +55,14 @@
             self.claim_stores.append(claim_store)
             self.runners.append(runner_type(stages, claim_store, recorder, rng))
 
-    async def submit(self, entry, id, key=KEY, body=b"{}", seconds=3.0, on_chunk=None):
+    async def submit(self, entry, id, key=KEY, body=b"{}", seconds=3.0, on_chunks=None):
         now = asyncio.get_running_loop().time()
         deadline = Deadline.after(seconds, now)
-        streaming = on_chunk is not None
+        streaming = on_chunks is not None
         request = Request(
             id, "hold", "acme", Priority.URGENT, deadline, key, streaming, body
         )
-        return await self.runners[entry].run(StageTask(request, BOOK, body, on_chunk))
+        return await self.runners[entry].run(StageTask(request, BOOK, body, on_chunks))
 
     async def drain(self):
         await asyncio.gather(*(runner.drain(5.0) for runner in self.runners))
@@ -215,12 +215,12 @@
 async def test_stream_is_replayed_as_one_chunk(entries):
     chunks = []
 
-    async def keep(body):
-        chunks.append(body)
+    async def keep(bodies):
+        chunks.extend(bodies)
 
-    await entries.submit(0, "a", on_chunk=keep)
+    await entries.submit(0, "a", on_chunks=keep)
     await entries.drain()
-    await entries.submit(1, "b", on_chunk=keep)
+    await entries.submit(1, "b", on_chunks=keep)
     assert chunks == [b"answer ", b"answer a"]
 
 
