Send calls to the old version while new upstreams are full

Cause: with calls waiting in the entry for room, a pulse would queue them for cold upstreams while the old version had room.

Ruled out: smaller pulses, which load the new version too little to judge it.

Change: until a rollout has finished, a version with no room left gets no call. The operators of a history have a file of their own.

Conclusion: the router's tests and the histories of the tests pass.

--- a/packages/daemon/src/wharf_daemon/entry/version_router.py
+++ b/packages/daemon/src/wharf_daemon/entry/version_router.py
@@ -19,7 +19,8 @@
         """Return the version for the call of `task` at the time `now`.
 
         A new version gets no call while none of its upstreams outside `excluded`
-        is open.
+        is open. Until the rollout has finished, neither while all of them are full:
+        the old version has room for a call that a cold upstream can't bear.
         """
         pool = task.stage.pool
         document = self._feed.document
@@ -30,5 +31,7 @@
         version = participant.version_for(task.request.id, now)
         if version == declared:
             return declared
-        is_open = self._links.candidates(document, pool, version, excluded)
-        return version if is_open else declared
+        candidates = self._links.candidates(document, pool, version, excluded)
+        if participant.rollout.is_running:
+            candidates = [one for one in candidates if one.has_room]
+        return version if candidates else declared
--- a/packages/standins/src/wharf_standins/history/injector.py
+++ b/packages/standins/src/wharf_standins/history/injector.py
@@ -1,35 +1,22 @@
 """Bringing about of faults in a running system."""
 
 import asyncio
-import time
-import uuid
 from random import Random
 
-from result import Ok
-
-from wharf_control.document_change import DocumentChange
 from wharf_coordination import Fact, FactKind
-from wharf_coordination.rollout import Rollout
-from wharf_platform import ConditionalUpdate
-from wharf_platform.configuration import CONFIGURATION_KEY, Document
 from wharf_standins.fault_rule import FaultKind as EngineFault
 from wharf_standins.fault_rule import FaultRule
 from wharf_standins.history.fault_kind import FaultKind
 from wharf_standins.history.kill import cut_link, kill_entry, kill_sidecar
+from wharf_standins.history.operators import Operators
 from wharf_standins.history.span import Span
 from wharf_standins.history.span_kind import SpanKind
 
 __all__ = ["Injector"]
 
-NEW_VERSION = "2"
-ROLLOUT_SECONDS = 60.0
-ROLLOUT_STEP = 3
 FAULT_SECONDS = 0.8
-OUT_SECONDS = 3.0
 SLOW_STORE_SECONDS = 0.1
 LOST_ANSWERS = 0.3
-OPERATORS = 2
-RACES = 4
 
 
 class Injector:
@@ -39,6 +26,7 @@
         self._system = system
         self._history = history
         self._rng = rng
+        self._operators = Operators(system, history, rng)
 
     async def inject(self, kind: FaultKind):
         """Bring about a fault, wait, and end it."""
@@ -66,9 +54,9 @@
             case FaultKind.LINK_CUT:
                 await self._cut_links()
             case FaultKind.OPERATORS_RACE:
-                await self._race()
+                await self._operators.race()
             case FaultKind.DATA_CENTRE_OUT:
-                await self._take_out()
+                await self._operators.take_out()
             case FaultKind.BAD_VERSION:
                 await self._bad_version()
             case FaultKind.RESENDS:
@@ -140,53 +128,15 @@
             cut_link(link)
             await asyncio.sleep(FAULT_SECONDS / 10)
 
-    async def _race(self):
-        operators = (self._operate(number) for number in range(OPERATORS))
-        await asyncio.gather(*operators)
-
-    async def _operate(self, number):
-        for race in range(RACES):
-            weight = 1.0 + number + race
-            await self.change(lambda document: _weighted(document, weight))  # noqa: B023
-
-    async def _take_out(self):
-        out = await self.change(lambda document: {"out_data_centres": {"dc-2"}})
-        begin = self._now()
-        await asyncio.sleep(OUT_SECONDS)
-        if out:
-            self._span(SpanKind.DATA_CENTRE_OUT, "dc-2", begin, self._now())
-        await self.change(lambda document: {"out_data_centres": set()})
-
     async def _bad_version(self):
-        rollout = Rollout(
-            id="r1",
-            pool="model",
-            old_version="1",
-            new_version=NEW_VERSION,
-            duration=ROLLOUT_SECONDS,
-            started_at=time.time(),
-            step=ROLLOUT_STEP,
-        )
-        await self.change(lambda document: {"rollouts": {"model": rollout}})
+        rollout = await self._operators.roll_out()
         await asyncio.sleep(FAULT_SECONDS / 2)
-        rule = FaultRule(EngineFault.FAIL, version=NEW_VERSION)
+        rule = FaultRule(EngineFault.FAIL, version=rollout.new_version)
         for name in ("model-3", "model-4"):
             self._engine(name).faults.append(rule)
         fact = Fact(FactKind.VETO, rollout.veto_subject, "stated by the test")
         self._system.entries[0].facts.state(fact)
-        self._span(SpanKind.VETOED, NEW_VERSION, self._now())
-
-    async def change(self, fields):
-        """Change the configuration as an operator does; return whether accepted."""
-        update = ConditionalUpdate(self._system.store, self._rng)
-        change = DocumentChange(uuid.uuid4().hex, fields)
-        match await update.run(CONFIGURATION_KEY, change):
-            case Ok(stored):
-                revision = Document.from_json(stored.value).revision
-                self._span(SpanKind.ACCEPTED, str(revision), self._now())
-                return True
-            case _:
-                return False
+        self._span(SpanKind.VETOED, rollout.new_version, self._now())
 
     def _engine(self, name):
         return self._system.engine_by_name[name]
@@ -196,9 +146,3 @@
 
     def _now(self):
         return asyncio.get_running_loop().time()
-
-
-def _weighted(document, weight):
-    customers = dict(document.folder.customers)
-    customers["acme"] = customers["acme"].model_copy(update={"weight": weight})
-    return {"folder": document.folder.model_copy(update={"customers": customers})}
--- a/packages/standins/tests/test_histories.py
+++ b/packages/standins/tests/test_histories.py
@@ -33,6 +33,7 @@
 from wharf_standins.history.fault_kind import FaultKind
 from wharf_standins.history.injector import Injector
 from wharf_standins.history.kill import kill_entry
+from wharf_standins.history.operators import Operators
 
 REQUESTS = 120
 MANY_REQUESTS = 300
@@ -175,7 +176,7 @@
         await asyncio.sleep(0.3)
         self._system.entries[0].feed.offer(first, "a stale peer")
 
-    monkeypatch.setattr(Injector, "_race", offer_stale)
+    monkeypatch.setattr(Operators, "race", offer_stale)
     assert not check_configuration(await make(FaultKind.OPERATORS_RACE))
     monkeypatch.setattr("wharf_coordination.Monotone.offer", adopt_anything)
     assert check_configuration(await make(FaultKind.OPERATORS_RACE))
