--- a/packages/daemon/src/wharf_daemon/entry/stage_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/stage_runner.py
@@ -67,6 +67,8 @@
             self._admission.release(candidate, task.stage.pool)
 
     def _may_try_again(self, task, refusal, answer):
+        if refusal.code is Code.REQUEST_CONDEMNED:
+            return False
         if refusal.ran is Ran.NO:
             return True
         if refusal.code in FINAL_CODES or not task.stage.idempotent:
--- a/packages/daemon/src/wharf_daemon/entry/stage_task.py
+++ b/packages/daemon/src/wharf_daemon/entry/stage_task.py
@@ -11,14 +11,18 @@
 
 @dataclass(frozen=True, slots=True)
 class StageTask:
-    """The stage, its input, and where the chunks of a stream go."""
+    """The stage, its input, and where the chunks of a stream go.
+
+    `fingerprint` recognises this stage of the request, whatever its key.
+    """
 
     request: Request
     stage: Stage
     body: bytes
-    on_chunk: Callable[[bytes], Awaitable[None]] | None = None
+    on_chunks: Callable[[list[bytes]], Awaitable[None]] | None = None
+    fingerprint: str = ""
 
     @property
     def streaming(self):
         """Return whether the answer goes to the caller in chunks."""
-        return self.on_chunk is not None
+        return self.on_chunks is not None
