Follow the heartbeat of load reports when a link is taken for silent

Cause: reports come at a change or every 2 s now; a link was taken for silent after 1 s, so that idle upstreams dropped out of the candidates.

--- a/packages/coordination/src/wharf_coordination/upstream_view.py
+++ b/packages/coordination/src/wharf_coordination/upstream_view.py
@@ -4,7 +4,7 @@
 
 __all__ = ["UpstreamView"]
 
-MIN_SILENCE_SECONDS = 1.0
+MIN_SILENCE_SECONDS = 5.0
 MISSED_REPORTS = 4
 
 
