Give test processes ports that no outgoing connection can take

Seen once in five runs beside other load: two of the process tests ended in errors at their setup (2 passed, 2 errors in 58 s). The cause was not caught in the act; the ports came from the range of outgoing connections, so that another process could take one between its choice and its use. They now come from below that range, and a daemon that ends by itself is told at once instead of after 20 s.

--- a/packages/standins/src/wharf_standins/daemon_process.py
+++ b/packages/standins/src/wharf_standins/daemon_process.py
@@ -32,6 +32,11 @@
             )
         return cls(process)
 
+    def check_running(self):
+        """Raise RuntimeError if the process has ended by itself."""
+        if self._process.returncode is not None:
+            raise RuntimeError(f"wharfd ended with {self._process.returncode}")
+
     async def stop(self):
         """Ask for a planned stop; return the exit code."""
         self._process.send_signal(signal.SIGTERM)
--- a/packages/standins/src/wharf_standins/process_fleet.py
+++ b/packages/standins/src/wharf_standins/process_fleet.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import socket
 import sys
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -14,6 +13,7 @@
 from wharf_standins.command_result import CommandResult
 from wharf_standins.daemon_process import DaemonProcess
 from wharf_standins.engine import Engine
+from wharf_standins.free_address import free_address
 from wharf_standins.platform import Platform
 
 __all__ = ["ProcessFleet"]
@@ -46,8 +46,8 @@
             for number, data_centre in enumerate(data_centres)
         }
         names = (*self.entry_names, *self.data_centre_by_upstream)
-        self.address_by_name = {name: _free_address() for name in names}
-        self.operators_by_name = {name: _free_address() for name in names}
+        self.address_by_name = {name: free_address() for name in names}
+        self.operators_by_name = {name: free_address() for name in names}
         self.engine_by_name = {}
         self.engine_url_by_name = {}
         self.platform = Platform()
@@ -90,8 +90,8 @@
     async def start_entry(self, name, **settings):
         """Start an entry; `settings` go before the usual ones."""
         if name not in self.address_by_name:
-            self.address_by_name[name] = _free_address()
-            self.operators_by_name[name] = _free_address()
+            self.address_by_name[name] = free_address()
+            self.operators_by_name[name] = free_address()
         data_centre = next(iter(self.data_centre_by_upstream.values()))
         usual = self._settings(name, name, data_centre) | {"drain_delay": 0.5}
         await self._start("entry", name, usual | settings)
@@ -174,6 +174,7 @@
         url = f"http://{self.operators_by_name[name]}/livez"
         async with asyncio.timeout(START_SECONDS):
             while not await self._answers(url):
+                self._process_by_name[name].check_running()
                 await asyncio.sleep(POLL_SECONDS)
 
     async def _answers(self, url):
@@ -221,9 +222,3 @@
     async def _end_processes(self):
         names = tuple(self._process_by_name)
         await asyncio.gather(*(self.stop(name) for name in names))
-
-
-def _free_address():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{listener.getsockname()[1]}"
--- a/packages/standins/tests/test_processes.py
+++ b/packages/standins/tests/test_processes.py
@@ -3,7 +3,6 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -13,13 +12,9 @@
 
 import pytest
 
-START_SECONDS = 20
-
+from wharf_standins.free_address import free_address
 
-def free_port():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return listener.getsockname()[1]
+START_SECONDS = 20
 
 
 @contextmanager
@@ -51,8 +46,7 @@
 def entry_url(tmp_path):
     """Start a platform, an upstream, its sidecar and an entry; apply a folder."""
     names = ("platform", "engine", "link", "link_ops", "entry", "entry_ops")
-    port = {name: free_port() for name in names}
-    at = {name: f"127.0.0.1:{number}" for name, number in port.items()}
+    at = {name: free_address() for name in names}
     platform_url = f"http://{at['platform']}"
     common = {"data_centre": "dc-1", "platform": platform_url}
     sidecar = common | {
