--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -17,7 +17,9 @@
 from wharf_daemon.entry.attempt_runner import AttemptRunner
 from wharf_daemon.entry.caller_api import CallerApi
 from wharf_daemon.entry.claim_service import ClaimService
+from wharf_daemon.entry.crash_guard import CrashGuard
 from wharf_daemon.entry.forwarded_claims import ForwardedClaims
+from wharf_daemon.entry.host_feed import HostFeed
 from wharf_daemon.entry.link_set import LinkSet
 from wharf_daemon.entry.order_sender import OrderSender
 from wharf_daemon.entry.pending_replies import PendingReplies
@@ -83,6 +85,8 @@
         self.facts.news.subscribe(self._broadcast_facts)
         self._follower = asyncio.create_task(self.feed.follow(self.store, self._rng))
         self._admitter = asyncio.create_task(self.admission.run())
+        hosts = HostFeed(self.store, self.feed, self.links, self._rng)
+        self._host_reader = asyncio.create_task(hosts.run())
         self._claims.start()
         self._driver = asyncio.create_task(self._rollout_driver().run())
 
@@ -111,6 +115,7 @@
         await self._claims.stop(self.settings.stop_grace)
         self._follower.cancel()
         self._admitter.cancel()
+        self._host_reader.cancel()
         self._driver.cancel()
         await asyncio.gather(self._driver, return_exceptions=True)
         self.links.close()
@@ -194,6 +199,7 @@
         self.outcomes = attempt_runner.outcomes
         self.outcomes.subscribe(self._count_attempt)
         self.outcomes.subscribe(self.rollouts.add_outcome)
+        crash_guard = CrashGuard(attempt_runner, self.facts, self._incarnation)
         budget = TimeBudget(self.feed, self._policy.outliers)
         self.outcomes.subscribe(budget.observe)
         self.admission = Admission(
@@ -209,7 +215,7 @@
             self.feed,
             self.admission,
             self._policy,
-            attempt_runner,
+            crash_guard,
             settings.max_answer,
         )
         claim_store = ForwardedClaims(
@@ -217,7 +223,9 @@
         )
         name = f"{settings.name}-{self._incarnation}"
         self._claims = ClaimService(stage_runner, claim_store, name, self._rng)
-        runner = PipelineRunner(self._claims.runner, self.feed, self.metrics)
+        runner = PipelineRunner(
+            self._claims.runner, self.feed, self.metrics, crash_guard
+        )
         reader = RequestReader(self.feed, settings.max_body)
         return CallerApi(self, reader, runner, settings.max_body).application()
 
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -8,7 +8,7 @@
 from result import Err, Ok, Result
 from websockets.asyncio.server import serve
 
-from wharf_coordination import Code, Gate, Refusal, SeenSet
+from wharf_coordination import Code, Gate, Refusal, ReportSchedule, SeenSet
 from wharf_daemon.configuration_feed import ConfigurationFeed
 from wharf_daemon.fact_feed import FactFeed
 from wharf_daemon.http_site import HttpSite, split_address
@@ -16,6 +16,7 @@
 from wharf_daemon.metrics import Metrics
 from wharf_daemon.operators_api import OperatorsApi
 from wharf_daemon.sidecar.claim_writer import ClaimWriter
+from wharf_daemon.sidecar.crash_watch import CrashWatch
 from wharf_daemon.sidecar.link_server import LinkServer
 from wharf_daemon.sidecar.order_handler import OrderHandler
 from wharf_daemon.sidecar.upstream_client import UpstreamClient
@@ -36,10 +37,12 @@
 
     def __init__(self, settings, gate=None):
         self.settings = settings
+        self._rng = Random(settings.seed)
         self.metrics = Metrics()
         self.feed = ConfigurationFeed(self.metrics)
         self.facts = FactFeed()
         self.gate = gate or Gate(settings.cold_limit, settings.max_limit)
+        self.crashes = CrashWatch(self.facts, self.gate, self._run_name())
         self.metrics.running.set_function(lambda: self.gate.in_flight)
         self.metrics.limit.set_function(lambda: self.gate.limit)
         self.links = set()
@@ -48,7 +51,7 @@
         self._pass_by_attempt = {}
         self._was_out = False
         self._refused_links = {}
-        self._rng = Random(settings.seed)
+        self._reports = ReportSchedule()
         self._service_time = 0.0
         self._idle = asyncio.Event()
         self._idle.set()
@@ -145,6 +148,9 @@
             return Err(Refusal.not_run(Code.UPSTREAM_LEAVING))
         if self._is_out(self.feed.document):
             return Err(Refusal.not_run(Code.DATA_CENTRE_OUT))
+        judged = self.crashes.admit(call)
+        if judged.is_err():
+            return judged
         kind = f"{call.pipeline}/{call.stage}"
         admitted = self.gate.enter(kind, call.priority, self._now())
         match admitted:
@@ -213,10 +219,12 @@
     async def _report_load(self):
         while True:
             await asyncio.sleep(self.settings.load_interval)
-            self._broadcast_load()
+            if self._reports.is_due(self.load(), self._now()):
+                self._broadcast_load()
 
     def _broadcast_load(self):
         report = self.load()
+        self._reports.reported(report, self._now())
         for link in tuple(self.links):
             link.report(report)
 
@@ -245,6 +253,9 @@
         # The revision in the report tells that the configuration is in force.
         self._broadcast_load()
 
+    def _run_name(self):
+        return f"{self.settings.upstream}/{self._rng.getrandbits(48):012x}"
+
     def _observe_incarnation(self, incarnation):
         self.gate.observe_incarnation(incarnation, self._now())
 
--- a/packages/daemon/src/wharf_daemon/sidecar/upstream_client.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/upstream_client.py
@@ -61,6 +61,10 @@
         except TimeoutError as error:
             failure = Refusal.unknown(Code.DEADLINE_PASSED, "upstream timed out")
             raise UpstreamError(failure) from error
+        except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+            raise UpstreamError(self._crashed(error)) from error
+        except aiohttp.ClientPayloadError as error:
+            raise UpstreamError(self._crashed(error)) from error
         except (aiohttp.ClientError, ValueError) as error:
             failure = Refusal.unknown(Code.UPSTREAM_FAILED, repr(error))
             raise UpstreamError(failure) from error
@@ -77,6 +81,9 @@
             STAGE_HEADER: call.stage,
         }
 
+    def _crashed(self, error):
+        return Refusal.unknown(Code.UPSTREAM_CRASHED, repr(error))
+
     def _check_status(self, response):
         if response.status == 200:
             return
--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -14,6 +14,10 @@
 from wharf_standins.rollout_trial.command import trial_rollouts
 from wharf_standins.rollout_trial.daemon_command import trial_daemons
 from wharf_standins.serve import engine, platform
+from wharf_standins.slopes.command import slopes
+from wharf_standins.slopes.idle_entry import idle_entry
+from wharf_standins.slopes.peers import ask_streams, serve_upstreams
+from wharf_standins.slopes.profile_relay import profile_relay
 
 __all__ = []
 
@@ -22,5 +26,6 @@
         *(demo, engine, platform),
         *(bench, bench_overhead, claims_bench, outage_trial),
         *(histories, propagation, trial_daemons, trial_rollouts),
+        *(slopes, profile_relay, idle_entry, ask_streams, serve_upstreams),
     ]
     sys.exit(defopt.run(commands, no_negated_flags=True))
