--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -19,6 +19,7 @@
 from wharf_daemon.entry.claim_service import ClaimService
 from wharf_daemon.entry.crash_guard import CrashGuard
 from wharf_daemon.entry.forwarded_claims import ForwardedClaims
+from wharf_daemon.entry.host_feed import HostFeed
 from wharf_daemon.entry.link_set import LinkSet
 from wharf_daemon.entry.order_sender import OrderSender
 from wharf_daemon.entry.pending_replies import PendingReplies
@@ -59,6 +60,7 @@
         self._incarnation = uuid.uuid4().hex[:12]
         self._request_numbers = count()
         self._running = 0
+        self.metrics.running.set_function(lambda: self._running)
         self._idle = asyncio.Event()
         self._idle.set()
         self.links = LinkSet(self, self._rng)
@@ -83,6 +85,8 @@
         self.facts.news.subscribe(self._broadcast_facts)
         self._follower = asyncio.create_task(self.feed.follow(self.store, self._rng))
         self._admitter = asyncio.create_task(self.admission.run())
+        hosts = HostFeed(self.store, self.feed, self.links, self._rng)
+        self._host_reader = asyncio.create_task(hosts.run())
         self._claims.start()
         self._driver = asyncio.create_task(self._rollout_driver().run())
 
@@ -111,6 +115,7 @@
         await self._claims.stop(self.settings.stop_grace)
         self._follower.cancel()
         self._admitter.cancel()
+        self._host_reader.cancel()
         self._driver.cancel()
         await asyncio.gather(self._driver, return_exceptions=True)
         self.links.close()
