Measure load reports, and stretch their interval with the number of links

Cause: at 106 links a sidecar, reports every 0.25 s of load that moves all the time would give an entry with 528 links 190 KB/s of control. Change: the interval is at least 0.02 s for each link, so 2.1 s at that size and 0.25 s as before below 13 links. Figures (computed from the measured report of 86 bytes and 4 of framing): 190 KB/s before, 23 KB/s after.

--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -27,6 +27,7 @@
 __all__ = ["Sidecar"]
 
 SERVICE_TIME_WEIGHT = 0.2
+REPORT_SECONDS_PER_LINK = 0.02
 WAKES_PER_SLOT = 2
 
 log = structlog.get_logger(__name__)
@@ -223,7 +224,10 @@
 
     async def _report_load(self):
         while True:
-            await asyncio.sleep(self.settings.load_interval)
+            # Many links stretch the interval, so that entries with many links
+            # don't spend their control budget on load that moves all the time.
+            spread = REPORT_SECONDS_PER_LINK * len(self.links)
+            await asyncio.sleep(max(self.settings.load_interval, spread))
             if self._reports.is_due(self.load(), self._now()):
                 self._broadcast_load()
 
--- a/packages/standins/src/wharf_standins/slopes/command.py
+++ b/packages/standins/src/wharf_standins/slopes/command.py
@@ -1,12 +1,10 @@
 """The command that takes all slopes and writes the table of docs/CAPACITY.md."""
 
-import logging
 from pathlib import Path
 
-import structlog
-
 from wharf_standins.slopes.live_slopes import live_slopes
 from wharf_standins.slopes.pure_slopes import pure_slopes
+from wharf_standins.slopes.quiet import log_only_warnings
 from wharf_standins.slopes.table import replace_table
 
 __all__ = ["slopes"]
@@ -17,6 +15,5 @@
 
     :param page: the page whose generated block is replaced
     """
-    only_warnings = structlog.make_filtering_bound_logger(logging.WARNING)
-    structlog.configure(wrapper_class=only_warnings)
+    log_only_warnings()
     replace_table(page, [*pure_slopes(), *live_slopes()])
--- a/packages/standins/src/wharf_standins/slopes/idle_entry.py
+++ b/packages/standins/src/wharf_standins/slopes/idle_entry.py
@@ -5,6 +5,7 @@
 import time
 from pathlib import Path
 
+from wharf_standins.slopes.quiet import log_only_warnings
 from wharf_standins.slopes.relay import running_entry
 
 __all__ = ["idle_entry"]
@@ -20,6 +21,7 @@
     :param links: number of links to wait for
     :param seconds: how long to measure
     """
+    log_only_warnings()
     print(json.dumps(asyncio.run(_idle_entry(platform, links, seconds))), flush=True)
 
 
--- a/packages/standins/src/wharf_standins/slopes/peers.py
+++ b/packages/standins/src/wharf_standins/slopes/peers.py
@@ -15,12 +15,14 @@
 from wharf_platform.configuration import CONFIGURATION_KEY, Document, Folder
 from wharf_standins.engine import Engine
 from wharf_standins.platform import Platform
+from wharf_standins.slopes.quiet import log_only_warnings
 
 __all__ = ["ask_streams", "peer_process", "serve_upstreams"]
 
 ANY_PORT = "127.0.0.1:0"
 CONCURRENCY_LIMIT = 512
 REQUEST_BYTES = 1000
+POOL_SIZE = 16
 
 
 @contextmanager
@@ -51,6 +53,7 @@
     :param seconds_per_token: pace of each stream
     :param gather_seconds: setting of the sidecars
     """
+    log_only_warnings()
     make = partial(Engine, service_time=tokens * seconds_per_token, tokens=tokens)
     asyncio.run(_serve_upstreams(upstreams, make, gather_seconds))
 
@@ -112,7 +115,11 @@
 def _folder(addresses):
     limits = {"cold_limit": CONCURRENCY_LIMIT, "max_limit": CONCURRENCY_LIMIT}
     upstreams = {
-        f"model-{number}": {"pool": "model", "data_centre": "dc-1", "address": address}
+        f"model-{number}": {
+            "pool": _pool(number),
+            "data_centre": "dc-1",
+            "address": address,
+        }
         | limits
         for number, address in enumerate(addresses)
     }
@@ -120,13 +127,18 @@
         {
             "data_centres": {"dc-1": {}},
             "customers": {"acme": {}},
-            "pools": {"model": {}},
+            "pools": {_pool(number): {} for number in range(len(addresses))},
             "upstreams": upstreams,
             "pipelines": {"ask": {"stages": [{"name": "answer", "pool": "model"}]}},
         }
     )
 
 
+def _pool(number):
+    # Pools stay small enough for an entry to link to all of their upstreams.
+    return "model" if number < POOL_SIZE else f"other-{number // POOL_SIZE}"
+
+
 async def _ask_streams(url, requests):
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
--- a/packages/standins/src/wharf_standins/slopes/pure_slopes.py
+++ b/packages/standins/src/wharf_standins/slopes/pure_slopes.py
@@ -7,7 +7,7 @@
 from wharf_standins.slopes.sample_folder import sample_document
 from wharf_standins.slopes.slope import Slope
 from wharf_standins.slopes.timing import cpu_microseconds
-from wharf_wire import FactItem, Facts, decode, encode
+from wharf_wire import FactItem, Facts, Load, decode, encode
 
 __all__ = ["pure_slopes"]
 
@@ -15,6 +15,14 @@
 UPSTREAM_COUNTS = (400, 800, 1700, 3400)
 FACT_COUNTS = (1, 10, 50, 200)
 FACT_SECONDS = 600.0
+LOAD = Load(
+    in_flight=40,
+    limit=64,
+    service_time=0.125,
+    leaving=False,
+    version="1",
+    revision=1_000_000,
+)
 
 
 def pure_slopes() -> list[Slope]:
@@ -40,6 +48,15 @@
                 for count, text in text_by_count.items()
             ],
         ),
+        Slope.fit(
+            "load reports",
+            "report",
+            "bytes",
+            [(count, count * len(encode(LOAD))) for count in FACT_COUNTS],
+        ),
+        Slope.fit(
+            "load reports taken in", "report", "us", _points(FACT_COUNTS, _reading)
+        ),
         Slope.fit(
             "facts frame",
             "fact",
@@ -63,6 +80,11 @@
     return lambda: chooser.choose(candidates, 0.0)
 
 
+def _reading(count):
+    frame = encode(LOAD)
+    return lambda: [decode(frame) for _ in range(count)]
+
+
 def _facts(count):
     facts = (Fact(FactKind.CONDEMNED, f"{n:032x}", "crash") for n in range(count))
     return Facts(tuple(FactItem.from_fact(fact, FACT_SECONDS) for fact in facts))
