Let suspects that wait be sent again, and probe an upstream after a crash

Cause, found by a test of neighbours that wait for each other: a suspect that had been refused its turn was sent again under the same attempt id, which the sidecar drops as a doubled call, so the request hung until its deadline. And a call that met an upstream still down after a crash counted as a second death.

Change: each turn has an attempt id of its own; after a crash the sidecar refuses calls as not run until a probe is answered.

--- a/packages/daemon/src/wharf_daemon/entry/crash_guard.py
+++ b/packages/daemon/src/wharf_daemon/entry/crash_guard.py
@@ -1,12 +1,14 @@
 """The entry's part against requests that crash upstreams."""
 
 import asyncio
+from itertools import count
 
 from result import Err, Ok, Result
 
 from wharf_coordination import (
     Code,
     DeathKind,
+    Ran,
     Refusal,
     Suspicion,
     Verdict,
@@ -44,8 +46,12 @@
         if self._ledger.verdict(task.fingerprint) is Verdict.SUSPECT:
             # What other entries have seen of this request arrives meanwhile.
             await self._pause(task, SETTLE_SECONDS)
-        while self._ledger.verdict(task.fingerprint) is not Verdict.CONDEMNED:
-            result = await self._attempt_runner.run(task, candidate, number, answer)
+        for turn in count():
+            if self._ledger.verdict(task.fingerprint) is Verdict.CONDEMNED:
+                break
+            # A sidecar runs an attempt of one name only once.
+            name = f"{number}.{turn}" if turn else number
+            result = await self._attempt_runner.run(task, candidate, name, answer)
             if not self._waits(task, result):
                 return result
             await self._pause(task, SUSPECT_RETRY_SECONDS)
@@ -66,7 +72,7 @@
         match outcome.code:
             case Code.OK:
                 self._ledger.clear(self._ledger.suspicions(task.fingerprint))
-            case Code.LINK_LOST if outcome.refusal.ran == "unknown":
+            case Code.LINK_LOST if outcome.refusal.ran is Ran.UNKNOWN:
                 self._ledger.suspect(self._loss(outcome))
         if self._ledger.verdict(task.fingerprint) is Verdict.CONDEMNED:
             upstream = outcome.candidate.upstream
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -43,7 +43,12 @@
         self.feed = ConfigurationFeed(self.metrics)
         self.facts = FactFeed()
         self.gate = gate or Gate(settings.cold_limit, settings.max_limit)
-        self.crashes = CrashWatch(self.facts, self.gate, self._run_name())
+        self.crashes = CrashWatch(
+            self.facts,
+            self.gate,
+            self._run_name(),
+            lambda: self.upstream.is_answering(),
+        )
         self.links = set()
         self.seen = SeenSet()
         self.leaving = False
@@ -113,6 +118,7 @@
         except TimeoutError:
             log.warning("stop_grace_spent", in_flight=self.gate.in_flight)
         self._reporter.cancel()
+        self.crashes.close()
         for link in tuple(self.links):
             await link.close()
         await self._server.wait_closed()
--- a/packages/daemon/src/wharf_daemon/sidecar/upstream_client.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/upstream_client.py
@@ -19,6 +19,7 @@
 PIPELINE_HEADER = "Pipeline"
 STAGE_HEADER = "Stage"
 INCARNATION_HEADER = "Incarnation"
+PROBE_TIMEOUT_SECONDS = 1.0
 
 
 @dataclass(frozen=True)
@@ -69,6 +70,16 @@
             failure = Refusal.unknown(Code.UPSTREAM_FAILED, repr(error))
             raise UpstreamError(failure) from error
 
+    async def is_answering(self):
+        """Return whether the upstream gives any HTTP answer."""
+        timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_SECONDS)
+        url = f"{self._base_url}/v1/load"
+        try:
+            async with self._session.get(url, timeout=timeout):
+                return True
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
     def _headers(self, call):
         return {
             ATTEMPT_HEADER: call.attempt,
--- a/packages/standins/tests/test_crashing_requests.py
+++ b/packages/standins/tests/test_crashing_requests.py
@@ -13,6 +13,7 @@
 PIPELINES = {"ask": {"stages": [{"name": "answer", "pool": "model"}]}}
 SHAPE = {"model": ("dc-1",) * 6}
 NEIGHBOURS = 6
+WAITING = 5  # As many retries as an entry may make right after its start.
 RESENDS = 4
 
 
@@ -79,3 +80,24 @@
     fact = suspicion.to_fact()
     ledger._suspects.observe(fact, ledger._now(), 600.0)
     return CrashLedger.message(suspicion)
+
+
+async def test_neighbours_that_wait_for_each_other_are_all_answered(system):
+    async with system:
+        for engine in system.engine_by_name.values():
+            engine.batch.service_time = 0.2
+        asks = [
+            asyncio.create_task(ask(system, 0, f"note {n}", f"n-{n}"))
+            for n in range(WAITING)
+        ]
+        async with asyncio.timeout(5):
+            while runs(system) < WAITING:
+                await asyncio.sleep(0.001)
+        busy = [engine for engine in system.engine_by_name.values() if engine.runs]
+        for engine in busy[:-1]:
+            engine.crash()
+        async with asyncio.timeout(5):
+            answers = await asyncio.gather(*asks)
+        assert [answer.get("echo", answer) for answer in answers] == [
+            f"note {n}" for n in range(WAITING)
+        ]
