--- a/packages/standins/src/wharf_standins/slopes/command.py
+++ b/packages/standins/src/wharf_standins/slopes/command.py
@@ -16,4 +16,6 @@
     :param page: the page whose generated block is replaced
     """
     log_only_warnings()
-    replace_table(page, [*pure_slopes(), *live_slopes()])
+    pure = pure_slopes()
+    replace_table(page, pure)
+    replace_table(page, [*pure, *live_slopes()])
