--- a/packages/standins/src/wharf_standins/process_fleet.py
+++ b/packages/standins/src/wharf_standins/process_fleet.py
@@ -2,39 +2,25 @@
 
 import asyncio
 import json
-import os
-import signal
-import socket
 import sys
 from contextlib import AsyncExitStack
-from dataclasses import dataclass
 from pathlib import Path
 
 import aiohttp
 from aiohttp import web
 
 from wharf_daemon.http_site import HttpSite
+from wharf_standins.command_result import CommandResult
+from wharf_standins.daemon_process import DaemonProcess
 from wharf_standins.engine import Engine
+from wharf_standins.free_address import free_address
 from wharf_standins.platform import Platform
 
-__all__ = ["CommandResult", "ProcessFleet"]
+__all__ = ["ProcessFleet"]
 
 START_SECONDS = 20.0
-STOP_SECONDS = 30.0
 POLL_SECONDS = 0.02
 LIMIT = 64
-# Positions in /proc/PID/stat after the command's name.
-USER_TICKS_FIELD = 11
-SYSTEM_TICKS_FIELD = 12
-
-
-@dataclass(frozen=True, slots=True)
-class CommandResult:
-    """How a run of wharfctl ended."""
-
-    code: int
-    output: str
-    errors: str
 
 
 class ProcessFleet:
@@ -60,8 +46,8 @@
             for number, data_centre in enumerate(data_centres)
         }
         names = (*self.entry_names, *self.data_centre_by_upstream)
-        self.address_by_name = {name: _free_address() for name in names}
-        self.operators_by_name = {name: _free_address() for name in names}
+        self.address_by_name = {name: free_address() for name in names}
+        self.operators_by_name = {name: free_address() for name in names}
         self.engine_by_name = {}
         self.engine_url_by_name = {}
         self.platform = Platform()
@@ -104,24 +90,19 @@
     async def start_entry(self, name, **settings):
         """Start an entry; `settings` go before the usual ones."""
         if name not in self.address_by_name:
-            self.address_by_name[name] = _free_address()
-            self.operators_by_name[name] = _free_address()
+            self.address_by_name[name] = free_address()
+            self.operators_by_name[name] = free_address()
         data_centre = next(iter(self.data_centre_by_upstream.values()))
         usual = self._settings(name, name, data_centre) | {"drain_delay": 0.5}
         await self._start("entry", name, usual | settings)
 
     async def stop(self, name):
         """Ask a process to stop as planned; return its exit code."""
-        process = self._process_by_name.pop(name)
-        process.send_signal(signal.SIGTERM)
-        return await asyncio.wait_for(process.wait(), STOP_SECONDS)
+        return await self._process_by_name.pop(name).stop()
 
     def processor_seconds(self, name):
         """Return the processor time that a process has used, in seconds."""
-        stat = Path(f"/proc/{self._process_by_name[name].pid}/stat").read_text()
-        fields = stat.rpartition(")")[2].split()
-        ticks = int(fields[USER_TICKS_FIELD]) + int(fields[SYSTEM_TICKS_FIELD])
-        return ticks / os.sysconf("SC_CLK_TCK")
+        return self._process_by_name[name].processor_seconds()
 
     async def control(self, *arguments) -> CommandResult:
         """Run wharfctl."""
@@ -187,17 +168,13 @@
         return application
 
     async def _start(self, kind, name, settings):
-        path = self.directory / f"{name}.json"
-        path.write_text("// written by the test\n" + json.dumps(settings))
-        process = await asyncio.create_subprocess_exec(
-            *(sys.executable, "-m", "wharf_daemon", kind, str(path)),
-            stderr=(self.directory / f"{name}.log").open("ab"),
-            env=os.environ | {"PYTHONUNBUFFERED": "1"},
+        self._process_by_name[name] = await DaemonProcess.start(
+            kind, self.directory, name, settings
         )
-        self._process_by_name[name] = process
         url = f"http://{self.operators_by_name[name]}/livez"
         async with asyncio.timeout(START_SECONDS):
             while not await self._answers(url):
+                self._process_by_name[name].check_running()
                 await asyncio.sleep(POLL_SECONDS)
 
     async def _answers(self, url):
@@ -245,9 +222,3 @@
     async def _end_processes(self):
         names = tuple(self._process_by_name)
         await asyncio.gather(*(self.stop(name) for name in names))
-
-
-def _free_address():
-    with socket.socket() as listener:
-        listener.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{listener.getsockname()[1]}"
--- a/packages/standins/tests/test_entry_links.py
+++ b/packages/standins/tests/test_entry_links.py
@@ -181,7 +181,7 @@
 
 
 async def test_wrong_count_is_never_taken_for_whole(sidecars, post):
-    task = post({"note": 1}, STREAM)
+    task = post({"note": 1}, STREAM | {"Deadline-Seconds": "1"})
     for _ in sidecars:
         [(hand, call)] = await next_calls(sidecars, 1)
         chunk = Chunk(call.attempt, call.resume_from, b"part")
@@ -204,6 +204,7 @@
     assert good_link._socket is good_socket
     assert entry.metrics.bad_messages._value.get() == 1
     await until(lambda: bad_link.is_open)
+    assert entry.metrics.links._value.get() == 2
     task.cancel()
 
 
--- a/packages/standins/tests/test_histories.py
+++ b/packages/standins/tests/test_histories.py
@@ -33,20 +33,24 @@
 from wharf_standins.history.fault_kind import FaultKind
 from wharf_standins.history.injector import Injector
 from wharf_standins.history.kill import kill_entry
+from wharf_standins.history.operators import Operators
 
 REQUESTS = 120
+MANY_REQUESTS = 300
 SHORT_SECONDS = 0.8
 SHORT_FAULT_SECONDS = 0.4
+SHORT_DEADLINE_SECONDS = 1.5
 LEAVING_FAULTS = (
+    FaultKind.BAD_VERSION,
     FaultKind.DATA_CENTRE_OUT,
     FaultKind.UPSTREAM_LEAVES,
-    FaultKind.BAD_VERSION,
 )
 
 
 @pytest.fixture(autouse=True)
 def short_faults(monkeypatch):
     monkeypatch.setattr(injector, "FAULT_SECONDS", SHORT_FAULT_SECONDS)
+    monkeypatch.setattr(callers, "DEADLINE_SECONDS", SHORT_DEADLINE_SECONDS)
 
 
 async def make(*faults, seconds=SHORT_SECONDS, seed=1, requests=REQUESTS):
@@ -74,7 +78,7 @@
     monkeypatch.setattr(Sidecar, "stop", lambda sidecar: asyncio.sleep(0))
     monkeypatch.setattr(Injector, "_slow", slow_the_other)
     faults = (*LEAVING_FAULTS, FaultKind.UPSTREAM_SLOWED)
-    history = await make(*faults, seconds=3.4)
+    history = await make(*faults, seconds=3.6, requests=MANY_REQUESTS)
     expected = {"data centre out", "leaving upstream", "bad version"}
     assert expected <= promises(history)
 
@@ -132,7 +136,6 @@
         for inbox in list(link._inbox_by_attempt.values())[-1:]:
             inbox.put(message)
 
-    monkeypatch.setattr(callers, "DEADLINE_SECONDS", 1.0)
     monkeypatch.setattr(SidecarLink, "_deliver", deliver_to_the_last)
     assert "whole answers" in promises(await make(FaultKind.UPSTREAM_SLOWED))
 
@@ -173,7 +176,7 @@
         await asyncio.sleep(0.3)
         self._system.entries[0].feed.offer(first, "a stale peer")
 
-    monkeypatch.setattr(Injector, "_race", offer_stale)
+    monkeypatch.setattr(Operators, "race", offer_stale)
     assert not check_configuration(await make(FaultKind.OPERATORS_RACE))
     monkeypatch.setattr("wharf_coordination.Monotone.offer", adopt_anything)
     assert check_configuration(await make(FaultKind.OPERATORS_RACE))
@@ -189,6 +192,11 @@
 
 
 async def test_histories_under_faults_keep_all_promises():
-    runs = [make(*LEAVING_FAULTS, seconds=3.6)]
-    for violations in map(check_history, await asyncio.gather(*runs)):
-        assert violations == []
+    sets = (
+        LEAVING_FAULTS,
+        (FaultKind.STORE_LOSES_ANSWERS, FaultKind.RESENDS),
+        (FaultKind.ENTRY_KILLED, FaultKind.UPSTREAM_COLD),
+    )
+    runs = (make(*faults, seconds=3.6) for faults in sets)
+    for faults, history in zip(sets, await asyncio.gather(*runs), strict=True):
+        assert check_history(history) == [], faults
