Judge overwritten changes by their ids

An operator whose answer was lost reads back the document after another's change and is told that later revision; nothing was overwritten. The check mistook it.

Change: the check asks that each accepted change is in the store's document at the end, which also finds a lost change whose revision nobody else was told.

--- a/packages/standins/src/wharf_standins/history/checks/configuration.py
+++ b/packages/standins/src/wharf_standins/history/checks/configuration.py
@@ -1,6 +1,5 @@
 """An accepted configuration is in force everywhere within seconds, for good."""
 
-from collections import Counter
 from itertools import pairwise, product
 
 from wharf_standins.history.span_kind import SpanKind
@@ -27,10 +26,9 @@
 
 
 def _overwritten(history):
-    accepted = Counter(span.subject for span in history.spans_of(SpanKind.ACCEPTED))
-    for revision, count in accepted.items():
-        if count > 1:
-            yield Violation(PROMISE, f"revision {revision} was accepted {count} times")
+    for operation in history.accepted:
+        if operation not in history.kept:
+            yield Violation(PROMISE, f"accepted change {operation} was overwritten")
 
 
 def _late(history, grace):
--- a/packages/standins/src/wharf_standins/history/history.py
+++ b/packages/standins/src/wharf_standins/history/history.py
@@ -16,6 +16,8 @@
 class History:
     """The events of one run, on one clock.
 
+    `accepted` holds the ids of the changes that operators were told are accepted,
+    `kept` those that the store's document holds at the end.
     `stages_by_pipeline` names the stages, `exclusive_stages` those that are not
     idempotent, `bearable_by_upstream` the calls that a cold upstream bears and
     `warm_after` the completed runs that warm one.
@@ -32,6 +34,8 @@
     runs: list[RunRecord] = field(default_factory=list)
     adopted: list[Adopted] = field(default_factory=list)
     spans: list[Span] = field(default_factory=list)
+    accepted: list[str] = field(default_factory=list)
+    kept: tuple[str, ...] = ()
     begin: float = 0.0
     end: float = 0.0
 
--- a/packages/standins/src/wharf_standins/history/history_run.py
+++ b/packages/standins/src/wharf_standins/history/history_run.py
@@ -3,6 +3,7 @@
 import asyncio
 from random import Random
 
+from wharf_platform.configuration import CONFIGURATION_KEY, Document
 from wharf_standins.history.adopted import Adopted
 from wharf_standins.history.callers import Callers
 from wharf_standins.history.fault_kind import FaultKind, faults_of_seed
@@ -113,6 +114,8 @@
         await injector.inject(kind)
 
     def _collect(self, system):
+        _, text = system.platform.object_by_key[CONFIGURATION_KEY]
+        self.history.kept = Document.from_json(text).operations
         for engine in system.engine_by_name.values():
             self.history.runs += engine.runs
         for run in self.history.runs:
--- a/packages/standins/src/wharf_standins/history/operators.py
+++ b/packages/standins/src/wharf_standins/history/operators.py
@@ -36,10 +36,12 @@
     async def change(self, fields):
         """Make one change; return whether it was accepted."""
         update = ConditionalUpdate(self._system.store, self._rng)
-        change = DocumentChange(uuid.uuid4().hex, fields)
+        operation = uuid.uuid4().hex
+        change = DocumentChange(operation, fields)
         match await update.run(CONFIGURATION_KEY, change):
             case Ok(stored):
                 revision = Document.from_json(stored.value).revision
+                self._history.accepted.append(operation)
                 self._span(SpanKind.ACCEPTED, str(revision), self._now())
                 return True
             case _:
--- a/packages/standins/tests/test_histories.py
+++ b/packages/standins/tests/test_histories.py
@@ -196,6 +196,7 @@
         LEAVING_FAULTS,
         (FaultKind.STORE_LOSES_ANSWERS, FaultKind.RESENDS),
         (FaultKind.ENTRY_KILLED, FaultKind.UPSTREAM_COLD),
+        (FaultKind.STORE_LOSES_ANSWERS, FaultKind.OPERATORS_RACE),
     )
     runs = (make(*faults, seconds=3.6) for faults in sets)
     for faults, history in zip(sets, await asyncio.gather(*runs), strict=True):
--- a/packages/standins/tests/test_history_checks.py
+++ b/packages/standins/tests/test_history_checks.py
@@ -45,6 +45,8 @@
         runs=[run(1), run(2)],
         adopted=[Adopted("entry-0", 1, 0.1)],
         spans=[Span(SpanKind.ACCEPTED, "1", 0.0)],
+        accepted=["a"],
+        kept=("a",),
         end=10.0,
     )
 
@@ -129,8 +131,8 @@
     history.spans.append(Span(SpanKind.ACCEPTED, "2", 1.0))
 
 
-def accept_twice(history):
-    history.spans.append(Span(SpanKind.ACCEPTED, "1", 0.0))
+def overwrite(history):
+    history.accepted.append("b")
 
 
 BREAKAGES = {
@@ -152,7 +154,7 @@
     cut_run: "planned stop",
     revert: "configuration",
     lack_revision: "configuration",
-    accept_twice: "configuration",
+    overwrite: "configuration",
 }
 
 
