--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -27,6 +27,7 @@
 __all__ = ["Sidecar"]
 
 SERVICE_TIME_WEIGHT = 0.2
+REPORT_SECONDS_PER_LINK = 0.02
 WAKES_PER_SLOT = 2
 
 log = structlog.get_logger(__name__)
@@ -42,7 +43,12 @@
         self.feed = ConfigurationFeed(self.metrics)
         self.facts = FactFeed()
         self.gate = gate or Gate(settings.cold_limit, settings.max_limit)
-        self.crashes = CrashWatch(self.facts, self.gate, self._run_name())
+        self.crashes = CrashWatch(
+            self.facts,
+            self.gate,
+            self._run_name(),
+            lambda: self.upstream.is_answering(),
+        )
         self.metrics.running.set_function(lambda: self.gate.in_flight)
         self.metrics.limit.set_function(lambda: self.gate.limit)
         self.links = set()
@@ -107,6 +113,7 @@
         except TimeoutError:
             log.warning("stop_grace_spent", in_flight=self.gate.in_flight)
         self._reporter.cancel()
+        self.crashes.close()
         for link in tuple(self.links):
             await link.close()
         await self._server.wait_closed()
@@ -218,7 +225,10 @@
 
     async def _report_load(self):
         while True:
-            await asyncio.sleep(self.settings.load_interval)
+            # Many links stretch the interval, so that entries with many links
+            # don't spend their control budget on load that moves all the time.
+            spread = REPORT_SECONDS_PER_LINK * len(self.links)
+            await asyncio.sleep(max(self.settings.load_interval, spread))
             if self._reports.is_due(self.load(), self._now()):
                 self._broadcast_load()
 
