Ask for calls at half of the usual load only

Cause: since calls go to the old version while new upstreams are full, cold gates kept the new one below the old one's median load, and a good version was taken back with real daemons: under 15 calls at the usual load.

Ruled out: dropping the condition, without which versions that are bad under load left the first half untried.

Change: calls at half of that load count.

--- a/packages/coordination/src/wharf_coordination/rollout/evidence.py
+++ b/packages/coordination/src/wharf_coordination/rollout/evidence.py
@@ -91,7 +91,7 @@
         )
 
     def calls_at_usual_load(self, now) -> int:
-        """Return the new version's kept calls at the old one's median load or above."""
+        """Return the new version's kept calls at half the usual load or more."""
         bands = sorted(
             cell.band
             for cell, samples in self._old_by_cell.items()
@@ -101,7 +101,7 @@
         return sum(
             len(samples)
             for cell, samples in self._new_by_cell.items()
-            if cell.band >= usual
+            if cell.band >= usual - 1
         )
 
     def summary(self, now) -> list[RouteEvidence]:
