--- a/packages/daemon/tests/test_claimed_stage_runner.py
+++ b/packages/daemon/tests/test_claimed_stage_runner.py
@@ -15,7 +15,6 @@
 from wharf_platform.claims import ClaimRecorder, ClaimStore, ClaimTidier
 from wharf_platform.configuration import Stage
 from wharf_standins.faulty_store import FaultyStore
-from wharf_standins.virtual_time import VirtualTimePolicy
 
 NOW = 1_764_827_506.0
 KEY = "1764827506-hold"
@@ -69,11 +68,6 @@
         await asyncio.gather(*(runner.drain(5.0) for runner in self.runners))
 
 
-@pytest.fixture
-def event_loop_policy():
-    return VirtualTimePolicy()
-
-
 @pytest.fixture
 def store():
     return FaultyStore(Random(1))
--- a/packages/standins/src/wharf_standins/virtual_time.py
+++ b/packages/standins/src/wharf_standins/virtual_time.py
@@ -3,7 +3,7 @@
 import asyncio
 from selectors import DefaultSelector
 
-__all__ = ["VirtualTimeLoop", "VirtualTimePolicy"]
+__all__ = ["VirtualTimeLoop"]
 
 
 class _SkippingSelector(DefaultSelector):
@@ -31,11 +31,3 @@
     def time(self):
         """Return the seconds of virtual time since the start."""
         return self._skipping_selector.now
-
-
-class VirtualTimePolicy(asyncio.DefaultEventLoopPolicy):
-    """Make every new event loop one of virtual time."""
-
-    def new_event_loop(self):
-        """Return a new loop at the time 0."""
-        return VirtualTimeLoop()
