Share the refusal of unexpected messages between both ends of a link

Cause: the entry's and the sidecar's link each built the same refusal, and the fetching of configurations left a property of the entry's link that nobody reads. Change: one function beside the detection of violations; the property is gone. No behaviour changes and no test was touched.

--- a/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
+++ b/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
@@ -4,7 +4,7 @@
 from contextlib import suppress
 
 import structlog
-from result import Err, Ok
+from result import Ok
 from websockets.asyncio.client import connect
 from websockets.exceptions import (
     ConnectionClosed,
@@ -17,7 +17,7 @@
 from wharf_daemon.configuration_exchange import ConfigurationExchange
 from wharf_daemon.entry.attempt_inbox import AttemptInbox
 from wharf_daemon.link_options import LINK_OPTIONS
-from wharf_daemon.protocol_violation import closed_for_violation
+from wharf_daemon.protocol_violation import closed_for_violation, unexpected
 from wharf_wire import (
     Call,
     Cancel,
@@ -115,11 +115,6 @@
                 await self.send(Cancel(call.attempt))
             await self._close_if_left()
 
-    @property
-    def peer_revision(self):
-        """Return the revision of the configuration that the sidecar holds."""
-        return self.exchange.peer_revision
-
     def notify_revision(self):
         """Tell the sidecar of a newer configuration, once both have said hello."""
         if self._socket and self.name:
@@ -170,7 +165,7 @@
 
     def _handle(self, message):
         if not self.name and not isinstance(message, Hello):
-            return self._unexpected(message)
+            return unexpected(message)
         match message:
             case End():
                 self._entry.links.observe_end(self, message)
@@ -193,13 +188,9 @@
             case ClaimReply() | OrderResult():
                 self._entry.replies.resolve(message)
             case _:
-                return self._unexpected(message)
+                return unexpected(message)
         return Ok(None)
 
-    def _unexpected(self, message):
-        refusal = Refusal.not_run(Code.BAD_MESSAGE, f"unexpected {message.kind}")
-        return Err(refusal)
-
     def _observe_load(self, load):
         if self.load is None:
             self._entry.metrics.links.inc()
--- a/packages/daemon/src/wharf_daemon/protocol_violation.py
+++ b/packages/daemon/src/wharf_daemon/protocol_violation.py
@@ -1,9 +1,12 @@
 """Detection of a peer that breaks the link protocol."""
 
+from result import Err, Result
 from websockets.exceptions import ConnectionClosedError
 from websockets.frames import CloseCode
 
-__all__ = ["closed_for_violation"]
+from wharf_coordination import Code, Refusal
+
+__all__ = ["closed_for_violation", "unexpected"]
 
 _VIOLATIONS = {
     CloseCode.PROTOCOL_ERROR,
@@ -16,3 +19,9 @@
     """Return whether this side closed the link because of what the peer sent."""
     sent = error.sent
     return sent is not None and sent.code in _VIOLATIONS and not error.rcvd_then_sent
+
+
+def unexpected(message) -> Result[None, Refusal]:
+    """Return the refusal of a message that the peer must not send now."""
+    refusal = Refusal.not_run(Code.BAD_MESSAGE, f"unexpected {message.kind}")
+    return Err(refusal)
--- a/packages/daemon/src/wharf_daemon/sidecar/link_server.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/link_server.py
@@ -4,13 +4,12 @@
 from contextlib import suppress
 
 import structlog
-from result import Err, Ok
+from result import Ok
 from websockets.exceptions import ConnectionClosed, ConnectionClosedError
 from websockets.frames import CloseCode
 
-from wharf_coordination import Code, Refusal
 from wharf_daemon.configuration_exchange import ConfigurationExchange
-from wharf_daemon.protocol_violation import closed_for_violation
+from wharf_daemon.protocol_violation import closed_for_violation, unexpected
 from wharf_daemon.sidecar.running_call import RunningCall
 from wharf_wire import (
     Call,
@@ -100,7 +99,7 @@
 
     def _handle(self, message):
         if not self.peer and not isinstance(message, Hello):
-            return self._unexpected(message)
+            return unexpected(message)
         match message:
             case Call(revision=revision):
                 self._start(message)
@@ -127,13 +126,9 @@
             case Order():
                 asyncio.ensure_future(self._order(message))
             case _:
-                return self._unexpected(message)
+                return unexpected(message)
         return Ok(None)
 
-    def _unexpected(self, message):
-        refusal = Refusal.not_run(Code.BAD_MESSAGE, f"unexpected {message.kind}")
-        return Err(refusal)
-
     async def _claim(self, request):
         reply = await self._sidecar.claims.handle(request)
         if reply:
