Prepare each data centre's requests at one gateway

Cause: each gateway called every step's upstream by itself, so calls were half empty, and results were held until the answer's end. Change: one gateway prepares for a data centre, chosen by rendezvous among those heard lately; the others send it whole preparations over a websocket. Inputs are dropped at the first event; a resumed stream prepares anew.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -13,12 +13,12 @@
 from wharf_gateway.http.connection_pool import ConnectionPool
 from wharf_gateway.model.caller_limits import CallerLimits
 from wharf_gateway.own_answer import OwnAnswer
+from wharf_gateway.peers.peer_set import PeerSet
+from wharf_gateway.preparers import Preparers
 from wharf_gateway.request_context import RequestContext
 from wharf_gateway.request_runner import RequestRunner
 from wharf_gateway.site import Site
 from wharf_gateway.stages.piece_caller import PieceCaller
-from wharf_gateway.stages.piece_router import PieceRouter
-from wharf_gateway.stages.step_runner import StepRunner
 from wharf_gateway.store.follower import Follower
 from wharf_gateway.store.store_client import StoreClient
 from wharf_gateway.store.store_kind import StoreKind
@@ -30,6 +30,8 @@
 # The balancer asks each second and believes the second refusal.
 NOTICE_SECONDS = 2.5
 EXIT_MARGIN_SECONDS = 0.7  # of the stop's time that is left for leaving
+CONFLICT = 409  # the store's answer where an object is there already
+REGISTER_PAUSE_SECONDS = 1.0
 TICK_SECONDS = 0.1  # how often what has expired is looked for
 
 
@@ -50,15 +52,19 @@
         )
         self.fleet.on_gone.append(lambda upstream: self._pool.forget(upstream.address))
         caller = PieceCaller(self._dialect, self._pool, self._clock)
-        self.router = PieceRouter(self.fleet, caller, self._clock)
-        self._steps = StepRunner(self.fleet, self.router, self._clock)
+        self.preparers = Preparers(settings, self.fleet, caller, self._clock)
+        self.preparers.is_ready = lambda: self.is_ready
+        self.peers = PeerSet(
+            settings, self.preparers, self._clock, self._rng, self.preparers.load
+        )
+        self.preparers.peers = self.peers
         share = settings.retry_reserve / 8
         budget = RetryBudget(settings.retry_share / 2, share, share)
         self._runner = RequestRunner(
             self.fleet,
             self._dialect,
             self._pool,
-            self._steps,
+            self.preparers,
             budget,
             self._clock,
             self._rng,
@@ -68,11 +74,13 @@
             settings.ready_listen, CallerLimits(), self.handle_ready
         )
         self._tasks = []
+        self._peer_by_name = {}
 
     async def start(self):
         """Listen, and begin to follow the store."""
         await self._ready_site.start()
         await self.site.start()
+        await self.peers.start()
         self._followers = [
             self._follow(
                 StoreKind.CONFIGURATION,
@@ -80,6 +88,7 @@
                 self.fleet.take_configurations,
             ),
             self._follow_upstreams(),
+            self._follow(StoreKind.ENTRIES, self._list_entries, self._change_entries),
             self._follow(
                 StoreKind.EVACUATIONS,
                 self.fleet.list_evacuations,
@@ -88,6 +97,7 @@
         ]
         self._tasks = [asyncio.create_task(f.run()) for f in self._followers]
         self._tasks.append(asyncio.create_task(self._tick()))
+        self._tasks.append(asyncio.create_task(self._register()))
 
     async def stop(self):
         """Show not ready, answer what was read, and leave in time."""
@@ -190,6 +200,38 @@
         follower = self._follow(StoreKind.UPSTREAMS, on_listing, on_changes)
         return follower
 
+    async def _register(self):
+        """Tell the other gateways where this one is, until the store has it."""
+        name = self.settings.name
+        address = f"{self.settings.host}:{self.settings.peer_port}"
+        spec = {"address": address, "data_centre": self.settings.data_centre}
+        while True:
+            created = await self._store.create(StoreKind.ENTRIES, name, spec)
+            match created:
+                case Ok(_):
+                    return
+                case Err(error) if error.status == CONFLICT:
+                    replaced = await self._store.replace(StoreKind.ENTRIES, name, spec)
+                    if replaced.is_ok():
+                        return
+                case Err(_):
+                    pass
+            await asyncio.sleep(self._rng.uniform(0.5, 1.0) * REGISTER_PAUSE_SECONDS)
+
+    def _list_entries(self, objects, now):
+        self._peer_by_name = {}
+        self._change_entries(objects, now)
+
+    def _change_entries(self, objects, now):
+        for stored in objects:
+            address = stored.spec.get("address") if stored.spec else None
+            if stored.is_gone or not address:
+                self._peer_by_name.pop(stored.name, None)
+            else:
+                self._peer_by_name[stored.name] = address
+        self.fleet.entry_count = max(1, len(self._peer_by_name))
+        self.peers.follow(self._peer_by_name)
+
     async def _tick(self):
         while True:
             await asyncio.sleep(TICK_SECONDS)
@@ -197,5 +239,4 @@
             self.fleet.expire_lapsed(now)
             if self.fleet.configuration:
                 self.site.limits = self.fleet.configuration.limits
-            for collector in list(self.router.collector_by_pool.values()):
-                collector.advance(now)
+            self.preparers.advance(now)
--- /dev/null
+++ b/packages/gateway/src/wharf_gateway/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Links between gateways."""
--- /dev/null
+++ b/packages/gateway/src/wharf_gateway/peers/peer_link.py
@@ -0,0 +1,171 @@
+"""One websocket between two gateways."""
+
+import asyncio
+from itertools import count
+
+import structlog
+from result import Err, Ok
+
+from wharf_gateway.peers.codec import decode, encode
+from wharf_gateway.peers.messages import (
+    Abandon,
+    Free,
+    Greeting,
+    LoadNotice,
+    Prepare,
+    Prepared,
+    Refused,
+)
+from wharf_gateway.stages.preparation import Preparation
+from wharf_gateway.stages.unprepared import Unprepared
+
+__all__ = ["PeerLink"]
+
+log = structlog.get_logger(__name__)
+
+# A peer that hasn't been heard for five load notices is not asked any more.
+SILENCE_SECONDS = 0.5
+OUTBOX_MESSAGES = 2000  # a peer that doesn't read loses its link
+
+
+class PeerLink:
+    """Ask a peer to prepare, and prepare for it.
+
+    `preparers` offers `preparer(data_centre)`.
+    """
+
+    def __init__(self, socket, preparers, clock):
+        self._socket = socket
+        self._preparers = preparers
+        self._clock = clock
+        self._numbers = count()
+        self._future_by_number = {}
+        self._task_by_number = {}
+        self._outbox = asyncio.Queue(OUTBOX_MESSAGES)
+        self.name = None
+        self.data_centre = None
+        self.is_ready = False
+        self.backlog_by_data_centre = {}
+        self.heard_at = float("-inf")
+
+    async def run(self, greeting, on_greeting):
+        """Exchange messages until the link ends."""
+        sender = asyncio.create_task(self._send_all())
+        self.post(greeting)
+        try:
+            async for frame in self._socket:
+                self.heard_at = self._clock()
+                match decode(frame):
+                    case Err(fault):
+                        log.warning(
+                            "peer_message_rejected", peer=self.name, fault=fault
+                        )
+                        return
+                    case Ok(Greeting() as other):
+                        self.name, self.data_centre = other.name, other.data_centre
+                        on_greeting(self)
+                    case Ok(message):
+                        self._handle(message)
+        finally:
+            sender.cancel()
+            self._end()
+
+    def is_alive(self, now):
+        """Return whether the peer was heard lately and takes work."""
+        return self.is_ready and now - self.heard_at < SILENCE_SECONDS
+
+    def post(self, message):
+        """Send a message when the ones before have gone."""
+        try:
+            self._outbox.put_nowait(encode(message))
+        except asyncio.QueueFull:
+            log.warning("peer_outbox_full", peer=self.name)
+            self._socket.transport.abort()
+
+    async def prepare(self, preparation, data_centre):
+        """Return the handles that the peer got, or why there are none."""
+        number = next(self._numbers)
+        future = asyncio.get_running_loop().create_future()
+        self._future_by_number[number] = future
+        now = self._clock()
+        self.post(
+            Prepare(
+                number,
+                data_centre,
+                preparation.call_id,
+                preparation.steps,
+                preparation.pieces,
+                preparation.key,
+                preparation.priority,
+                preparation.on_time_by - now,
+                preparation.useful_until - now,
+            )
+        )
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.post(Abandon(number))
+            raise
+        finally:
+            self._future_by_number.pop(number, None)
+
+    def fail_pending(self, reason):
+        """End what the peer was asked for, so that it is asked for elsewhere."""
+        for future in list(self._future_by_number.values()):
+            if not future.done():
+                future.set_result(Err(Unprepared(reason)))
+
+    def _handle(self, message):
+        match message:
+            case LoadNotice(ready, backlogs):
+                self.is_ready = ready
+                self.backlog_by_data_centre = backlogs
+            case Prepare():
+                task = asyncio.create_task(self._prepare(message))
+                self._task_by_number[message.number] = task
+                task.add_done_callback(
+                    lambda _: self._task_by_number.pop(message.number, None)
+                )
+            case Prepared(number, handles):
+                self._resolve(number, Ok(list(handles)), handles)
+            case Refused(number, reason, retry_after):
+                self._resolve(number, Err(Unprepared(reason, retry_after)), ())
+            case Abandon(number):
+                task = self._task_by_number.get(number)
+                if task:
+                    task.cancel()
+            case Free(data_centre, handles):
+                self._preparers.preparer(data_centre).free(handles)
+
+    def _resolve(self, number, answer, handles):
+        future = self._future_by_number.get(number)
+        if future is not None and not future.done():
+            future.set_result(answer)
+
+    async def _prepare(self, message):
+        now = self._clock()
+        preparation = Preparation(
+            message.call_id,
+            message.steps,
+            message.pieces,
+            message.key,
+            message.priority,
+            now + message.on_time_seconds,
+            now + message.useful_seconds,
+        )
+        answer = await self._preparers.preparer(message.data_centre).run(preparation)
+        match answer:
+            case Ok(handles):
+                self.post(Prepared(message.number, tuple(handles)))
+            case Err(refusal):
+                self.post(Refused(message.number, refusal.reason, refusal.retry_after))
+
+    async def _send_all(self):
+        while True:
+            await self._socket.send(await self._outbox.get())
+
+    def _end(self):
+        self.is_ready = False
+        self.fail_pending("link lost")
+        for task in list(self._task_by_number.values()):
+            task.cancel()
--- /dev/null
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -0,0 +1,133 @@
+"""The links of a gateway to all others."""
+
+import asyncio
+
+import structlog
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import serve
+from websockets.exceptions import WebSocketException
+
+from wharf_gateway.peers.codec import MAX_FRAME_BYTES
+from wharf_gateway.peers.messages import Greeting, LoadNotice
+from wharf_gateway.peers.peer_link import PeerLink
+
+__all__ = ["PeerSet"]
+
+log = structlog.get_logger(__name__)
+
+NOTICE_SECONDS = 0.1  # a tenth of the shortest aim of a request
+FIRST_PAUSE_SECONDS = 0.1
+LONGEST_PAUSE_SECONDS = 2.0
+# Of websockets' own pings: a link that is silent for three seconds is given up, as
+# any connection is.
+PING_SECONDS = 1.0
+PING_WAIT_SECONDS = 2.0
+_OPTIONS = {
+    "compression": None,
+    "max_size": MAX_FRAME_BYTES,
+    "ping_interval": PING_SECONDS,
+    "ping_timeout": PING_WAIT_SECONDS,
+    "close_timeout": 0.2,
+}
+
+
+class PeerSet:
+    """Keep one link to each gateway that is listed; the lesser name dials."""
+
+    def __init__(self, settings, preparers, clock, rng, load):
+        self._settings = settings
+        self._preparers = preparers
+        self._clock = clock
+        self._rng = rng
+        self._load = load
+        self._dialer_by_name = {}
+        self._was_alive = set()
+        self.link_by_name = {}
+
+    async def start(self):
+        """Listen for peers and begin to tell the load."""
+        host, port = self._settings.host, self._settings.peer_port
+        self._server = await serve(self._accept, host, port, **_OPTIONS)
+        self._notices = asyncio.create_task(self._tell_load())
+
+    def stop(self):
+        """Close all links."""
+        self._server.close()
+        self._notices.cancel()
+        for task in self._dialer_by_name.values():
+            task.cancel()
+
+    def follow(self, address_by_name):
+        """Dial the gateways that are listed, and no others."""
+        for name in list(self._dialer_by_name):
+            if name not in address_by_name:
+                self._dialer_by_name.pop(name).cancel()
+        for name, address in address_by_name.items():
+            if name > self._settings.name and name not in self._dialer_by_name:
+                task = asyncio.create_task(self._dial(name, address))
+                self._dialer_by_name[name] = task
+
+    def alive(self, now):
+        """Return the links to peers that take work, by name."""
+        return {
+            name: link for name, link in self.link_by_name.items() if link.is_alive(now)
+        }
+
+    async def _dial(self, name, address):
+        pause = FIRST_PAUSE_SECONDS
+        while True:
+            try:
+                async with connect(
+                    f"ws://{address}", open_timeout=1.0, **_OPTIONS
+                ) as socket:
+                    pause = FIRST_PAUSE_SECONDS
+                    await self._run(socket)
+            except (OSError, TimeoutError, WebSocketException) as error:
+                log.debug("peer_unreachable", peer=name, detail=repr(error))
+            await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
+            pause = min(pause * 2, LONGEST_PAUSE_SECONDS)
+
+    async def _accept(self, socket):
+        await self._run(socket)
+
+    async def _run(self, socket):
+        link = PeerLink(socket, self._preparers, self._clock)
+        greeting = Greeting(self._settings.name, self._settings.data_centre)
+        try:
+            await link.run(greeting, self._on_greeting)
+        except WebSocketException as error:
+            log.debug("peer_link_broken", peer=link.name, detail=repr(error))
+        finally:
+            if self.link_by_name.get(link.name) is link:
+                del self.link_by_name[link.name]
+                log.info("peer_lost", peer=link.name)
+
+    def _on_greeting(self, link):
+        self.link_by_name[link.name] = link
+        log.info("peer_linked", peer=link.name, data_centre=link.data_centre)
+        link.post(self._notice())
+
+    def _notice(self):
+        return LoadNotice(*self._load())
+
+    async def _tell_load(self):
+        while True:
+            await asyncio.sleep(NOTICE_SECONDS)
+            notice = self._notice()
+            for link in list(self.link_by_name.values()):
+                link.post(notice)
+            self._fail_silent()
+
+    def _fail_silent(self):
+        now = self._clock()
+        alive = self.alive(now)
+        for name in self._was_alive - alive.keys():
+            link = self.link_by_name.get(name)
+            if link is not None:
+                log.info(
+                    "peer_silent",
+                    peer=name,
+                    silent_seconds=round(now - link.heard_at, 3),
+                )
+                link.fail_pending("peer silent")
+        self._was_alive = set(alive)
--- a/packages/gateway/src/wharf_gateway/request_context.py
+++ b/packages/gateway/src/wharf_gateway/request_context.py
@@ -1,6 +1,7 @@
 """A request under way."""
 
 from dataclasses import dataclass, field
+from typing import Any
 
 from wharf_gateway.http.inbound_request import InboundRequest
 from wharf_gateway.model.call_details import CallDetails
@@ -16,7 +17,8 @@
 
     `on_time_by` is when its answer must begin to be on time, `deadline` when the
     caller stops waiting. `data_centre` is where its steps run. `may_have_run` says
-    whether some upstream may have begun to run it.
+    whether some upstream may have begun to run it, `inputs` are the results that its
+    engine needs, and `owner` the link to the gateway that got them, none for this one.
     """
 
     inbound: InboundRequest
@@ -27,6 +29,8 @@
     on_time_by: float
     deadline: float
     data_centre: str = ""
+    inputs: list[str] | None = None
+    owner: Any = None
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
     sends: int = 0
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -11,6 +11,7 @@
 from wharf_gateway.model.route_kind import RouteKind
 from wharf_gateway.own_answer import OwnAnswer
 from wharf_gateway.routing.chooser import choose_engine, choose_plain, usable
+from wharf_gateway.stages.preparation import Preparation
 
 __all__ = ["RequestRunner"]
 
@@ -20,16 +21,18 @@
 # Sends that ended as certainly not run, such as a refused connection, don't count as
 # attempts, but are bounded all the same.
 MAX_SENDS = 4
+# What an engine usually takes up to its first event.
+ENGINE_SECONDS = 0.25
 
 
 class RequestRunner:
     """Run requests that have been read and whose route is known."""
 
-    def __init__(self, fleet, dialect, pool, steps, budget, clock, rng):
+    def __init__(self, fleet, dialect, pool, preparers, budget, clock, rng):
         self._fleet = fleet
         self._dialect = dialect
         self._pool = pool
-        self._steps = steps
+        self._preparers = preparers
         self._budget = budget
         self._clock = clock
         self._rng = rng
@@ -50,26 +53,43 @@
             responder.answer(answer.status, answer.headers, answer.body)
 
     async def _run(self, context, responder):
-        inputs = None
-        if context.route.steps:
-            match await self._steps.run(context):
-                case Err(reason):
-                    return OwnAnswer.not_run(Code.UPSTREAM_FULL, f"steps: {reason}")
-                case Ok(inputs):
-                    pass
+        self._budget.count_first_try()
         try:
-            self._budget.count_first_try()
-            return await self._attempts(context, responder, inputs)
+            return await self._attempts(context, responder)
         finally:
-            if inputs:
-                self._steps.free(context, inputs)
+            self._free_inputs(context)
 
-    async def _attempts(self, context, responder, inputs):
+    async def _prepare(self, context):
+        """Get the inputs of the request's engine; return a refusal or none."""
+        route = context.route
+        preparation = Preparation(
+            context.details.id,
+            route.steps,
+            context.details.pieces,
+            context.details.piece_key,
+            context.priority,
+            context.on_time_by - ENGINE_SECONDS,
+            context.deadline - ENGINE_SECONDS,
+        )
+        match await self._preparers.run(preparation, context):
+            case Err(refusal):
+                return OwnAnswer.not_run(
+                    Code.UPSTREAM_FULL, f"steps: {refusal.reason}", refusal.retry_after
+                )
+            case Ok(inputs):
+                context.inputs = inputs
+                return None
+
+    async def _attempts(self, context, responder):
         """Send the request until it is answered; return an own answer or none."""
         splitter = EventSplitter()
         answer = OwnAnswer.not_run(Code.NO_UPSTREAM, "no upstream is known")
         attempts = 0
         while context.sends < MAX_SENDS and attempts < context.route.max_attempts:
+            if context.route.steps and context.inputs is None:
+                refusal = await self._prepare(context)
+                if refusal is not None:
+                    return refusal if not context.may_have_run else answer
             state = self._choose(context)
             if state is None:
                 return answer
@@ -77,7 +97,7 @@
                 return answer
             context.sends += 1
             splitter.restart()
-            fate = await self._attempt(context, state, responder, inputs, splitter)
+            fate = await self._attempt(context, state, responder, splitter)
             attempts += fate.counts
             if fate.answer is None:
                 return None
@@ -127,7 +147,7 @@
             return route.targets[0].service
         return self._rng.choices(route.targets, weights)[0].service
 
-    async def _attempt(self, context, state, responder, inputs, splitter):
+    async def _attempt(self, context, state, responder, splitter):
         upstream = state.upstream
         context.tried.add(upstream.id)
         started = self._clock()
@@ -136,7 +156,7 @@
         connection = None
         try:
             connection = await self._pool.acquire(upstream.address, started)
-            self._send(context, state, connection, inputs, splitter, started)
+            self._send(context, state, connection, splitter, started)
             context.may_have_run = True
             head = await connection.head()
             reply = self._dialect.read_reply(head)
@@ -153,7 +173,7 @@
             if connection is not None:
                 self._pool.release(upstream.address, connection, self._clock())
 
-    def _send(self, context, state, connection, inputs, splitter, now):
+    def _send(self, context, state, connection, splitter, now):
         inbound, call_id = context.inbound, context.details.id
         headers = inbound.headers
         if splitter.last_id is not None:
@@ -164,7 +184,7 @@
             context.deadline - now,
             context.customer,
             context.has_customers,
-            inputs,
+            context.inputs,
             context.priority if context.route.kind is RouteKind.STREAM else None,
         )
         lines = [f"{inbound.method} {inbound.target} HTTP/1.1"]
@@ -217,6 +237,7 @@
             if events:
                 if not responder.is_started:
                     state.note_success(self._clock() - started)
+                    self._free_inputs(context)
                     responder.begin(head.status, _passed(head.headers))
                 await responder.send(events)
         if splitter.rest:
@@ -244,6 +265,11 @@
             return _Fate(answer, not_run=True, counts=0)
         return _Fate(OwnAnswer(502, Code.ANSWER_BROKEN, str(error)))
 
+    def _free_inputs(self, context):
+        if context.inputs:
+            self._preparers.free(context, context.inputs)
+            context.inputs = None
+
     def _log_answer(self, context, state, status, started):
         now = self._clock()
         log.info(
--- a/packages/gateway/src/wharf_gateway/stages/collector.py
+++ b/packages/gateway/src/wharf_gateway/stages/collector.py
@@ -42,16 +42,18 @@
         self._timer = None
         self._not_before_by_id = {}
 
-    def submit(self, job, now):
-        """Let a piece wait for its turn."""
-        self.queue.push(job, now)
+    def submit(self, jobs, now):
+        """Let pieces wait for their turn."""
+        for job in jobs:
+            self.queue.push(job, now)
         self.advance(now)
 
-    def free(self, handles):
-        """Drop results that are not needed any more."""
+    def free(self, handles, now):
+        """Drop results that are not needed any more, and use their room."""
         for handle in handles:
             self._room.free(handle)
         self._caller.free_soon(*handles)
+        self.advance(now)
 
     def backlog(self, now):
         """Return the seconds until a piece that comes now would start."""
@@ -141,7 +143,7 @@
                 size = job.result_bytes
                 self._room.keep(upstream.address, result.handle, size, until)
                 if job.is_over:
-                    self.free([result.handle])
+                    self.free([result.handle], now)
                 job.finish(result)
                 continue
             if result.reason == "room":
--- /dev/null
+++ b/packages/gateway/src/wharf_gateway/stages/unprepared.py
@@ -0,0 +1,13 @@
+"""Why a request's steps gave no results."""
+
+from dataclasses import dataclass
+
+__all__ = ["Unprepared"]
+
+
+@dataclass(frozen=True, slots=True)
+class Unprepared:
+    """A reason, and the seconds after which there should be room."""
+
+    reason: str
+    retry_after: float = 0.5
