Hold preparations back until their steps have room

Cause: requests started at once, then waited half-way with results that filled the stores (286 of 5919 pieces found no room). Change: a gate starts only what the slowest service finishes in a request's usual time, in the order in which requests can be on time, and refuses at once what can't be of use. Pieces no longer pass one that waits for room.

--- a/packages/gateway/src/wharf_gateway/peers/peer_link.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_link.py
@@ -57,9 +57,7 @@
                 self.heard_at = self._clock()
                 match decode(frame):
                     case Err(fault):
-                        log.warning(
-                            "peer_message_rejected", peer=self.name, fault=fault
-                        )
+                        log.warning("peer_message_bad", peer=self.name, fault=fault)
                         return
                     case Ok(Greeting() as other):
                         self.name, self.data_centre = other.name, other.data_centre
--- a/packages/gateway/src/wharf_gateway/routing/upstream_state.py
+++ b/packages/gateway/src/wharf_gateway/routing/upstream_state.py
@@ -17,12 +17,16 @@
 
 @dataclass(slots=True, eq=False)
 class UpstreamState:
-    """Calls in flight, latency and failures; times are the loop's, in seconds."""
+    """Calls in flight, latency and failures; times are the loop's, in seconds.
+
+    `pace` is how long calls take relative to what the configuration lets expect.
+    """
 
     upstream: Upstream
     in_flight: int = 0
     prompt_tokens: int = 0
     latency: float | None = None
+    pace: float = 1.0
     failure_share: float = 0.0
     resting_until: float = 0.0
     rest: float = FIRST_REST_SECONDS
@@ -55,6 +59,10 @@
         self.failure_share *= 1 - FAILURE_SHARE
         self.rest = FIRST_REST_SECONDS
 
+    def note_pace(self, ratio):
+        """Take the time of a call relative to what was expected."""
+        self.pace += LATENCY_SHARE * (max(ratio, 1.0) - self.pace)
+
     def note_failure(self):
         """Count a failed answer of an upstream that lives."""
         self.failure_share += FAILURE_SHARE * (1 - self.failure_share)
--- a/packages/gateway/src/wharf_gateway/stages/collector.py
+++ b/packages/gateway/src/wharf_gateway/stages/collector.py
@@ -39,6 +39,8 @@
         self._room = ResultRoom()
         self._busy_until_by_id = {}
         self._tasks = set()
+        self._unneeded_by_address = {}
+        self._freeing = set()
         self._timer = None
         self._not_before_by_id = {}
 
@@ -48,34 +50,45 @@
             self.queue.push(job, now)
         self.advance(now)
 
-    def free(self, handles, now):
-        """Drop results that are not needed any more, and use their room."""
+    def free(self, handles):
+        """Drop results that are not needed any more, and then use their room."""
         for handle in handles:
-            self._room.free(handle)
-        self._caller.free_soon(*handles)
-        self.advance(now)
+            address = self._room.address_by_handle.get(handle)
+            if address is not None:
+                self._unneeded_by_address.setdefault(address, []).append(handle)
+        for address in list(self._unneeded_by_address):
+            if address not in self._freeing:
+                self._freeing.add(address)
+                self._spawn(self._free_at(address))
+
+    async def _free_at(self, address):
+        try:
+            while handles := self._unneeded_by_address.pop(address, None):
+                await self._caller.free(address, handles)
+                for handle in handles:
+                    self._room.free(handle)
+                self.advance(self._clock())
+        finally:
+            self._freeing.discard(address)
 
-    def backlog(self, now):
-        """Return the seconds until a piece that comes now would start."""
-        states = self._states(now)
+    def throughput(self, now):
+        """Return the pieces a second that the pool runs with full calls."""
         batching = self._batching()
-        if not states or batching is None:
-            return float("inf")
-        per_call = self._expected_seconds(self.queue.jobs[: batching.batch], batching)
-        running = sum(
-            max(0.0, self._busy_until_by_id.get(s.upstream.id, now) - now)
-            for s in states
+        if batching is None:
+            return 0.0
+        full = batching.call_seconds + batching.batch * batching.piece_seconds
+        return sum(
+            batching.concurrency * batching.batch / (full * state.pace)
+            for state in self._states(now)
         )
-        calls = len(self.queue) / batching.batch
-        return (running + calls * per_call) / len(states)
 
     def advance(self, now):
         """Start what calls can be started."""
-        for job in self.queue.drop_useless(now):
-            job.finish(PieceResult(reason="late"))
         batching = self._batching()
         if batching is None:
             return
+        for job in self.queue.drop_useless(batching.call_seconds, now):
+            job.finish(PieceResult(reason="late"))
         for state in self._states(now):
             if not len(self.queue):
                 return
@@ -94,15 +107,17 @@
             return
         self._calls_by_id[upstream.id] = self._calls_by_id.get(upstream.id, 0) + 1
         self._room.reserve(upstream.address, sum(job.result_bytes for job in batch))
-        task = asyncio.ensure_future(self._run(state, batch, batching, now))
+        self._spawn(self._run(state, batch, batching, now))
+
+    def _spawn(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _run(self, state, batch, batching, started):
         upstream = state.upstream
-        expected = self._expected_seconds(batch, batching)
-        if state.latency is not None:
-            expected = max(expected, state.latency)
+        planned = self._expected_seconds(batch, batching)
+        expected = planned * state.pace
         self._busy_until_by_id[upstream.id] = started + expected
         state.in_flight += 1
         try:
@@ -120,6 +135,7 @@
         match answer:
             case Ok(results):
                 state.note_success(now - started)
+                state.note_pace((now - started) / planned)
                 self._deliver(upstream, batch, results, batching, now)
             case Err(reason):
                 log.info(
@@ -143,7 +159,7 @@
                 size = job.result_bytes
                 self._room.keep(upstream.address, result.handle, size, until)
                 if job.is_over:
-                    self.free([result.handle], now)
+                    self.free([result.handle])
                 job.finish(result)
                 continue
             if result.reason == "room":
--- a/packages/gateway/src/wharf_gateway/stages/piece_queue.py
+++ b/packages/gateway/src/wharf_gateway/stages/piece_queue.py
@@ -6,6 +6,9 @@
 
 __all__ = ["PieceQueue"]
 
+# Results of up to this share of one that waits for room may pass it.
+SMALL_SHARE = 1 / 64
+
 
 @dataclass(slots=True)
 class PieceQueue:
@@ -26,26 +29,28 @@
 
         Pieces that can still be on time go first, by priority and then by the time
         at which they must end; the others follow by the time until which they are
-        of use. A piece whose result doesn't fit into `room_bytes` waits.
+        of use. A piece whose result doesn't fit into `room_bytes` waits, and no other
+        takes the room meanwhile, save for results so small that they don't matter.
         """
         ordered = sorted(self.jobs, key=lambda job: _rank(job, call_seconds, now))
-        batch, free = [], room_bytes
+        batch, free, largest = [], room_bytes, float("inf")
         for job in ordered:
             if len(batch) == size:
                 break
-            if job.result_bytes <= free:
+            if job.result_bytes <= min(free, largest):
                 batch.append(job)
                 free -= job.result_bytes
+            else:
+                largest = min(largest, job.result_bytes * SMALL_SHARE)
         taken = set(map(id, batch))
         self.jobs = [job for job in self.jobs if id(job) not in taken]
         return batch
 
-    def drop_useless(self, now):
+    def drop_useless(self, call_seconds, now):
         """Forget pieces that are over and return those whose time has passed."""
-        late = [job for job in self.jobs if not job.is_over and job.useful_until <= now]
-        self.jobs = [
-            job for job in self.jobs if not job.is_over and job.useful_until > now
-        ]
+        waiting = [job for job in self.jobs if not job.is_over]
+        late = [job for job in waiting if job.useful_until <= now + call_seconds]
+        self.jobs = [job for job in waiting if job.useful_until > now + call_seconds]
         return late
 
 
--- a/packages/gateway/src/wharf_gateway/stages/preparer.py
+++ b/packages/gateway/src/wharf_gateway/stages/preparer.py
@@ -1,13 +1,26 @@
 """Runs the steps of all requests that are prepared in one data centre."""
 
+import asyncio
+
+import structlog
+from result import Err
+
 from wharf_gateway.stages.collector import Collector
+from wharf_gateway.stages.demand import Demand
+from wharf_gateway.stages.start_gate import StartGate, Ticket
 from wharf_gateway.stages.step_runner import StepRunner
+from wharf_gateway.stages.unprepared import Unprepared
 
 __all__ = ["Preparer"]
 
+log = structlog.get_logger(__name__)
+
+LONGEST_RETRY_SECONDS = 10.0  # what is told where no upstream is known
+SHORTEST_RETRY_SECONDS = 0.2  # below it a caller's way there and back counts
+
 
 class Preparer:
-    """Own the collectors of a data centre's services.
+    """Own the collectors and the gate of a data centre's services.
 
     One gateway prepares for a data centre at a time, so that calls are filled with
     pieces from all gateways. Where views differ and two do, calls are less full.
@@ -21,6 +34,8 @@
         self.collector_by_service = {}
         self._steps = StepRunner(fleet, self.collector, clock)
         self._service_by_handle = {}
+        self._gate = StartGate()
+        self._future_by_ticket = {}
 
     def collector(self, service):
         """Return the collector of a service, made at its first use."""
@@ -32,29 +47,68 @@
 
     async def run(self, preparation):
         """Return the handles of a request's final results, or why there are none."""
-        answer = await self._steps.run(preparation)
-        return answer.map(self._remember)
+        ticket = Ticket(preparation, Demand.of(self._steps.plan(preparation)))
+        for service in ticket.demand.pieces_by_service:
+            self.collector(service)
+        self._gate.add(ticket)
+        future = asyncio.get_running_loop().create_future()
+        self._future_by_ticket[ticket] = future
+        self.advance(self._clock())
+        try:
+            refusal = await future
+            if refusal is not None:
+                return Err(refusal)
+            answer = await self._steps.run(preparation, ticket.pieces_left)
+            return answer.map(self._remember)
+        finally:
+            self._future_by_ticket.pop(ticket, None)
+            self._gate.remove(ticket)
+            self.advance(self._clock())
 
     def free(self, handles):
         """Drop results that are not needed any more."""
-        now = self._clock()
         by_service = {}
         for handle in handles:
             service = self._service_by_handle.pop(handle, None)
             if service is not None:
                 by_service.setdefault(service, []).append(handle)
         for service, freed in by_service.items():
-            self.collector(service).free(freed, now)
+            self.collector(service).free(freed)
 
     def advance(self, now):
-        """Look after what has expired."""
+        """Start, refuse or expire what the present time allows."""
         for collector in self.collector_by_service.values():
             collector.advance(now)
+        rates = self._rates(now)
+        for ticket, delay in self._gate.hopeless(rates, now):
+            retry = min(max(delay, SHORTEST_RETRY_SECONDS), LONGEST_RETRY_SECONDS)
+            log.info(
+                "preparation_refused",
+                request=ticket.preparation.call_id,
+                data_centre=self.data_centre,
+                delay=round(min(delay, LONGEST_RETRY_SECONDS), 3),
+                left=round(ticket.preparation.useful_until - now, 3),
+                waiting=len(self._gate.waiting),
+                running=len(self._gate.running),
+            )
+            self._resolve(ticket, Unprepared("no room in time", retry))
+        for ticket in self._gate.start(rates, now):
+            self._resolve(ticket, None)
 
     def backlog(self, now):
-        """Return the seconds by which a request's steps take longer than when idle."""
-        backlogs = [c.backlog(now) for c in self.collector_by_service.values()]
-        return sum(backlogs)
+        """Return the seconds of work of the busiest service."""
+        return self._gate.backlog(self._rates(now))
+
+    def _rates(self, now):
+        return {
+            service: collector.throughput(now)
+            for service, collector in self.collector_by_service.items()
+        }
+
+    def _resolve(self, ticket, refusal):
+        future = self._future_by_ticket.get(ticket)
+        if future is not None and not future.done():
+            future.set_result(refusal)
 
     def _remember(self, results):
         for service, handle in results:
--- /dev/null
+++ b/packages/gateway/src/wharf_gateway/stages/start_gate.py
@@ -0,0 +1,148 @@
+"""Decides which preparations start, wait, or are refused."""
+
+from dataclasses import dataclass, field
+
+from wharf_gateway.stages.demand import Demand
+from wharf_gateway.stages.preparation import Preparation
+
+__all__ = ["StartGate", "Ticket"]
+
+# Work that is started, relative to what the upstreams finish in the time a request
+# takes: below 1 upstreams idle, far above it results wait and fill their stores.
+WORK_FACTOR = 1.3
+# An urgent request goes before one that is less urgent by one and due this much
+# sooner, in seconds.
+PRIORITY_SECONDS = 0.1
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """A preparation at the gate; `pieces_left` is what it still asks for."""
+
+    preparation: Preparation
+    demand: Demand
+    pieces_left: dict[str, int] = field(init=False)
+
+    def __post_init__(self):
+        self.pieces_left = dict(self.demand.pieces_by_service)
+
+
+@dataclass(slots=True)
+class StartGate:
+    """Preparations that wait and those that run, in one pool.
+
+    A started request holds results until its last step has ended. So only as many
+    start as the slowest service can finish without delay; the others wait here, in
+    the order in which they can still be on time.
+    """
+
+    waiting: list[Ticket] = field(default_factory=list)
+    running: list[Ticket] = field(default_factory=list)
+
+    def add(self, ticket):
+        """Let a preparation wait."""
+        self.waiting.append(ticket)
+
+    def remove(self, ticket):
+        """Forget a preparation that ended or was given up."""
+        for tickets in (self.waiting, self.running):
+            if ticket in tickets:
+                tickets.remove(ticket)
+
+    def start(self, rate_by_service, now):
+        """Return the preparations that start now.
+
+        `rate_by_service` is the pieces a second that each service finishes.
+        """
+        work = self._running_work()
+        started = []
+        for ticket in sorted(self.waiting, key=lambda ticket: _rank(ticket, now)):
+            if not _fits(ticket, work, rate_by_service):
+                break
+            _add(work, ticket)
+            started.append(ticket)
+        for ticket in started:
+            self.waiting.remove(ticket)
+            self.running.append(ticket)
+        return started
+
+    def hopeless(self, rate_by_service, now):
+        """Return waiting preparations that can't be of use, and when to come back.
+
+        Each is a pair of the ticket and the seconds until the work before it is
+        done; they are forgotten.
+        """
+        work = self._running_work()
+        refused = []
+        for ticket in sorted(self.waiting, key=lambda ticket: _rank(ticket, now)):
+            delay = _delay(ticket, work, rate_by_service)
+            end = now + delay + ticket.demand.seconds
+            if end > ticket.preparation.useful_until:
+                refused.append((ticket, delay))
+            else:
+                _add(work, ticket)
+        for ticket, _ in refused:
+            self.waiting.remove(ticket)
+        return refused
+
+    def backlog(self, rate_by_service):
+        """Return the seconds of work of the busiest service."""
+        work = self._running_work()
+        for ticket in self.waiting:
+            _add(work, ticket)
+        return max(
+            (
+                work[service] / rate_by_service.get(service, 0.0)
+                if rate_by_service.get(service, 0.0)
+                else float("inf")
+                for service in work
+                if work[service]
+            ),
+            default=0.0,
+        )
+
+    def _running_work(self):
+        work = {}
+        for ticket in self.running:
+            for service, count in ticket.pieces_left.items():
+                work[service] = work.get(service, 0) + count
+        return work
+
+
+def _rank(ticket, now):
+    preparation = ticket.preparation
+    is_late = now + ticket.demand.seconds > preparation.on_time_by
+    limit = preparation.useful_until if is_late else preparation.on_time_by
+    return (is_late, limit + preparation.priority * PRIORITY_SECONDS)
+
+
+def _fits(ticket, work, rate_by_service):
+    return all(
+        not work.get(service)
+        or work[service] + count
+        <= rate_by_service.get(service, 0.0)
+        * ticket.demand.seconds_by_service[service]
+        * WORK_FACTOR
+        for service, count in ticket.demand.pieces_by_service.items()
+    )
+
+
+def _delay(ticket, work, rate_by_service):
+    return max(
+        (
+            _drain_seconds(work.get(service, 0) + count, rate_by_service.get(service))
+            - ticket.demand.seconds_by_service[service]
+            for service, count in ticket.demand.pieces_by_service.items()
+        ),
+        default=0.0,
+        key=lambda seconds: max(seconds, 0.0),
+    )
+
+
+def _drain_seconds(pieces, rate):
+    return pieces / rate if rate else float("inf")
+
+
+def _add(work, ticket):
+    for service, count in ticket.demand.pieces_by_service.items():
+        work[service] = work.get(service, 0) + count
--- a/packages/gateway/src/wharf_gateway/stages/step_plan.py
+++ b/packages/gateway/src/wharf_gateway/stages/step_plan.py
@@ -38,6 +38,13 @@
             (self.seconds[i] + self.tail(i) for i in self._users(index)), default=0.0
         )
 
+    def head(self, index):
+        """Return the seconds that the steps before `index` take."""
+        return max(
+            (self.seconds[i] + self.head(i) for i in self.steps[index].after),
+            default=0.0,
+        )
+
     def remaining(self, index):
         """Return the seconds of `index` and what follows, if it hasn't ended."""
         return 0.0 if index in self.finished else self.seconds[index] + self.tail(index)
--- a/packages/gateway/src/wharf_gateway/stages/step_runner.py
+++ b/packages/gateway/src/wharf_gateway/stages/step_runner.py
@@ -45,8 +45,11 @@
         )
         return StepPlan(steps, counts, seconds)
 
-    async def run(self, preparation):
-        """Return the handles of the final steps, or why there are none."""
+    async def run(self, preparation, pieces_left):
+        """Return the handles of the final steps, or why there are none.
+
+        `pieces_left`, by service, is counted down as steps end.
+        """
         plan = self.plan(preparation)
         progress = _Progress()
         try:
@@ -55,7 +58,7 @@
                     self._start(preparation, plan, progress, index)
                 await progress.change.wait()
                 progress.change.clear()
-                self._finish_steps(plan, progress)
+                self._finish_steps(plan, progress, pieces_left)
         except BaseException:
             self._abandon(plan, progress)
             raise
@@ -121,10 +124,11 @@
             progress.handles[index][number] = result.handle
         progress.change.set()
 
-    def _finish_steps(self, plan, progress):
+    def _finish_steps(self, plan, progress, pieces_left):
         for index in plan.started - plan.finished:
             if all(progress.handles[index].values()):
                 plan.finished.add(index)
+                pieces_left[plan.steps[index].service] -= plan.pieces[index]
         for index in plan.droppable():
             self._free(plan, index, progress.handles.pop(index, {}))
 
@@ -138,4 +142,4 @@
         handles = [handle for handle in by_number.values() if handle]
         if handles:
             collector = self._collector(plan.steps[index].service)
-            collector.free(handles, self._clock())
+            collector.free(handles)
