Begin a step only where all of its results have room

Cause: an emulator of batch upstreams (step-trial) showed two faults: steps half done held room from each other until their results lapsed, and the gate let so little ahead that calls of the first service were half empty. Ruled out: too little capacity (the first service ran 90 of 102 s at 2 of 4 pieces a call). Change: pieces of a step form a group that begins with room for all, and goes on first; the gate keeps one full call ahead; steps run near their inputs only where many bytes move; the time of a piece is learnt.

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -1,5 +1,6 @@
 """What a process believes of the fleet."""
 
+from collections import Counter
 from dataclasses import replace
 
 import structlog
@@ -43,6 +44,16 @@
             and state.upstream.data_centre not in self.out_data_centres
         ]
 
+    def centre_of(self, handles):
+        """Return the data centre that holds most of some results, or nothing."""
+        makers = Counter(self._dialect.maker_of(handle) for handle in handles)
+        centres = Counter()
+        for state in self.state_by_id.values():
+            if state.upstream.address in makers:
+                centre = state.upstream.data_centre
+                centres[centre] += makers[state.upstream.address]
+        return centres.most_common(1)[0][0] if centres else ""
+
     def take_configurations(self, objects, now):
         """Put a newer configuration in force."""
         for stored in objects:
--- a/packages/gateway/src/wharf_gateway/stages/collector.py
+++ b/packages/gateway/src/wharf_gateway/stages/collector.py
@@ -19,6 +19,10 @@
 # A call is given up after this many times its expected time: slow upstreams on the
 # operators' sheets take about four times as long as others.
 PATIENCE_FACTOR = 5.0
+# The configuration's time of a piece is approximate and differs by step; about the
+# last twenty calls tell it better.
+PIECE_SHARE = 0.05
+MOST_PIECE_FACTOR = 2.0
 FULL_PAUSE_SECONDS = 0.05  # before an upstream that was full is asked again
 
 
@@ -40,6 +44,7 @@
         self._room = ResultRoom()
         self._busy_until_by_id = {}
         self._tasks = set()
+        self._piece_factor = 1.0
         self._unneeded_by_address = {}
         self._freeing = set()
         self._timer = None
@@ -72,12 +77,21 @@
         finally:
             self._freeing.discard(address)
 
+    def piece_seconds(self, batching):
+        """Return what a piece takes beside the call, as measured lately."""
+        return batching.piece_seconds * self._piece_factor
+
+    def _learn(self, count, seconds, batching):
+        each = max(0.0, seconds - batching.call_seconds) / count
+        factor = min(each / batching.piece_seconds, MOST_PIECE_FACTOR)
+        self._piece_factor += PIECE_SHARE * (factor - self._piece_factor)
+
     def throughput(self, now):
         """Return the pieces a second that the pool runs with full calls."""
         batching = self._batching()
         if batching is None:
             return 0.0
-        full = batching.call_seconds + batching.batch * batching.piece_seconds
+        full = batching.call_seconds + batching.batch * self.piece_seconds(batching)
         return sum(
             batching.concurrency * batching.batch / (full * state.pace)
             for state in self._states(now)
@@ -103,13 +117,54 @@
         if now < self._not_before_by_id.get(upstream.id, 0.0):
             return
         room = batching.result_room - self._room.used(upstream.address, now)
-        batch = self.queue.take(batching.batch, room, batching.call_seconds, now)
+        centre = upstream.data_centre
+        batch = self.queue.take(
+            batching.batch,
+            room,
+            batching.call_seconds,
+            now,
+            lambda job: self._may_run(job, centre, batching, now),
+        )
         if not batch:
             return
+        self._keep_together(batch, centre)
         self._calls_by_id[upstream.id] = self._calls_by_id.get(upstream.id, 0) + 1
         self._room.reserve(upstream.address, sum(job.result_bytes for job in batch))
         self._spawn(self._run(state, batch, batching, now))
 
+    def _may_run(self, job, centre, batching, now):
+        """Return whether a piece may run in a data centre.
+
+        It leaves the one where it should run only if it would be late there, or if
+        there is no room.
+        """
+        near = job.group.near
+        if not near or near == centre:
+            return True
+        wait = self._wait(near, job.result_bytes, batching, now)
+        if wait == float("inf"):
+            return True
+        end = now + batching.call_seconds + job.seconds
+        return end + wait > job.on_time_by >= end
+
+    def _wait(self, centre, size, batching, now):
+        """Return the seconds until a data centre has a free upstream with room."""
+        most = batching.result_room - size
+        return min(
+            (
+                max(0.0, self._busy_until_by_id.get(state.upstream.id, now) - now)
+                for state in self._states(now)
+                if state.upstream.data_centre == centre
+                and self._room.used(state.upstream.address, now) <= most
+            ),
+            default=float("inf"),
+        )
+
+    def _keep_together(self, batch, centre):
+        """Let the other pieces of the same steps follow these."""
+        for job in batch:
+            job.group.near = job.group.near or centre
+
     def _spawn(self, coroutine):
         task = asyncio.ensure_future(coroutine)
         self._tasks.add(task)
@@ -127,6 +182,9 @@
         except BrokenAnswerError as error:
             answer = Err(str(error))
             state.note_unreachable(self._clock())
+        except Exception:  # a fault of ours must not leave requests waiting
+            log.exception("pieces_failed_inside", upstream=upstream.id)
+            answer = Err("internal")
         finally:
             state.in_flight -= 1
             self._calls_by_id[upstream.id] -= 1
@@ -137,6 +195,7 @@
             case Ok(results):
                 state.note_success(now - started)
                 state.note_pace((now - started) / planned)
+                self._learn(len(batch), (now - started) / state.pace, batching)
                 self._deliver(upstream, batch, results, batching, now)
             case Err(reason):
                 log.info(
@@ -189,7 +248,7 @@
 
     def _nearest_first(self, now):
         """Return the upstreams, those first where most results are wanted."""
-        wanted = Counter(job.near for job in self.queue.jobs if job.near)
+        wanted = Counter(job.group.near for job in self.queue.jobs)
         return sorted(
             self._states(now),
             key=lambda state: -wanted[state.upstream.data_centre],
--- a/packages/gateway/src/wharf_gateway/stages/piece_job.py
+++ b/packages/gateway/src/wharf_gateway/stages/piece_job.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from wharf_gateway.model.piece import Piece
+from wharf_gateway.stages.piece_group import PieceGroup
 
 __all__ = ["PieceJob"]
 
@@ -14,8 +15,8 @@
 
     `on_time_by` is the loop's time by which it must end if its request is to be on
     time, `useful_until` that after which its result is of no use. `seconds` is what
-    it takes beside the call's own time. `done(result)` is called once. `near` is the data centre where the
-    result is wanted.
+    it takes beside the call's own time. `done(result)` is called once. `group` is
+    shared with the other pieces of the step.
     """
 
     piece: Piece
@@ -25,7 +26,7 @@
     seconds: float
     result_bytes: int
     done: Any
-    near: str = ""
+    group: PieceGroup = field(default_factory=PieceGroup)
     queued_at: float = 0.0
     tries: int = 0
     is_over: bool = field(default=False)
--- a/packages/gateway/src/wharf_gateway/stages/piece_queue.py
+++ b/packages/gateway/src/wharf_gateway/stages/piece_queue.py
@@ -8,6 +8,9 @@
 
 # Results of up to this share of one that waits for room may pass it.
 SMALL_SHARE = 1 / 64
+# An urgent request goes before one that is less urgent by one and due this much
+# sooner, in seconds.
+PRIORITY_SECONDS = 0.1
 
 
 @dataclass(slots=True)
@@ -24,28 +27,49 @@
         job.queued_at = now
         self.jobs.append(job)
 
-    def take(self, size, room_bytes, call_seconds, now):
+    def take(self, size, room_bytes, call_seconds, now, may_run=lambda job: True):
         """Return the pieces that run next, at most `size`, and forget them.
 
-        Pieces that can still be on time go first, by priority and then by the time
-        at which they must end; the others follow by the time until which they are
-        of use. A piece whose result doesn't fit into `room_bytes` waits, and no other
-        takes the room meanwhile, save for results so small that they don't matter.
+        Steps that are begun go first. Then pieces that can still be on time, by the
+        time at which they must end; the others follow by the time until which they
+        are of use. A step begins only where the results of all of its pieces have
+        room, since steps that are half done and wait for room hold it from each
+        other. What waits for room isn't passed, save by results so small that they
+        don't matter. Only pieces for which `may_run(job)` holds are considered.
         """
-        ordered = sorted(self.jobs, key=lambda job: _rank(job, call_seconds, now))
         batch, free, largest = [], room_bytes, float("inf")
-        for job in ordered:
+        for group in self._groups(call_seconds, now, may_run):
             if len(batch) == size:
                 break
-            if job.result_bytes <= min(free, largest):
-                batch.append(job)
+            needed = sum(job.result_bytes for job in group)
+            first = group[0]
+            if first.result_bytes > min(free, largest) or not (
+                first.group.is_begun or needed <= free or not batch
+            ):
+                largest = min(largest, first.result_bytes * SMALL_SHARE)
+                continue
+            for job in group:
+                if len(batch) < size and job.result_bytes <= free:
+                    batch.append(job)
+                    job.group.is_begun = True
                 free -= job.result_bytes
-            else:
-                largest = min(largest, job.result_bytes * SMALL_SHARE)
         taken = set(map(id, batch))
         self.jobs = [job for job in self.jobs if id(job) not in taken]
         return batch
 
+    def _groups(self, call_seconds, now, may_run):
+        by_group = {}
+        for job in self.jobs:
+            if not job.is_over and may_run(job):
+                by_group.setdefault(id(job.group), []).append(job)
+        return sorted(
+            by_group.values(),
+            key=lambda jobs: (
+                not jobs[0].group.is_begun,
+                _rank(jobs[0], call_seconds, now),
+            ),
+        )
+
     def drop_useless(self, call_seconds, now):
         """Forget pieces that are over and return those whose time has passed."""
         waiting = [job for job in self.jobs if not job.is_over]
@@ -57,4 +81,4 @@
 def _rank(job, call_seconds, now):
     is_late = now + call_seconds + job.seconds > job.on_time_by
     limit = job.useful_until if is_late else job.on_time_by
-    return (is_late, job.priority, limit)
+    return (is_late, limit + job.priority * PRIORITY_SECONDS)
--- a/packages/gateway/src/wharf_gateway/stages/start_gate.py
+++ b/packages/gateway/src/wharf_gateway/stages/start_gate.py
@@ -3,16 +3,14 @@
 from dataclasses import dataclass, field
 
 from wharf_gateway.stages.demand import Demand
+from wharf_gateway.stages.piece_queue import PRIORITY_SECONDS
 from wharf_gateway.stages.preparation import Preparation
 
 __all__ = ["StartGate", "Ticket"]
 
-# Work that is started, relative to what the upstreams finish in the time a request
-# takes: below 1 upstreams idle, far above it results wait and fill their stores.
-WORK_FACTOR = 1.3
-# An urgent request goes before one that is less urgent by one and due this much
-# sooner, in seconds.
-PRIORITY_SECONDS = 0.1
+# Seconds of work that wait at a service beside what runs: about one full call, so
+# that the next call finds enough pieces and yet results don't wait for long.
+AHEAD_SECONDS = 0.37
 
 
 @dataclass(slots=True, eq=False)
@@ -121,8 +119,7 @@
         not work.get(service)
         or work[service] + count
         <= rate_by_service.get(service, 0.0)
-        * ticket.demand.seconds_by_service[service]
-        * WORK_FACTOR
+        * (ticket.demand.seconds_by_service[service] + AHEAD_SECONDS)
         for service, count in ticket.demand.pieces_by_service.items()
     )
 
--- a/packages/gateway/src/wharf_gateway/stages/step_runner.py
+++ b/packages/gateway/src/wharf_gateway/stages/step_runner.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from wharf_gateway.model.piece import Piece
+from wharf_gateway.stages.piece_group import PieceGroup
 from wharf_gateway.stages.piece_job import PieceJob
 from wharf_gateway.stages.step_plan import StepPlan
 from wharf_gateway.stages.unprepared import Unprepared
@@ -14,8 +15,9 @@
 
 # A step's call is usually neither empty nor full when a piece joins it.
 USUAL_FILL = 0.6
-# Results from this size on should be made where they are used.
-LARGE_RESULT_BYTES = 500_000
+# Bytes of a step's inputs or of a result from which on it should run near them. Each
+# piece reads all of the step's inputs.
+LARGE_BYTES = 500_000
 
 
 @dataclass(slots=True)
@@ -95,6 +97,7 @@
             for handle in progress.handles.get(earlier, {}).values()
         )
         batching = self._batching(step.service)
+        group = PieceGroup(self._near(preparation, plan, index, inputs))
         progress.handles[index] = dict.fromkeys(range(plan.pieces[index]))
         tail = plan.tail(index)
         jobs = [
@@ -113,13 +116,23 @@
                 batching.piece_seconds if batching else 0.0,
                 step.result_bytes,
                 lambda result, n=number: self._on_result(progress, index, n, result),
-                preparation.near if step.result_bytes >= LARGE_RESULT_BYTES else "",
+                group,
             )
             for number in range(plan.pieces[index])
         ]
         progress.jobs.extend(jobs)
         self._collector(step.service).submit(jobs, self._clock())
 
+    def _near(self, preparation, plan, index, inputs):
+        """Return where a step should run, if many bytes move otherwise."""
+        step = plan.steps[index]
+        if not inputs and step.result_bytes >= LARGE_BYTES:
+            return preparation.near
+        read = sum(plan.steps[i].result_bytes * plan.pieces[i] for i in step.after)
+        if read * plan.pieces[index] >= LARGE_BYTES:
+            return self._fleet.centre_of(inputs)
+        return ""
+
     def _on_result(self, progress, index, number, result):
         if result.handle is None:
             progress.failure = progress.failure or result.reason or "error"
--- /dev/null
+++ b/packages/standins/src/wharf_standins/steps/pattern.py
@@ -0,0 +1,85 @@
+"""Load patterns for upstreams that run steps."""
+
+from dataclasses import dataclass
+
+from wharf_gateway.model.batching import Batching
+from wharf_gateway.model.step import Step
+from wharf_standins.steps.step_class import StepClass
+
+__all__ = ["PATTERNS", "Burst", "Pattern"]
+
+
+@dataclass(frozen=True, slots=True)
+class Burst:
+    """From `start` for `seconds`, a class (or all) comes `factor` times as often."""
+
+    start: float
+    seconds: float
+    factor: float
+    name: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Pattern:
+    """Classes, services with their upstreams a data centre, and what happens.
+
+    `lost` are (service, number, from, until) of upstreams that are away.
+    """
+
+    classes: tuple[StepClass, ...]
+    batching_by_service: dict[str, Batching]
+    upstreams_by_service: dict[str, tuple[int, ...]]
+    bursts: tuple[Burst, ...] = ()
+    lost: tuple[tuple[str, int, float, float], ...] = ()
+    seconds: float = 34.0
+    load: float = 1.0
+
+
+_KILOBYTE = 1000
+_FETCH = Batching(1, 2, 4, 0.2, 0.042, 9e6, 4.0)
+_ENCODE = Batching(1, 2, 12, 0.2, 0.014, 1.543e6, 4.0)
+_RANK = Batching(1, 2, 28, 0.2, 0.00607, 0.3706e6, 4.0)
+_ATTACHMENTS = Step("fetch", (), 1500 * _KILOBYTE)
+_CHAIN = (
+    Step("fetch", (), 8 * _KILOBYTE),
+    Step("encode", (0,), 60 * _KILOBYTE),
+    Step("rank", (1,), 6 * _KILOBYTE),
+)
+_LONG_CHAIN = (
+    _ATTACHMENTS,
+    Step("fetch", (), 8 * _KILOBYTE),
+    Step("encode", (1,), 60 * _KILOBYTE),
+    Step("rank", (2,), 6 * _KILOBYTE),
+)
+_CHAIN_PIECES = ((1, 1, 1.0), (4, 4, 1.0), (10, 25, 1.0))
+_DRAFTS = StepClass(
+    *("drafts", 5.11, 2.0, 6.0, 3.2, 1, _LONG_CHAIN),
+    ((1.5, 6, 0.4), *_CHAIN_PIECES),
+    (1.0, 0.3, 1.0, 1.0),
+)
+_QUESTIONS = StepClass(
+    *("questions", 5.48, 1.9, 6.0, 2.0, 0, _CHAIN), _CHAIN_PIECES, (0.3, 1.0, 1.0)
+)
+_NOTES = StepClass(
+    *("notes", 2.72, 0.91, 10.0, 0.83, 2, (_ATTACHMENTS,)), ((2.5, 10, 0.7),), (1.0,)
+)
+_BATCHINGS = {"fetch": _FETCH, "encode": _ENCODE, "rank": _RANK}
+_ONE_EACH = dict.fromkeys(_BATCHINGS, (1, 1, 1))
+_CLASSES = (_DRAFTS, _QUESTIONS, _NOTES)
+
+PATTERNS = {
+    "steady": Pattern(_CLASSES, _BATCHINGS, _ONE_EACH),
+    "burst-of-drafts": Pattern(
+        *(_CLASSES, _BATCHINGS, _ONE_EACH), (Burst(6.0, 6.3, 2.4, "drafts"),)
+    ),
+    "burst-of-all": Pattern(
+        *(_CLASSES, _BATCHINGS, _ONE_EACH), (Burst(6.0, 6.0, 1.7),), load=1.15
+    ),
+    "lost-fetch": Pattern(
+        *(_CLASSES, _BATCHINGS, _ONE_EACH),
+        (Burst(6.0, 6.2, 2.4, "drafts"),),
+        (("fetch", 0, 10.0, 14.1),),
+        load=1.1,
+    ),
+    "overload": Pattern(_CLASSES, _BATCHINGS, _ONE_EACH, load=2.0),
+}
