Test the gateway's parts, and answer pipelined requests

Cause: tests of the new parts were missing; one showed that a second request in the same read was lost (its connection had no parser any more).

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := coordination wire platform daemon control standins
-EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name))
+PACKAGES := coordination wire platform daemon control gateway standins
+EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name)) -e platform
 
 .PHONY: demo test lint setup
 .PHONY: bench bench-claims bench-overhead histories propagation slopes trial-rollouts
@@ -42,7 +42,7 @@
 
 setup: $(VENV)/installed
 
-$(VENV)/installed: requirements.lock $(wildcard packages/*/pyproject.toml)
+$(VENV)/installed: requirements.lock $(wildcard packages/*/pyproject.toml) platform/pyproject.toml
 	$(PYTHON) -m venv $(VENV)
 	$(BIN)/pip install --quiet --requirement requirements.lock
 	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(EDITABLE)
--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -1,6 +1,7 @@
 """The server's side of one HTTP/1.1 connection from a caller."""
 
 import asyncio
+from collections import deque
 
 import httptools
 
@@ -11,12 +12,12 @@
 
 __all__ = ["CallerConnection"]
 
-# Bytes of a next request that are kept while the one before is answered.
-PIPELINE_BYTES = 65536
+# Requests that a caller may send ahead of an answer; more are read later.
+AHEAD = 2
 
 
 class CallerConnection(asyncio.Protocol):
-    """Parse one request at a time and hand it to `site.handle`.
+    """Parse requests and hand them to `site.handle`, one at a time.
 
     `site` offers `limits` (bytes and seconds), `handle(request, responder)`,
     `closing` and `connections`, the set of those that are open.
@@ -26,24 +27,21 @@
         self._site = site
         self._loop = asyncio.get_running_loop()
         self._transport = None
-        self._parser = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._waiting = deque()
+        self._reading = None
         self._task = None
         self._timer = None
-        self._request = None
         self._fields = []
         self._target = b""
         self._head_bytes = 0
-        self._backlog = bytearray()
+        self._is_rejected = False
         self._is_writable = asyncio.Event()
         self._is_writable.set()
-        self._is_message_complete = False
-        self._is_rejected = False
-        self.address = None
 
     def connection_made(self, transport):
         """Begin to wait for a request."""
         self._transport = transport
-        self.address = transport.get_extra_info("peername")
         detect_silence(transport)
         self._site.connections.add(self)
         self._await_request(self._site.limits.header_timeout)
@@ -53,7 +51,8 @@
         self._site.connections.discard(self)
         self._cancel_timer()
         self._is_writable.set()
-        if self._task and not self._task.done():
+        self._is_rejected = True
+        if self._task:
             self._task.cancel()
 
     def eof_received(self):
@@ -73,20 +72,28 @@
         await self._is_writable.wait()
 
     def data_received(self, data):
-        """Parse, or keep for later what belongs to a next request."""
+        """Parse requests, up to a fault."""
         if self._is_rejected:
             return
-        if self._is_message_complete:
-            self._backlog += data
-            if len(self._backlog) > PIPELINE_BYTES:
-                self._transport.pause_reading()
+        if self._reading is None:
+            self._head_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._reject(400)
             return
-        self._feed(data)
+        if self._head_bytes > self._site.limits.max_header_bytes:
+            self._reject(431)
 
     @property
     def is_idle(self):
         """Return whether no request is being read or answered."""
-        return self._request is None and self._head_bytes == 0
+        return self._task is None and self._reading is None and not self._head_bytes
+
+    def write(self, data):
+        """Write bytes unless the caller has gone."""
+        if not self._transport.is_closing():
+            self._transport.write(data)
 
     def close(self):
         """Close the connection after what has been written."""
@@ -98,6 +105,13 @@
 
     # Callbacks of the parser.
 
+    def on_message_begin(self):
+        """Bound the time of a head."""
+        self._fields = []
+        self._target = b""
+        if self._task is None:
+            self._await_request(self._site.limits.header_timeout)
+
     def on_url(self, url):
         """Collect the request's target."""
         self._target += url
@@ -107,27 +121,33 @@
         self._fields.append((name.decode("latin-1"), value.decode("latin-1")))
 
     def on_headers_complete(self):
-        """Start the answer; the body may still be on its way."""
+        """Start the answer, or let it wait; the body may still be on its way."""
         self._head_bytes = 0
         headers = Headers(tuple(self._fields))
-        self._request = InboundRequest(
+        request = InboundRequest(
             self._parser.get_method().decode("latin-1"),
             self._target.decode("latin-1"),
             headers,
             self._loop.time(),
+            self._parser.should_keep_alive(),
         )
         length = headers.get("content-length", "0")
         if length.isdecimal() and int(length) > self._site.limits.max_body_bytes:
-            self._request.too_large = True
-            self._request.body_complete.set()
+            request.too_large = True
+            request.body_complete.set()
         if "100-continue" in headers.tokens("expect"):
             self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._cancel_timer()
-        self._task = self._loop.create_task(self._answer(self._request))
+        self._reading = request
+        self._waiting.append(request)
+        if len(self._waiting) > AHEAD:
+            self._transport.pause_reading()
+        if self._task is None:
+            self._answer_next()
 
     def on_body(self, body):
         """Collect the request's body."""
-        request = self._request
+        request = self._reading
         if request.too_large:
             return
         request.body += body
@@ -137,37 +157,16 @@
 
     def on_message_complete(self):
         """Let the handler use the body."""
-        self._is_message_complete = True
-        self._request.body_complete.set()
-
-    def _feed(self, data):
-        if self._parser is None:
-            self._begin_message()
-        if self._request is None:
-            self._head_bytes += len(data)
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            self._reject(400)
-            return
-        if self._head_bytes > self._site.limits.max_header_bytes:
-            self._reject(431)
-
-    def _begin_message(self):
-        self._parser = httptools.HttpRequestParser(self)
-        self._fields = []
-        self._target = b""
-        self._head_bytes = 0
-        self._is_message_complete = False
-        self._await_request(self._site.limits.header_timeout)
+        self._reading.is_read = True
+        self._reading.body_complete.set()
+        self._reading = None
 
     def _reject(self, status):
         self._is_rejected = True
-        if self._request is None:
+        if self._task is None:
             Responder(self, keep_alive=False).answer(status)
             return
-        if self._task and not self._task.done():
-            self._task.cancel()
+        self._task.cancel()
         self._transport.close()
 
     def _await_request(self, seconds):
@@ -180,36 +179,24 @@
             self._timer = None
 
     def _expire(self):
-        if self._request is not None:
-            return
-        if self._parser is not None:
+        if self._head_bytes:
             self._is_rejected = True
             Responder(self, keep_alive=False).answer(408)
         else:
             self._transport.close()
 
+    def _answer_next(self):
+        request = self._waiting.popleft()
+        self._transport.resume_reading()
+        self._task = self._loop.create_task(self._answer(request))
+
     async def _answer(self, request):
-        keep_alive = self._parser.should_keep_alive()
-        responder = Responder(self, keep_alive=keep_alive, site=self._site)
+        responder = Responder(self, request.keep_alive, self._site)
         await self._site.handle(request, responder)
-        self._finish(responder)
-
-    def _finish(self, responder):
-        if not self._is_message_complete or not responder.keep_alive:
-            self._transport.close()
-            return
-        self._request = None
-        self._parser = None
         self._task = None
-        self._is_message_complete = False
-        self._await_request(self._site.limits.idle_timeout)
-        if self._backlog:
-            data = bytes(self._backlog)
-            self._backlog.clear()
-            self._transport.resume_reading()
-            self._feed(data)
-
-    def write(self, data):
-        """Write bytes unless the caller has gone."""
-        if not self._transport.is_closing():
-            self._transport.write(data)
+        if not request.is_read or not responder.keep_alive or self._is_rejected:
+            self._transport.close()
+        elif self._waiting:
+            self._answer_next()
+        else:
+            self._await_request(self._site.limits.idle_timeout)
--- a/packages/gateway/src/wharf_gateway/http/inbound_request.py
+++ b/packages/gateway/src/wharf_gateway/http/inbound_request.py
@@ -12,16 +12,19 @@
 class InboundRequest:
     """Head of a request, and its body once it has arrived.
 
-    `received_at` is the loop's time, in seconds, at the end of the head.
+    `received_at` is the loop's time, in seconds, at the end of the head;
+    `is_read` says that the whole of it has arrived.
     """
 
     method: str
     target: str
     headers: Headers
     received_at: float
+    keep_alive: bool = True
     body: bytearray = field(default_factory=bytearray)
     body_complete: asyncio.Event = field(default_factory=asyncio.Event)
     too_large: bool = False
+    is_read: bool = False
 
     @property
     def path(self):
--- a/packages/gateway/src/wharf_gateway/site.py
+++ b/packages/gateway/src/wharf_gateway/site.py
@@ -27,6 +27,11 @@
             lambda: CallerConnection(self), host, int(port), backlog=BACKLOG
         )
 
+    @property
+    def port(self):
+        """Return the port on which the site listens."""
+        return self._server.sockets[0].getsockname()[1]
+
     def stop_accepting(self):
         """Take no new connections."""
         self._server.close()
--- a/packages/gateway/src/wharf_gateway/stages/piece_queue.py
+++ b/packages/gateway/src/wharf_gateway/stages/piece_queue.py
@@ -43,10 +43,12 @@
                 break
             needed = sum(job.result_bytes for job in group)
             first = group[0]
-            if first.result_bytes > min(free, largest) or not (
+            if first.result_bytes > largest:
+                continue
+            if first.result_bytes > free or not (
                 first.group.is_begun or needed <= free or not batch
             ):
-                largest = min(largest, first.result_bytes * SMALL_SHARE)
+                largest = first.result_bytes * SMALL_SHARE
                 continue
             for job in group:
                 if len(batch) < size and job.result_bytes <= free:
--- /dev/null
+++ b/packages/gateway/tests/conftest.py
@@ -0,0 +1,47 @@
+"""Parts that the gateway's tests share."""
+
+import asyncio
+
+import pytest
+
+from wharf_gateway.model.batching import Batching
+from wharf_gateway.model.piece import Piece
+from wharf_gateway.stages.piece_group import PieceGroup
+from wharf_gateway.stages.piece_job import PieceJob
+
+
+@pytest.fixture
+def batching():
+    return Batching(1, 2, 4, 0.2, 0.05, 100.0, 4.0)
+
+
+@pytest.fixture
+def make_job():
+    def make(name, on_time_by, *, group=None, size=1, useful_until=60.0, priority=0):
+        return PieceJob(
+            Piece(name, 0, 0),
+            priority,
+            on_time_by,
+            useful_until,
+            0.05,
+            size,
+            lambda result: None,
+            group or PieceGroup(),
+        )
+
+    return make
+
+
+@pytest.fixture
+async def raw_server():
+    """Start servers that answer each connection by a function of its streams."""
+    servers = []
+
+    async def start(handle):
+        server = await asyncio.start_server(handle, "127.0.0.1", 0)
+        servers.append(server)
+        return f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+
+    yield start
+    for server in servers:
+        server.close()
--- /dev/null
+++ b/packages/gateway/tests/test_adapter_dialect.py
@@ -0,0 +1,185 @@
+"""The platform's language, from its pages' examples."""
+
+import json
+
+import pytest
+
+from wharf_adapter import Dialect
+from wharf_gateway.http.headers import Headers
+from wharf_gateway.http.reply_head import ReplyHead
+from wharf_gateway.model.customer import Customer
+from wharf_gateway.model.piece import Piece
+from wharf_gateway.model.prompt_part import PromptPart
+from wharf_gateway.model.route_kind import RouteKind
+from wharf_gateway.store.stored_object import StoredObject
+
+REQUEST = Headers(
+    (
+        ("Host", "pule25.example"),
+        ("Vanillawharf-Attempt-Id", "9c41"),
+        ("Vanillawharf-Model", "m"),
+        ("Vanillawharf-Token-Count", "1460,80"),
+        ("Vanillawharf-Prefix-Hash", "5c1e:800,91bd:410,e440:250"),
+        ("Vanillawharf-Chunks", "0,1,4,12"),
+        ("Vanillawharf-Chunk-Key", "7c1e"),
+        ("Vanillawharf-Deadline-Ms", "6000"),
+        ("Authorization", "Bearer secret"),
+        ("Connection", "keep-alive, X-Own"),
+        ("X-Own", "1"),
+    )
+)
+ENTRY = {
+    "service": "huvo11a",
+    "address": "10.128.0.9:8080",
+    "zone": "teifi-isaf",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "coldLeftMs": 1500,
+    "seqNo": 4,
+    "born": 1700000000000,
+}
+
+
+@pytest.fixture
+def dialect():
+    return Dialect()
+
+
+def test_a_request_says_what_it_is(dialect):
+    call = dialect.read_call(REQUEST).unwrap()
+
+    assert (call.id, call.seconds, call.key) == ("9c41", 6.0, "secret")
+    assert call.pieces == (0, 1, 4, 12)
+    assert call.prompt[1] == PromptPart("91bd", 410)
+
+
+@pytest.mark.parametrize("name", ["Vanillawharf-Chunks", "Vanillawharf-Deadline-Ms"])
+def test_a_field_that_cannot_be_read_is_named_by_its_value(dialect, name):
+    headers = REQUEST.without({name.lower()}).plus((name, "many"))
+
+    assert "many" in dialect.read_call(headers).unwrap_err()
+
+
+def test_only_the_system_sets_its_fields(dialect):
+    forged = REQUEST.plus(
+        *(
+            (name, "forged")
+            for name in (
+                *("Vanillawharf-Tenant", "Vanillawharf-Hold", "Vanillawharf-Pin-Ms"),
+                *("Vanillawharf-Kv-Backup", "Kv-From", "Kv-Fetch"),
+                *("Vanillawharf-Expect-Instance", "Vanillawharf-Inputs"),
+                *("Vanillawharf-Expect-Version", "Vanillawharf-Request-Priority"),
+            )
+        )
+    )
+
+    sent = dialect.upstream_fields(
+        forged, "i-1", 1.25, Customer("bozi"), True, ["h1", "h2"], 3
+    )
+
+    assert "forged" not in {value for _, value in sent.fields}
+    assert sent.get("Vanillawharf-Tenant") == "bozi"
+    assert sent.get("Vanillawharf-Deadline-Ms") == "1250"
+    assert sent.get("Vanillawharf-Inputs") == "h1,h2"
+    assert sent.get("Authorization") is None
+    assert sent.get("X-Own") is None
+    assert sent.get("Vanillawharf-Attempt-Id") == "9c41"
+
+
+def test_an_answer_says_whether_it_has_run(dialect):
+    shed = ReplyHead(503, Headers((("Vanillawharf-Not-Executed", "1"),)))
+    other = ReplyHead(421, Headers())
+    failed = ReplyHead(503, Headers((("Vanillawharf-Runner-Load", "3,1,8"),)))
+
+    assert dialect.read_reply(shed).not_run
+    assert dialect.read_reply(other).not_run
+    assert not dialect.read_reply(failed).not_run
+    assert dialect.read_reply(failed).waiting == 1
+
+
+def test_pieces_are_asked_for_by_key_or_by_inputs(dialect):
+    pieces = [
+        Piece("a", 0, 2, key="7c1e", seconds_left=0.9),
+        Piece("b", 2, 0, inputs=("h",), has_inputs=True, seconds_left=1.0),
+    ]
+
+    _, body = dialect.piece_call(pieces)
+
+    assert json.loads(body)["entries"] == [
+        {"id": "a", "stage": 0, "segment": 2, "leftMs": 900, "key": "7c1e"},
+        {"id": "b", "stage": 2, "segment": 0, "leftMs": 1000, "inputs": ["h"]},
+    ]
+
+
+@pytest.mark.parametrize("body", [b"", b"[]", b'{"entries":[]}', b'{"entries":[1]}'])
+def test_results_that_do_not_fit_the_pieces_are_refused(dialect, body):
+    assert dialect.read_pieces(body, 1).is_err()
+
+
+def test_an_entry_is_an_upstream(dialect):
+    upstream = dialect.read_upstream(StoredObject("i-1", 4, ENTRY), 100.0).unwrap()
+
+    assert (upstream.id, upstream.data_centre) == ("i-1", "teifi-isaf")
+    assert upstream.cold_until == 101.5
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "resting"},
+        {"slots": "64"},
+        {"address": "nowhere"},
+        {"service": 7},
+        {"zone": None},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_upstream(dialect, change):
+    stored = StoredObject("i-1", 4, ENTRY | change)
+
+    assert dialect.read_upstream(stored, 0.0).is_err()
+    assert dialect.read_upstream(StoredObject("i-1", 4, "?"), 0.0).is_err()
+
+
+def test_a_configuration_is_decoded_once(dialect):
+    spec = {
+        "version": 7,
+        "routes": [
+            {
+                "name": "r",
+                "hostname": "Pule25.example",
+                "pathPrefix": "/p/",
+                "routeKind": "stream",
+                "timeoutMs": 6000,
+                "sloMs": 2000,
+                "priority": 1,
+                "split": [{"service": "a", "weight": 90}],
+                "maxAttempts": 2,
+                "stages": [{"service": "b", "after": [], "byteCount": 8000}],
+            }
+        ],
+        "services": [{"name": "b", "segments": {"batch": 4, "headroomMb": 9.0}}],
+        "tenants": [{"name": "t", "apiKeys": ["k"], "priority": 0}],
+        "limits": {"idleTimeoutMs": 5000},
+    }
+
+    configuration = dialect.read_configuration(StoredObject("main", 3, spec)).unwrap()
+
+    route = configuration.find_route("pule25.example:80", "/p/2f")
+    assert route.kind is RouteKind.STREAM
+    assert route.steps[0].result_bytes == 8000
+    assert configuration.customer_by_key["k"] == Customer("t", 0)
+    assert configuration.service_by_name["b"].batching.result_room == 9e6
+    assert configuration.limits.idle_timeout == 5.0
+    assert configuration.find_route("pule25.example", "/q/") is None
+
+
+def test_a_faulty_configuration_names_its_place(dialect):
+    stored = StoredObject("main", 3, {"version": "x"})
+
+    assert "version" in dialect.read_configuration(stored).unwrap_err()
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b'{"entries":[{}],"hasMore":0,"asOf":1}'])
+def test_an_unreadable_page_is_an_error(dialect, body):
+    assert dialect.read_page(body).is_err()
--- /dev/null
+++ b/packages/gateway/tests/test_request_runner.py
@@ -0,0 +1,235 @@
+"""What a caller gets for what its upstreams do, over real connections."""
+
+import asyncio
+from random import Random
+
+import pytest
+
+from wharf_coordination.retry_budget import RetryBudget
+from wharf_gateway.fleet import Fleet
+from wharf_gateway.http.connection_pool import ConnectionPool
+from wharf_gateway.http.headers import Headers
+from wharf_gateway.http.inbound_request import InboundRequest
+from wharf_gateway.model.call_details import CallDetails
+from wharf_gateway.model.caller_limits import CallerLimits
+from wharf_gateway.model.fleet_configuration import FleetConfiguration
+from wharf_gateway.model.reply_details import ReplyDetails
+from wharf_gateway.model.route import Route
+from wharf_gateway.model.route_kind import RouteKind
+from wharf_gateway.model.service import Service
+from wharf_gateway.model.target import Target
+from wharf_gateway.model.upstream import Upstream
+from wharf_gateway.request_context import RequestContext
+from wharf_gateway.request_runner import RequestRunner
+from wharf_gateway.routing.upstream_state import UpstreamState
+
+SIGNED = b"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nok"
+FAILED = b"HTTP/1.1 500 Error\r\nId: r1\r\nSigned: 1\r\nContent-Length: 3\r\n\r\nbad"
+FULL = b"HTTP/1.1 503 Full\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+UNSIGNED = b"HTTP/1.1 200 OK\r\nId: r1\r\nContent-Length: 2\r\n\r\nno"
+STREAM = b"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+class PlainDialect:
+    """A language of its own, with the fewest words."""
+
+    id_field = "Id"
+
+    def read_reply(self, head):
+        headers = head.headers
+        has_run = headers.get("not-run") is None
+        return ReplyDetails(
+            headers.get("id"), not has_run, "signed" in _names(head), None
+        )
+
+    def upstream_fields(self, headers, upstream_id, seconds, *rest):
+        return headers.plus(("Seconds", f"{seconds:.1f}"))
+
+    def resumed_fields(self, headers, last_event):
+        return headers.plus(("Last", last_event))
+
+
+def _names(head):
+    return {name.lower() for name, _ in head.headers.fields}
+
+
+class Caller:
+    """Take an answer as a connection would."""
+
+    def __init__(self):
+        self.status = None
+        self.body = b""
+        self.is_started = False
+        self.ending = None
+
+    def answer(self, status, headers, body=b""):
+        self.status, self.body, self.ending = status, body, "whole"
+        self.headers = headers
+
+    def begin(self, status, headers):
+        self.status, self.is_started = status, True
+
+    async def send(self, data):
+        self.body += data
+
+    def end(self):
+        self.ending = "whole"
+
+    def break_off(self):
+        self.ending = "broken"
+
+
+class Upstreams:
+    """Servers that each do one thing; `seen` holds the requests they got."""
+
+    def __init__(self, raw_server):
+        self._raw_server = raw_server
+        self.fleet = Fleet(PlainDialect())
+        self.seen = []
+
+    async def add(self, *parts, silent=False):
+        async def handle(reader, writer):
+            self.seen.append(await reader.readuntil(b"\r\n\r\n"))
+            for part in parts:
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0.01)
+            if silent:
+                await reader.read()
+            writer.close()
+
+        await self.add_at(await self._raw_server(handle))
+
+    async def add_at(self, address):
+        name = f"u{len(self.fleet.state_by_id)}"
+        upstream = Upstream(name, "s", address, "dc-1", "v1", 4, False, 0)
+        state = self.fleet.state_by_id[name] = UpstreamState(upstream)
+        # The first is chosen first.
+        state.latency = 0.01 * len(self.fleet.state_by_id)
+
+
+@pytest.fixture
+def upstreams(raw_server):
+    return Upstreams(raw_server)
+
+
+@pytest.fixture
+def ask(upstreams):
+    async def run(kind, *, attempts=2, resumable=False, seconds=2.0):
+        loop = asyncio.get_running_loop()
+        route = Route(
+            *("r", "h", "/", RouteKind(kind), seconds, 1.0, 0),
+            (Target("s"),),
+            attempts,
+            is_resumable=resumable,
+        )
+        service = Service("s", "/", 10, 0.0, 0.0)
+        upstreams.fleet.configuration = FleetConfiguration(
+            1, (route,), {"s": service}, {}, CallerLimits(), False
+        )
+        now = loop.time()
+        inbound = InboundRequest("GET", "/", Headers((("Id", "r1"),)), now)
+        context = RequestContext(
+            *(inbound, route, CallDetails("r1"), None, False, now + 1), now + seconds
+        )
+        runner = RequestRunner(
+            upstreams.fleet,
+            PlainDialect(),
+            ConnectionPool(),
+            None,
+            RetryBudget(),
+            loop.time,
+            Random(1),
+        )
+        caller = Caller()
+        await runner.run(context, caller)
+        return caller
+
+    return run
+
+
+async def test_an_answer_is_passed_on(upstreams, ask):
+    await upstreams.add(SIGNED)
+
+    caller = await ask("unsafe")
+
+    assert (caller.status, caller.body) == (200, b"ok")
+
+
+async def test_an_unsafe_request_that_may_have_run_is_not_sent_again(upstreams, ask):
+    await upstreams.add(b"HTTP/1.1 200")
+    await upstreams.add(SIGNED)
+
+    caller = await ask("unsafe")
+
+    assert caller.status == 502
+    assert len(upstreams.seen) == 1
+
+
+async def test_an_unsafe_request_goes_elsewhere_when_it_was_not_sent(upstreams, ask):
+    await upstreams.add_at("127.0.0.1:1")
+    await upstreams.add(SIGNED)
+
+    assert (await ask("unsafe", attempts=1)).status == 200
+
+
+async def test_an_upstreams_word_that_it_has_not_run_is_passed_on(upstreams, ask):
+    await upstreams.add(FULL)
+
+    caller = await ask("unsafe", attempts=1)
+
+    assert caller.status == 503
+    assert float(caller.headers.get("Retry-After")) > 0
+
+
+async def test_a_safe_request_is_tried_again_after_a_failure(upstreams, ask):
+    await upstreams.add(FAILED)
+    await upstreams.add(SIGNED)
+
+    assert (await ask("safe")).status == 200
+
+
+async def test_the_last_failure_is_the_upstreams_own(upstreams, ask):
+    await upstreams.add(FAILED)
+    await upstreams.add(FAILED)
+
+    caller = await ask("safe")
+
+    assert (caller.status, caller.body) == (500, b"bad")
+
+
+async def test_a_success_that_is_not_signed_is_no_success(upstreams, ask):
+    await upstreams.add(UNSIGNED)
+
+    assert (await ask("unsafe")).status == 502
+
+
+async def test_no_upstream_means_not_run(ask):
+    assert (await ask("unsafe")).status == 503
+
+
+async def test_a_silent_upstream_ends_at_the_deadline_as_unknown(upstreams, ask):
+    await upstreams.add(silent=True)
+
+    assert (await ask("unsafe", seconds=0.1)).status == 504
+
+
+async def test_a_broken_stream_goes_on_after_the_last_whole_event(upstreams, ask):
+    await upstreams.add(STREAM, b"f\r\nid: 1\ndata: a\n\nid\r\n")
+    await upstreams.add(STREAM, b"d\r\nid: 2\ndata: b\r\n2\r\n\n\n\r\n0\r\n\r\n")
+
+    caller = await ask("stream", resumable=True)
+
+    assert caller.body == b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+    assert caller.ending == "whole"
+    assert b"Last: 1\r\n" in upstreams.seen[1]
+
+
+async def test_a_broken_stream_that_may_not_be_resumed_is_broken_off(upstreams, ask):
+    await upstreams.add(STREAM, b"f\r\nid: 1\ndata: a\n\nid\r\n")
+    await upstreams.add(SIGNED)
+
+    caller = await ask("stream")
+
+    assert caller.ending == "broken"
+    assert len(upstreams.seen) == 1
--- /dev/null
+++ b/packages/gateway/tests/test_upstream_connection.py
@@ -0,0 +1,104 @@
+"""What may come from an upstream in place of one whole answer."""
+
+import asyncio
+import socket
+import struct
+
+import pytest
+
+from wharf_gateway.http.broken_answer_error import BrokenAnswerError
+from wharf_gateway.http.connection_pool import ConnectionPool
+
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\nId: 1\r\n\r\n"
+ANSWER = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
+FOREIGN = b"HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 3\r\n\r\nbad"
+
+
+def _is_ours(headers):
+    return headers.get("id") in (None, "1")
+
+
+def _now():
+    return asyncio.get_running_loop().time()
+
+
+@pytest.fixture
+async def ask(raw_server):
+    """Return what an upstream that writes `parts` lets a caller see."""
+    pool = ConnectionPool()
+
+    async def run(*parts, reset=False):
+        async def handle(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            for part in parts:
+                writer.write(part)
+                await writer.drain()
+                await asyncio.sleep(0.01)
+            if reset:
+                linger = struct.pack("ii", 1, 0)
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.close()
+
+        address = await raw_server(handle)
+        connection = await pool.acquire(address, _now())
+        connection.send(REQUEST, b"", _is_ours)
+        head = await connection.head()
+        return head, await connection.body(), connection
+
+    yield run
+    pool.close()
+
+
+async def test_an_answer_is_read_whole(ask):
+    head, body, connection = await ask(ANSWER)
+
+    assert (head.status, body) == (200, b"ok")
+    assert connection.is_reusable
+
+
+async def test_an_answer_of_another_request_is_dropped(ask):
+    _, body, connection = await ask(FOREIGN, ANSWER)
+
+    assert body == b"ok"
+    assert not connection.is_reusable
+
+
+async def test_bytes_after_an_answer_spoil_the_connection(ask):
+    _, body, connection = await ask(ANSWER + FOREIGN)
+
+    assert body == b"ok"
+    assert not connection.release(_now())
+
+
+async def test_an_answer_without_length_ends_with_the_connection(ask):
+    head = b"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"
+
+    _, body, _ = await ask(head, b"one ", b"two")
+
+    assert body == b"one two"
+
+
+async def test_a_reset_answer_without_length_is_broken(ask):
+    with pytest.raises(BrokenAnswerError):
+        await ask(b"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", b"one", reset=True)
+
+
+@pytest.mark.parametrize(
+    "part",
+    [
+        b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 9\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+        b"no response at all\r\n\r\n",
+    ],
+)
+async def test_a_torn_answer_is_broken(ask, part):
+    with pytest.raises(BrokenAnswerError):
+        await ask(part)
+
+
+async def test_a_refused_connection_was_not_sent():
+    with pytest.raises(BrokenAnswerError) as caught:
+        await ConnectionPool().acquire("127.0.0.1:1", 0.0)
+
+    assert not caught.value.was_sent
