Let late requests wait behind timely ones, and refuse long waits early

Change: the gate learns how much longer preparations take than expected and takes for late what can't be on time at that pace; late ones count their wait threefold, since what comes later passes them; urgency weighs 0.5 s, not 0.1 s.

--- a/packages/gateway/src/wharf_gateway/stages/piece_queue.py
+++ b/packages/gateway/src/wharf_gateway/stages/piece_queue.py
@@ -10,7 +10,7 @@
 SMALL_SHARE = 1 / 64
 # An urgent request goes before one that is less urgent by one and due this much
 # sooner, in seconds.
-PRIORITY_SECONDS = 0.1
+PRIORITY_SECONDS = 0.5
 
 
 @dataclass(slots=True)
--- a/packages/gateway/src/wharf_gateway/stages/preparer.py
+++ b/packages/gateway/src/wharf_gateway/stages/preparer.py
@@ -58,7 +58,9 @@
             refusal = await future
             if refusal is not None:
                 return Err(refusal)
+            started = self._clock()
             answer = await self._steps.run(preparation, ticket.pieces_left)
+            self._gate.note_end(ticket, self._clock() - started)
             return answer.map(self._remember)
         finally:
             self._future_by_ticket.pop(ticket, None)
--- a/packages/gateway/src/wharf_gateway/stages/start_gate.py
+++ b/packages/gateway/src/wharf_gateway/stages/start_gate.py
@@ -11,6 +11,13 @@
 # Seconds of work that wait at a service beside what runs: about one full call, so
 # that the next call finds enough pieces and yet results don't wait for long.
 AHEAD_SECONDS = 0.37
+# About the last ten preparations tell how long one takes; one that met a fault
+# tells little.
+STRETCH_SHARE = 0.1
+# What is late already waits behind all that can be on time, also what comes later:
+# its wait is this many times what the work before it takes.
+LATE_DELAY_FACTOR = 3.0
+MOST_STRETCH = 3.0
 
 
 @dataclass(slots=True, eq=False)
@@ -31,16 +38,24 @@
 
     A started request holds results until its last step has ended. So only as many
     start as the slowest service can finish without delay; the others wait here, in
-    the order in which they can still be on time.
+    the order in which they can still be on time. `stretch` is the time that they
+    took lately, relative to what was expected.
     """
 
     waiting: list[Ticket] = field(default_factory=list)
     running: list[Ticket] = field(default_factory=list)
+    stretch: float = 1.0
 
     def add(self, ticket):
         """Let a preparation wait."""
         self.waiting.append(ticket)
 
+    def note_end(self, ticket, seconds):
+        """Learn from a preparation that took `seconds` from its start."""
+        if ticket.demand.seconds > 0:
+            ratio = min(seconds / ticket.demand.seconds, MOST_STRETCH)
+            self.stretch += STRETCH_SHARE * (max(ratio, 1.0) - self.stretch)
+
     def remove(self, ticket):
         """Forget a preparation that ended or was given up."""
         for tickets in (self.waiting, self.running):
@@ -54,7 +69,7 @@
         """
         work = self._running_work()
         started = []
-        for ticket in sorted(self.waiting, key=lambda ticket: _rank(ticket, now)):
+        for ticket in self._ranked(now):
             if not _fits(ticket, work, rate_by_service):
                 break
             _add(work, ticket)
@@ -72,9 +87,11 @@
         """
         work = self._running_work()
         refused = []
-        for ticket in sorted(self.waiting, key=lambda ticket: _rank(ticket, now)):
+        for ticket in self._ranked(now):
             delay = _delay(ticket, work, rate_by_service)
-            end = now + delay + ticket.demand.seconds
+            if self._is_late(ticket, now):
+                delay *= LATE_DELAY_FACTOR
+            end = now + delay + ticket.demand.seconds * self.stretch
             if end > ticket.preparation.useful_until:
                 refused.append((ticket, delay))
             else:
@@ -99,6 +116,19 @@
             default=0.0,
         )
 
+    def _ranked(self, now):
+        return sorted(self.waiting, key=lambda ticket: self._rank(ticket, now))
+
+    def _rank(self, ticket, now):
+        preparation = ticket.preparation
+        is_late = self._is_late(ticket, now)
+        limit = preparation.useful_until if is_late else preparation.on_time_by
+        return (is_late, limit + preparation.priority * PRIORITY_SECONDS)
+
+    def _is_late(self, ticket, now):
+        seconds = ticket.demand.seconds * self.stretch
+        return now + seconds > ticket.preparation.on_time_by
+
     def _running_work(self):
         work = {}
         for ticket in self.running:
@@ -107,13 +137,6 @@
         return work
 
 
-def _rank(ticket, now):
-    preparation = ticket.preparation
-    is_late = now + ticket.demand.seconds > preparation.on_time_by
-    limit = preparation.useful_until if is_late else preparation.on_time_by
-    return (is_late, limit + preparation.priority * PRIORITY_SECONDS)
-
-
 def _fits(ticket, work, rate_by_service):
     return all(
         not work.get(service)
--- a/packages/standins/src/wharf_standins/steps/trial.py
+++ b/packages/standins/src/wharf_standins/steps/trial.py
@@ -38,6 +38,7 @@
         self._outcome = Outcome()
         self._owed = 0.0
         self._earned = 0.0
+        self._held_worth = 0.0
 
     async def run(self):
         loop = asyncio.get_running_loop()
@@ -55,6 +56,7 @@
         ticker.cancel()
         outcome = self._outcome
         outcome.worth = self._earned / self._owed
+        outcome.held_worth = self._held_worth / self._owed
         outcome.calls = dict(self._caller.calls)
         outcome.pieces = dict(self._caller.pieces)
         outcome.busy = dict(self._caller.busy)
@@ -143,7 +145,12 @@
         answer = await preparer.run(preparation)
         if isinstance(answer, Err):
             outcome.refused += 1
-            outcome.held_seconds += self._clock() - at
+            held = self._clock() - at
+            outcome.held_seconds += held
+            free = step_class.aim / 8
+            most = 0.75 * step_class.deadline
+            share = min(1.0, max(0.0, (held - free) / (most - free)))
+            self._held_worth += share * step_class.worth
             return
         await asyncio.sleep(ENGINE_SECONDS)
         preparer.free(answer.unwrap())
