Learn the room that others' results take, avoid slow step upstreams

Change: after a refusal for room the upstream's report tells it; slow upstreams get only what others can't finish sooner; results of a lost preparer are dropped by the entry; what may not end before a stop is refused.

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -91,6 +91,12 @@
             if now >= until:
                 self._remove(name, "entry lapsed")
 
+    def fade_paces(self, seconds):
+        """Let idle upstreams that were slow be tried again."""
+        for state in self.state_by_id.values():
+            if state.pace > 1.0 and not state.in_flight:
+                state.fade_pace(seconds)
+
     def list_evacuations(self, objects, now):
         """Replace the data centres that are taken out."""
         self._set_out(frozenset(stored.name for stored in objects))
--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -29,6 +29,8 @@
 
 # The balancer asks each second and believes the second refusal.
 NOTICE_SECONDS = 2.5
+# A stopping process refuses what it may not finish: most answers take less.
+FINISH_SECONDS = 2.5
 EXIT_MARGIN_SECONDS = 0.7  # of the stop's time that is left for leaving
 CONFLICT = 409  # the store's answer where an object is there already
 REGISTER_PAUSE_SECONDS = 1.0
@@ -74,6 +76,7 @@
             settings.ready_listen, CallerLimits(), self.handle_ready
         )
         self._tasks = []
+        self.ends_at = float("inf")
         self._peer_by_name = {}
 
     async def start(self):
@@ -104,11 +107,13 @@
         began = self._clock()
         self.site.closing = True
         log.info("stopping", busy=self.site.busy)
+        self.ends_at = began + self.settings.stop_seconds - EXIT_MARGIN_SECONDS
         await asyncio.sleep(min(NOTICE_SECONDS, self.settings.stop_seconds / 2))
+        # A caller without a connection tries elsewhere at once, and more often than
+        # one that was refused.
         self.site.stop_accepting()
         self.site.close_idle()
-        end = began + self.settings.stop_seconds - EXIT_MARGIN_SECONDS
-        while self.site.busy and self._clock() < end:
+        while self._clock() < self.ends_at and (self.site.busy or self.preparers.busy):
             await asyncio.sleep(TICK_SECONDS / 2)
             self.site.close_idle()
         log.info("stopped", busy=self.site.busy)
@@ -148,6 +153,8 @@
         configuration = self.fleet.configuration
         if configuration is None:
             return Err(OwnAnswer.not_run(Code.NOT_CONFIGURED, "no configuration yet"))
+        if self._clock() + FINISH_SECONDS > self.ends_at:
+            return Err(OwnAnswer.not_run(Code.ENTRY_STOPPING, "stopping", 0.1))
         host = request.headers.get("host", "")
         route = configuration.find_route(host, request.path)
         if route is None:
@@ -236,6 +243,7 @@
             await asyncio.sleep(TICK_SECONDS)
             now = self._clock()
             self.fleet.expire_lapsed(now)
+            self.fleet.fade_paces(TICK_SECONDS)
             if self.fleet.configuration:
                 self.site.limits = self.fleet.configuration.limits
             self.preparers.advance(now)
--- a/packages/gateway/src/wharf_gateway/peers/peer_link.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_link.py
@@ -47,6 +47,7 @@
         self.is_ready = False
         self.backlog_by_pool = {}
         self.heard_at = float("-inf")
+        self.is_closed = False
 
     async def run(self, greeting, on_greeting):
         """Exchange messages until the link ends."""
@@ -166,6 +167,7 @@
 
     def _end(self):
         self.is_ready = False
+        self.is_closed = True
         self.fail_pending("link lost")
         for task in list(self._task_by_number.values()):
             task.cancel()
--- a/packages/gateway/src/wharf_gateway/preparers.py
+++ b/packages/gateway/src/wharf_gateway/preparers.py
@@ -101,8 +101,15 @@
         """Drop results that are not needed any more."""
         if context.owner is None:
             self.preparer(context.pool).free(handles)
-        else:
+        elif not context.owner.is_closed:
             context.owner.post(Free(context.pool, tuple(handles)))
+        else:
+            self._caller.free_unowned(handles)
+
+    @property
+    def busy(self):
+        """Return the number of preparations that run or wait here."""
+        return sum(preparer.busy for preparer in self.preparer_by_pool.values())
 
     def load(self):
         """Return whether this gateway takes work, and its backlogs."""
--- a/packages/gateway/src/wharf_gateway/routing/upstream_state.py
+++ b/packages/gateway/src/wharf_gateway/routing/upstream_state.py
@@ -8,6 +8,10 @@
 
 LATENCY_SHARE = 0.2  # of a new sample in the moving mean: about the last ten count
 FAILURE_SHARE = 0.2
+PACE_SHARE = 0.2
+SLOW_PACE_SHARE = 0.5  # one call that takes twice its time is evidence enough
+SLOW_RATIO = 2.0
+PACE_FADE_SECONDS = 4.0  # slowness on the operators' sheets lasts some seconds
 # How long an upstream that failed gets nothing, at first and at most, in seconds: a
 # process restarts in about half a second, a crashed host in several.
 FIRST_REST_SECONDS = 0.5
@@ -61,7 +65,12 @@
 
     def note_pace(self, ratio):
         """Take the time of a call relative to what was expected."""
-        self.pace += LATENCY_SHARE * (max(ratio, 1.0) - self.pace)
+        share = SLOW_PACE_SHARE if ratio > SLOW_RATIO else PACE_SHARE
+        self.pace += share * (max(ratio, 1.0) - self.pace)
+
+    def fade_pace(self, seconds):
+        """Forget slowness while there is no news, so that it is tried again."""
+        self.pace += (1.0 - self.pace) * min(1.0, seconds / PACE_FADE_SECONDS)
 
     def note_failure(self):
         """Count a failed answer of an upstream that lives."""
--- a/packages/gateway/src/wharf_gateway/stages/collector.py
+++ b/packages/gateway/src/wharf_gateway/stages/collector.py
@@ -23,6 +23,11 @@
 # last twenty calls tell it better.
 PIECE_SHARE = 0.05
 MOST_PIECE_FACTOR = 2.0
+ROOM_PAUSE_SECONDS = 0.3  # before an upstream that tells no room is tried again
+# How long others' results count after a report: they go when their request runs.
+ROOM_TRUST_SECONDS = 0.7
+# An upstream this much slower than expected gets only what others can't finish sooner.
+SLOW_PACE = 1.5
 FULL_PAUSE_SECONDS = 0.05  # before an upstream that was full is asked again
 
 
@@ -116,6 +121,8 @@
             return
         if now < self._not_before_by_id.get(upstream.id, 0.0):
             return
+        if state.pace > SLOW_PACE and self._others_are_sooner(state, batching, now):
+            return
         room = batching.result_room - self._room.used(upstream.address, now)
         centre = upstream.data_centre
         batch = self.queue.take(
@@ -147,6 +154,23 @@
         end = now + batching.call_seconds + job.seconds
         return end + wait > job.on_time_by >= end
 
+    def _others_are_sooner(self, state, batching, now):
+        """Return whether the other upstreams end what waits before a slow one would."""
+        others = [
+            other
+            for other in self._states(now)
+            if other is not state and other.pace <= SLOW_PACE
+        ]
+        if not others:
+            return False
+        full = batching.call_seconds + batching.batch * self.piece_seconds(batching)
+        calls = max(1.0, len(self.queue) / (batching.batch * len(others)))
+        wait = min(
+            max(0.0, self._busy_until_by_id.get(other.upstream.id, now) - now)
+            for other in others
+        )
+        return wait + calls * full < full * state.pace
+
     def _wait(self, centre, size, batching, now):
         """Return the seconds until a data centre has a free upstream with room."""
         most = batching.result_room - size
@@ -214,6 +238,7 @@
 
     def _deliver(self, upstream, batch, results, batching, now):
         until = now + batching.result_lifetime
+        lacks_room = False
         for job, result in zip(batch, results, strict=True):
             if result.handle is not None:
                 size = job.result_bytes
@@ -224,10 +249,26 @@
                 continue
             if result.reason == "room":
                 self._not_before_by_id[upstream.id] = now + FULL_PAUSE_SECONDS
+                lacks_room = True
             if result.reason in ("late", "gone"):
                 job.finish(result)
             else:
                 self._retry(job, result.reason, now, counts=result.reason != "room")
+        if lacks_room:
+            self._not_before_by_id[upstream.id] = now + ROOM_PAUSE_SECONDS
+            self._spawn(self._learn_room(upstream, batching))
+
+    async def _learn_room(self, upstream, batching):
+        """Ask an upstream for its room, since others have results there."""
+        free = await self._caller.free_room(upstream)
+        now = self._clock()
+        if free is not None:
+            until = now + ROOM_TRUST_SECONDS
+            room = batching.result_room
+            self._room.note_free(upstream.address, free, room, until)
+            self._not_before_by_id.pop(upstream.id, None)
+        log.info("room_learnt", upstream=upstream.id, free=free)
+        self.advance(now)
 
     def _retry(self, job, reason, now, counts):
         if job.is_over:
@@ -255,6 +296,7 @@
         )
 
     def _states(self, now):
+        """Return the upstreams of the pool that aren't resting."""
         states = [
             state
             for state in self._fleet.states(self.service)
--- a/packages/gateway/src/wharf_gateway/stages/piece_caller.py
+++ b/packages/gateway/src/wharf_gateway/stages/piece_caller.py
@@ -14,6 +14,7 @@
 log = structlog.get_logger(__name__)
 
 FREE_SECONDS = 1.0
+REPORT_SECONDS = 0.5  # reports take some milliseconds
 
 
 class PieceCaller:
@@ -29,6 +30,7 @@
         self._pool = pool
         self._clock = clock
         self._kept = ConnectionPool(max_idle=1)
+        self._tasks = set()
 
     async def run(self, upstream, batch, patience, now):
         """Return the results of a batch of jobs; raises `BrokenAnswerError`."""
@@ -53,18 +55,48 @@
                 reason=str(error),
             )
 
+    def free_unowned(self, handles):
+        """Drop results whose preparer is gone, without waiting for it."""
+        by_address = {}
+        for handle in handles:
+            by_address.setdefault(self._dialect.maker_of(handle), []).append(handle)
+        for address, freed in by_address.items():
+            task = asyncio.ensure_future(self.free(address, freed))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def free_room(self, upstream):
+        """Return the bytes that an upstream has left for results, if it tells."""
+        try:
+            status, answer = await self._exchange(
+                self._kept,
+                upstream.address,
+                self._dialect.report_path,
+                b"",
+                (),
+                REPORT_SECONDS,
+                fresh=False,
+                method="GET",
+            )
+        except BrokenAnswerError as error:
+            log.info("no_report", upstream=upstream.id, reason=str(error))
+            return None
+        return self._dialect.read_free_room(answer) if status == 200 else None
+
     async def _post(self, upstream, path, body, seconds):
         fields = self._dialect.expect_fields(upstream.id)
         return await self._exchange(
             self._pool, upstream.address, path, body, fields, seconds, fresh=True
         )
 
-    async def _exchange(self, pool, address, path, body, fields, seconds, fresh):
+    async def _exchange(
+        self, pool, address, path, body, fields, seconds, fresh, method="POST"
+    ):
         connection = None
         try:
             async with asyncio.timeout(seconds):
                 connection = await pool.acquire(address, self._clock(), fresh=fresh)
-                head = request_head("POST", path, address, fields, len(body))
+                head = request_head(method, path, address, fields, len(body))
                 connection.send(head, body, lambda headers: True)
                 reply = await connection.head()
                 return reply.status, await connection.body()
--- a/packages/gateway/src/wharf_gateway/stages/preparer.py
+++ b/packages/gateway/src/wharf_gateway/stages/preparer.py
@@ -67,6 +67,11 @@
             self._gate.remove(ticket)
             self.advance(self._clock())
 
+    @property
+    def busy(self):
+        """Return the number of preparations that run or wait."""
+        return len(self._future_by_ticket)
+
     def free(self, handles):
         """Drop results that are not needed any more."""
         by_service = {}
--- a/packages/gateway/src/wharf_gateway/stages/result_room.py
+++ b/packages/gateway/src/wharf_gateway/stages/result_room.py
@@ -12,6 +12,7 @@
     reserved_by_address: dict[str, float] = field(default_factory=dict)
     kept_by_address: dict[str, dict] = field(default_factory=dict)
     address_by_handle: dict[str, str] = field(default_factory=dict)
+    others_by_address: dict[str, tuple] = field(default_factory=dict)
 
     def used(self, address, now):
         """Return the bytes in use at time `now`; results end with their lifetime.
@@ -25,9 +26,19 @@
         kept = self.kept_by_address.get(address, {})
         for handle in [h for h, (_, until) in kept.items() if until <= now]:
             self.free(handle)
-        return self.reserved_by_address.get(address, 0) + sum(
-            size for size, _ in kept.values()
-        )
+        own = sum(size for size, _ in kept.values())
+        own += self.reserved_by_address.get(address, 0)
+        others, until = self.others_by_address.get(address, (0, 0.0))
+        return own + (others if now < until else 0)
+
+    def note_free(self, address, free, room, until):
+        """Count what an upstream says of its room as others' results, for a time.
+
+        They may be those of a gateway that is gone.
+        """
+        self.others_by_address.pop(address, None)
+        others = max(0, room - free - self.used(address, until))
+        self.others_by_address[address] = (others, until)
 
     def reserve(self, address, size):
         """Set room aside for a call."""
--- a/packages/standins/src/wharf_standins/steps/command.py
+++ b/packages/standins/src/wharf_standins/steps/command.py
@@ -30,8 +30,9 @@
 
 def _show(name, seed, outcome):
     print(
-        f"{name} seed {seed}: worth {outcome.worth:.3f}, held"
-        f" {outcome.held_worth:.3f}, no room {outcome.without_room}, crossed {outcome.crossed_bytes / 1e9:.3f} GB"
+        f"{name} seed {seed}: worth {outcome.worth:.3f},"
+        f" held {outcome.held_worth:.3f}, no room {outcome.without_room},"
+        f" crossed {outcome.crossed_bytes / 1e9:.3f} GB"
     )
     for label, part in outcome.by_class.items():
         print(
--- a/packages/standins/src/wharf_standins/steps/emulated_caller.py
+++ b/packages/standins/src/wharf_standins/steps/emulated_caller.py
@@ -55,6 +55,12 @@
         fates = zip(batch, taken, lacking, strict=True)
         return Ok([self._result(upstream, *fate) for fate in fates])
 
+    async def free_room(self, upstream):
+        """Return the room that is left."""
+        await asyncio.sleep(ROUND_TRIP_SECONDS)
+        batching = self._pattern.batching_by_service[upstream.service]
+        return batching.result_room - self._used_by_address[upstream.address]
+
     async def free(self, address, handles):
         """Drop results."""
         await asyncio.sleep(ROUND_TRIP_SECONDS)
