--- a/packages/gateway/src/wharf_gateway/http/connection_pool.py
+++ b/packages/gateway/src/wharf_gateway/http/connection_pool.py
@@ -13,7 +13,9 @@
 IDLE_FRACTION = 0.5
 # Where an upstream names no time-out; below the shortest common default of 5 s.
 DEFAULT_IDLE_SECONDS = 2.0
-CONNECT_SECONDS = 1.0  # as long as callers allow a new connection
+# A host that is up answers within some ten milliseconds, also in another region; a
+# dark one never does, and what waits for it could run elsewhere.
+CONNECT_SECONDS = 0.3
 
 
 class ConnectionPool:
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -21,6 +21,16 @@
 # Sends that ended as certainly not run, such as a refused connection, don't count as
 # attempts, but are bounded all the same.
 MAX_SENDS = 4
+# A safe request is sent elsewhere when its upstream takes this many times its usual
+# time; one in a hundred takes as long without a fault.
+SLOW_FACTOR = 5.0
+LEAST_PATIENCE_SECONDS = 0.15
+# Engines make events each few dozen milliseconds; one that pauses this long is stuck,
+# and a caller leaves after two seconds at the earliest.
+STALL_SECONDS = 1.0
+FIRST_EVENT_SECONDS = 1.5  # a long prompt behind others takes up to a second
+# A request that was given up after this long speaks against its upstream.
+OVERDUE_SECONDS = 0.5
 # What an engine usually takes up to its first event.
 ENGINE_SECONDS = 0.25
 
@@ -164,7 +174,8 @@
             connection = await self._pool.acquire(upstream.address, started)
             self._send(context, state, connection, splitter, started)
             context.may_have_run = True
-            head = await connection.head()
+            async with asyncio.timeout(self._patience(context, state)):
+                head = await connection.head()
             reply = self._dialect.read_reply(head)
             self._note_reply(state, reply, connection)
             if reply.not_run:
@@ -174,6 +185,14 @@
             )
         except BrokenAnswerError as error:
             return self._broken(context, state, error)
+        except TimeoutError:
+            seconds = self._clock() - started
+            error = BrokenAnswerError(f"no answer within {seconds:.2f} s")
+            return self._broken(context, state, error)
+        except asyncio.CancelledError:
+            if self._clock() - started > OVERDUE_SECONDS:
+                state.note_failure()
+            raise
         finally:
             state.in_flight -= 1
             if connection is not None:
@@ -238,7 +257,7 @@
     async def _relay_stream(
         self, context, state, responder, connection, head, splitter, started
     ):
-        while data := await connection.part():
+        while data := await self._next_part(context, connection):
             events = splitter.feed(data)
             if events:
                 if not responder.is_started:
@@ -254,6 +273,23 @@
         self._log_answer(context, state, head.status, started)
         return _Fate(None)
 
+    async def _next_part(self, context, connection):
+        """Return the next bytes; one that may be resumed isn't waited for too long."""
+        seconds = STALL_SECONDS if context.route.is_resumable else None
+        async with asyncio.timeout(seconds):
+            return await connection.part()
+
+    def _patience(self, context, state):
+        """Return the seconds after which another upstream is tried, or none."""
+        route = context.route
+        is_last = len(context.tried) >= route.max_attempts
+        if is_last or not self._may_go_on(context, None):
+            return None
+        if route.kind is RouteKind.STREAM:
+            return FIRST_EVENT_SECONDS
+        usual = state.latency or route.target_latency
+        return max(SLOW_FACTOR * usual, LEAST_PATIENCE_SECONDS)
+
     def _refused(self, context, state, head):
         now = self._clock()
         if head.status == MISDIRECTED:
--- a/packages/gateway/src/wharf_gateway/routing/upstream_state.py
+++ b/packages/gateway/src/wharf_gateway/routing/upstream_state.py
@@ -43,6 +43,11 @@
         """Return whether it failed lately and gets nothing for now."""
         return now < self.resting_until
 
+    @property
+    def is_suspect(self):
+        """Return whether its last call failed, so that the next is a trial."""
+        return self.rest > FIRST_REST_SECONDS
+
     def load(self, now):
         """Return its calls, those of others by its last report included."""
         if now - self.reported_at > LOAD_TRUST_SECONDS:
--- a/packages/gateway/src/wharf_gateway/stages/collector.py
+++ b/packages/gateway/src/wharf_gateway/stages/collector.py
@@ -16,9 +16,9 @@
 log = structlog.get_logger(__name__)
 
 MAX_TRIES = 3  # calls in which one piece may be
-# A call is given up after this many times its expected time: slow upstreams on the
-# operators' sheets take about four times as long as others.
-PATIENCE_FACTOR = 5.0
+# A call is given up after this many times the time that its upstream usually takes:
+# a dark one never answers, and its pieces can still be in time elsewhere.
+PATIENCE_FACTOR = 3.0
 # The configuration's time of a piece is approximate and differs by step; about the
 # last twenty calls tell it better.
 PIECE_SHARE = 0.05
@@ -126,7 +126,7 @@
         room = batching.result_room - self._room.used(upstream.address, now)
         centre = upstream.data_centre
         batch = self.queue.take(
-            batching.batch,
+            1 if state.is_suspect else batching.batch,
             room,
             batching.call_seconds,
             now,
@@ -206,6 +206,7 @@
         except BrokenAnswerError as error:
             answer = Err(str(error))
             state.note_unreachable(self._clock())
+            state.note_pace((self._clock() - started) / planned)
         except Exception:  # a fault of ours must not leave requests waiting
             log.exception("pieces_failed_inside", upstream=upstream.id)
             answer = Err("internal")
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -233,3 +233,28 @@
 
     assert caller.ending == "broken"
     assert len(upstreams.seen) == 1
+
+
+async def test_a_safe_request_does_not_wait_for_a_silent_upstream(upstreams, ask):
+    await upstreams.add(silent=True)
+    await upstreams.add(SIGNED)
+
+    assert (await ask("safe", seconds=1.0)).status == 200
+
+
+async def test_a_stream_that_stalls_goes_on_elsewhere(upstreams, ask):
+    await upstreams.add(STREAM, b"f\r\nid: 1\ndata: a\n\n\r\n", silent=True)
+    await upstreams.add(STREAM, b"f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n")
+
+    caller = await ask("stream", resumable=True, seconds=3.0)
+
+    assert caller.body.endswith(b"id: 2\ndata: b\n\n")
+    assert caller.ending == "whole"
+
+
+async def test_an_upstream_that_hangs_is_chosen_less(upstreams, ask):
+    await upstreams.add(silent=True)
+
+    await ask("unsafe", seconds=0.6)
+
+    assert upstreams.fleet.state_by_id["u0"].failure_share > 0
