Write logs without blocking and serve metrics

Cause: lines went to standard output by blocking writes, without a bound, and there were no counters.

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -34,6 +34,35 @@
         self._lapsed_by_id = {}
         self.on_gone = []
 
+    def counts(self, now):
+        """Return the number of upstreams by state."""
+        return Counter((self._state_name(s, now),) for s in self.state_by_id.values())
+
+    def dump(self, now):
+        """Return what is believed of each upstream, for operators."""
+        return {
+            name: {
+                "service": state.upstream.service,
+                "data_centre": state.upstream.data_centre,
+                "state": self._state_name(state, now),
+                "in_flight": state.in_flight,
+                "latency": state.latency,
+                "pace": round(state.pace, 2),
+                "failure_share": round(state.failure_share, 3),
+            }
+            for name, state in self.state_by_id.items()
+        }
+
+    def _state_name(self, state, now):
+        upstream = state.upstream
+        if upstream.is_draining:
+            return "draining"
+        if upstream.data_centre in self.out_data_centres:
+            return "out"
+        if state.is_resting(now):
+            return "resting"
+        return "cold" if upstream.cold_until > now else "ready"
+
     def states(self, service):
         """Return the usable upstreams of a service, draining ones left out."""
         return [
--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -1,6 +1,7 @@
 """The gateway: takes callers' requests and answers for their outcome."""
 
 import asyncio
+import json
 from importlib import import_module
 from random import Random
 
@@ -11,6 +12,7 @@
 from wharf_coordination.retry_budget import RetryBudget
 from wharf_gateway.fleet import Fleet
 from wharf_gateway.http.connection_pool import ConnectionPool
+from wharf_gateway.http.headers import Headers
 from wharf_gateway.model.caller_limits import CallerLimits
 from wharf_gateway.own_answer import OwnAnswer
 from wharf_gateway.peers.peer_set import PeerSet
@@ -22,6 +24,8 @@
 from wharf_gateway.store.follower import Follower
 from wharf_gateway.store.store_client import StoreClient
 from wharf_gateway.store.store_kind import StoreKind
+from wharf_gateway.telemetry.exposition import expose
+from wharf_gateway.telemetry.meter import Meter
 
 __all__ = ["Gateway"]
 
@@ -45,6 +49,7 @@
         loop = asyncio.get_running_loop()
         self._clock = loop.time
         self._rng = Random(settings.seed)
+        self.meter = Meter()
         self._dialect = import_module(settings.dialect).Dialect()
         self.fleet = Fleet(self._dialect)
         self._pool = ConnectionPool()
@@ -70,11 +75,18 @@
             budget,
             self._clock,
             self._rng,
+            self.meter,
         )
         self.site = Site(settings.listen, CallerLimits(), self.handle)
         self._ready_site = Site(
             settings.ready_listen, CallerLimits(), self.handle_ready
         )
+        self._metrics_site = None
+        if settings.metrics_listen:
+            self._metrics_site = Site(
+                settings.metrics_listen, CallerLimits(), self.handle_metrics
+            )
+        self._add_gauges()
         self._tasks = []
         self.ends_at = float("inf")
         self._peer_by_name = {}
@@ -84,6 +96,8 @@
         await self._ready_site.start()
         await self.site.start()
         await self.peers.start()
+        if self._metrics_site:
+            await self._metrics_site.start()
         self._followers = [
             self._follow(
                 StoreKind.CONFIGURATION,
@@ -134,6 +148,50 @@
         is_known = request.path == self._dialect.ready_path
         responder.answer(404 if not is_known else 200 if self.is_ready else 503)
 
+    async def handle_metrics(self, request, responder):
+        """Answer a scrape, or show the process's state."""
+        match request.path:
+            case "/metrics":
+                kind, body = "text/plain; version=0.0.4", expose(self.meter)
+            case "/state":
+                kind, body = "application/json", json.dumps(self.dump()).encode()
+            case _:
+                responder.answer(404)
+                return
+        responder.answer(200, Headers((("Content-Type", kind),)), body)
+
+    def dump(self):
+        """Return the process's state for operators."""
+        now = self._clock()
+        configuration = self.fleet.configuration
+        return {
+            "name": self.settings.name,
+            "data_centre": self.settings.data_centre,
+            "configuration": configuration.version if configuration else None,
+            "stopping": self.site.closing,
+            "busy": self.site.busy,
+            "out_data_centres": sorted(self.fleet.out_data_centres),
+            "store_away_kinds": [f.kind for f in self._followers if f.lost_at],
+            "upstreams": self.fleet.dump(now),
+            "preparers": self.preparers.dump(now),
+            "peers": {
+                name: {
+                    "ready": link.is_ready,
+                    "heard_seconds_ago": round(now - link.heard_at, 3),
+                    "backlog_by_pool": link.backlog_by_pool,
+                }
+                for name, link in self.peers.link_by_name.items()
+            },
+        }
+
+    def _add_gauges(self):
+        meter = self.meter
+        meter.gauge("wharf_busy_connections", lambda: {(): self.site.busy})
+        meter.gauge("wharf_store_calls", lambda: {(): self._store.calls})
+        meter.gauge("wharf_upstream_connections", lambda: {(): self._pool.opened})
+        meter.gauge("wharf_preparing", lambda: {(): self.preparers.busy})
+        meter.gauge("wharf_upstreams", lambda: self.fleet.counts(self._clock()))
+
     async def handle(self, request, responder):
         """Answer one request of a caller."""
         match await self._admit(request):
@@ -145,6 +203,9 @@
                     code=answer.code.label,
                     detail=answer.detail,
                 )
+                self.meter.count(
+                    "wharf_requests", "none", answer.status, answer.code.label
+                )
                 responder.answer(answer.status, answer.headers, answer.body)
             case Ok(context):
                 await self._runner.run(context, responder)
--- a/packages/gateway/src/wharf_gateway/main.py
+++ b/packages/gateway/src/wharf_gateway/main.py
@@ -14,6 +14,7 @@
 
 from wharf_gateway.gateway import Gateway
 from wharf_gateway.settings import GatewaySettings
+from wharf_gateway.telemetry.log_setup import set_up_logs
 
 __all__ = ["main"]
 
@@ -30,7 +31,6 @@
     parser.add_argument("--settings", help="JSON file with comments")
     parser.add_argument("--check", action="store_true", help="only validate them")
     options = parser.parse_args()
-    _configure_logs()
     path = Path(options.settings or os.environ.get("VANILLAWHARF_NODE_FILE", ""))
     match _read(path):
         case Err(fault):
@@ -51,36 +51,34 @@
         return Err(str(error))
 
 
-def _configure_logs():
-    structlog.configure(
-        processors=[
-            structlog.processors.add_log_level,
-            structlog.processors.TimeStamper(fmt="iso"),
-            structlog.processors.JSONRenderer(),
-        ],
-        logger_factory=structlog.PrintLoggerFactory(sys.stdout),
-        cache_logger_on_first_use=True,
-    )
-
-
 def _start(settings):
+    writer = set_up_logs(sys.stdout.fileno())
     try:
-        asyncio.run(_serve(settings))
+        asyncio.run(_serve(settings, writer))
     except OSError as error:
         print(f"{settings.name}: {error}", file=sys.stderr)
         return EXIT_NOT_STARTED
+    finally:
+        writer.flush()
     return EXIT_OK
 
 
-async def _serve(settings):
+async def _serve(settings, writer):
     log = structlog.get_logger()
     gateway = Gateway(settings)
+    gateway.meter.gauge("wharf_dropped_lines", lambda: {(): writer.queue.total_dropped})
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     loop.add_signal_handler(signal.SIGHUP, lambda: log.info("reload"))
     await gateway.start()
-    log.info("started", name=settings.name, data_centre=settings.data_centre)
+    log.info(
+        "started",
+        name=settings.name,
+        data_centre=settings.data_centre,
+        listen=settings.listen,
+        metrics=settings.metrics_listen,
+    )
     await stop.wait()
     await gateway.stop()
--- a/packages/gateway/src/wharf_gateway/preparers.py
+++ b/packages/gateway/src/wharf_gateway/preparers.py
@@ -97,6 +97,12 @@
                     return answer
         return answer
 
+    def dump(self, now):
+        """Return the work of this gateway's preparers, for operators."""
+        return {
+            name: preparer.dump(now) for name, preparer in self.preparer_by_pool.items()
+        }
+
     def free(self, context, handles):
         """Drop results that are not needed any more."""
         if context.owner is None:
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -38,7 +38,7 @@
 class RequestRunner:
     """Run requests that have been read and whose route is known."""
 
-    def __init__(self, fleet, dialect, pool, preparers, budget, clock, rng):
+    def __init__(self, fleet, dialect, pool, preparers, budget, clock, rng, meter):
         self._fleet = fleet
         self._dialect = dialect
         self._pool = pool
@@ -46,6 +46,7 @@
         self._budget = budget
         self._clock = clock
         self._rng = rng
+        self._meter = meter
 
     async def run(self, context, responder):
         """Answer the request, within its time."""
@@ -82,7 +83,21 @@
             context.deadline - ENGINE_SECONDS,
             self._near(context),
         )
-        match await self._preparers.run(preparation, context):
+        started = self._clock()
+        answer = await self._preparers.run(preparation, context)
+        outcome = "prepared" if answer.is_ok() else "refused"
+        self._meter.count("wharf_preparations", outcome)
+        seconds = self._clock() - started
+        self._meter.observe("wharf_preparation_seconds", seconds, outcome)
+        log.info(
+            "prepared" if answer.is_ok() else "not_prepared",
+            request=context.details.id,
+            pool=context.pool,
+            preparer=context.owner.name if context.owner else "self",
+            seconds=round(seconds, 3),
+            reason=answer.unwrap_err().reason if answer.is_err() else None,
+        )
+        match answer:
             case Err(refusal):
                 return OwnAnswer.not_run(
                     Code.UPSTREAM_FULL, f"steps: {refusal.reason}", refusal.retry_after
@@ -110,6 +125,7 @@
             splitter.restart()
             fate = await self._attempt(context, state, responder, splitter)
             attempts += fate.counts
+            self._meter.count("wharf_attempts", fate.outcome)
             if fate.answer is None:
                 return None
             answer = fate.answer
@@ -314,6 +330,11 @@
 
     def _log_answer(self, context, state, status, started):
         now = self._clock()
+        kind = context.route.kind.value
+        self._meter.count("wharf_requests", kind, status, "ok")
+        seconds = now - context.inbound.received_at
+        self._meter.observe("wharf_request_seconds", seconds, kind)
+        self._meter.observe("wharf_upstream_seconds", now - started, kind)
         log.info(
             "answered",
             request=context.details.id,
@@ -327,6 +348,10 @@
 
     def _log_end(self, context, answer):
         now = self._clock()
+        kind = context.route.kind.value
+        self._meter.count("wharf_requests", kind, answer.status, answer.code.label)
+        seconds = now - context.inbound.received_at
+        self._meter.observe("wharf_request_seconds", seconds, kind)
         log.info(
             "not_served",
             request=context.details.id,
@@ -343,11 +368,12 @@
 class _Fate:
     """How an attempt ended; no answer means that the caller has got it."""
 
-    __slots__ = ("answer", "counts", "is_final", "not_run")
+    __slots__ = ("answer", "counts", "is_final", "not_run", "outcome")
 
     def __init__(self, answer, not_run=False, counts=1, is_final=False):
         self.answer = answer
         self.not_run = not_run
+        self.outcome = "served" if answer is None else answer.code.label
         self.counts = counts
         self.is_final = is_final
 
--- a/packages/gateway/src/wharf_gateway/settings.py
+++ b/packages/gateway/src/wharf_gateway/settings.py
@@ -16,7 +16,7 @@
     `dialect` names the module that speaks the platform's language. The retry
     settings bound all gateways together: `retry_share` of the requests and
     `retry_reserve` more in each `retry_window` seconds. A stopping process ends
-    within `stop_seconds`.
+    within `stop_seconds`. Metrics are served on `metrics_listen`, if it is given.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -26,6 +26,7 @@
     host: str = Field(min_length=1)
     listen: Address
     ready_listen: Address
+    metrics_listen: Address | None = None
     peer_port: int = Field(ge=1, le=65535)
     store: Address
     dialect: str = "wharf_adapter"
--- a/packages/gateway/src/wharf_gateway/stages/preparer.py
+++ b/packages/gateway/src/wharf_gateway/stages/preparer.py
@@ -67,6 +67,21 @@
             self._gate.remove(ticket)
             self.advance(self._clock())
 
+    def dump(self, now):
+        """Return the work at hand and the figures that decide, for operators."""
+        return {
+            "waiting": len(self._gate.waiting),
+            "running": len(self._gate.running),
+            "stretch": round(self._gate.stretch, 2),
+            "pieces_a_second": {
+                name: round(rate, 1) for name, rate in self._rates(now).items()
+            },
+            "queued_pieces": {
+                name: len(collector.queue)
+                for name, collector in self.collector_by_service.items()
+            },
+        }
+
     @property
     def busy(self):
         """Return the number of preparations that run or wait."""
--- a/packages/gateway/src/wharf_gateway/telemetry/line_queue.py
+++ b/packages/gateway/src/wharf_gateway/telemetry/line_queue.py
@@ -26,6 +26,11 @@
     def __len__(self):
         return len(self.ordinary) + len(self.important)
 
+    @property
+    def total_dropped(self):
+        """Return the number of lines that were dropped."""
+        return sum(self.dropped.values())
+
     def push(self, event, line, is_important):
         """Add a line, dropping the oldest ordinary one where there is no room.
 
--- a/packages/gateway/src/wharf_gateway/telemetry/line_writer.py
+++ b/packages/gateway/src/wharf_gateway/telemetry/line_writer.py
@@ -33,7 +33,8 @@
         event, level, line = message
         is_important = level in IMPORTANT_LEVELS or event in IMPORTANT_EVENTS
         self.queue.push(event, line, is_important)
-        self._schedule()
+        if not self._schedule():
+            self.flush()
 
     debug = info = warning = error = critical = exception = msg
 
@@ -53,14 +54,15 @@
         return True
 
     def _schedule(self):
+        """Flush soon; return whether there is a loop that will."""
         if self._timer is not None:
-            return
+            return True
         try:
             loop = asyncio.get_running_loop()
         except RuntimeError:
-            self.flush()
-            return
+            return False
         self._timer = loop.call_later(FLUSH_SECONDS, self.flush)
+        return True
 
 
 def _may_block(descriptor):
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -22,6 +22,7 @@
 from wharf_gateway.request_context import RequestContext
 from wharf_gateway.request_runner import RequestRunner
 from wharf_gateway.routing.upstream_state import UpstreamState
+from wharf_gateway.telemetry.meter import Meter
 
 SIGNED = b"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nok"
 FAILED = b"HTTP/1.1 500 Error\r\nId: r1\r\nSigned: 1\r\nContent-Length: 3\r\n\r\nbad"
@@ -140,6 +141,7 @@
             RetryBudget(),
             loop.time,
             Random(1),
+            Meter(),
         )
         caller = Caller()
         await runner.run(context, caller)
