Bound retries for each service by itself

Change: a budget for each service; each gateway has its part of the reserve by the number that is registered; refusals name the upstreams that were tried.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -9,7 +9,6 @@
 from result import Err, Ok
 
 from wharf_coordination.code import Code
-from wharf_coordination.retry_budget import RetryBudget
 from wharf_gateway.fleet import Fleet
 from wharf_gateway.http.connection_pool import ConnectionPool
 from wharf_gateway.http.headers import Headers
@@ -19,6 +18,7 @@
 from wharf_gateway.preparers import Preparers
 from wharf_gateway.request_context import RequestContext
 from wharf_gateway.request_runner import RequestRunner
+from wharf_gateway.routing.retry_budgets import RetryBudgets
 from wharf_gateway.site import Site
 from wharf_gateway.stages.piece_caller import PieceCaller
 from wharf_gateway.store.follower import Follower
@@ -65,14 +65,17 @@
             settings, self.preparers, self._clock, self._rng, self.preparers.load
         )
         self.preparers.peers = self.peers
-        share = settings.retry_reserve / 8
-        budget = RetryBudget(settings.retry_share / 2, share, share)
+        budgets = RetryBudgets(
+            settings.retry_share,
+            settings.retry_reserve,
+            lambda: len(self._peer_by_name),
+        )
         self._runner = RequestRunner(
             self.fleet,
             self._dialect,
             self._pool,
             self.preparers,
-            budget,
+            budgets,
             self._clock,
             self._rng,
             self.meter,
--- a/packages/gateway/src/wharf_gateway/request_context.py
+++ b/packages/gateway/src/wharf_gateway/request_context.py
@@ -16,9 +16,10 @@
     """What decides about a request; times are the loop's, in seconds.
 
     `on_time_by` is when its answer must begin to be on time, `deadline` when the
-    caller stops waiting. A lower `priority` is more urgent. `pool` is where its steps run. `may_have_run` says
-    whether some upstream may have begun to run it, `inputs` are the results that its
-    engine needs, and `owner` the link to the gateway that got them, none for this one.
+    caller stops waiting. A lower `priority` is more urgent. `may_have_run` says
+    whether some upstream may have begun to run it. `inputs` are the results that its
+    engine needs, made in `pool` by the gateway behind the link `owner`, none for this
+    one.
     """
 
     inbound: InboundRequest
@@ -35,4 +36,3 @@
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
     sends: int = 0
-
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -38,12 +38,12 @@
 class RequestRunner:
     """Run requests that have been read and whose route is known."""
 
-    def __init__(self, fleet, dialect, pool, preparers, budget, clock, rng, meter):
+    def __init__(self, fleet, dialect, pool, preparers, budgets, clock, rng, meter):
         self._fleet = fleet
         self._dialect = dialect
         self._pool = pool
         self._preparers = preparers
-        self._budget = budget
+        self._budgets = budgets
         self._clock = clock
         self._rng = rng
         self._meter = meter
@@ -64,7 +64,7 @@
             responder.answer(answer.status, answer.headers, answer.body)
 
     async def _run(self, context, responder):
-        self._budget.count_first_try()
+        self._budgets.count_first_try(context.route.targets[0].service)
         try:
             return await self._attempts(context, responder)
         finally:
@@ -119,7 +119,7 @@
             state = self._choose(context)
             if state is None:
                 return answer
-            if context.sends and not self._budget.spend():
+            if context.sends and not self._budgets.spend(state.upstream.service):
                 return answer
             context.sends += 1
             splitter.restart()
@@ -362,6 +362,8 @@
             seconds=round(now - context.inbound.received_at, 3),
             left=round(context.deadline - now, 3),
             sends=context.sends,
+            tried=sorted(context.tried),
+            may_have_run=context.may_have_run,
         )
 
 
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -5,7 +5,6 @@
 
 import pytest
 
-from wharf_coordination.retry_budget import RetryBudget
 from wharf_gateway.fleet import Fleet
 from wharf_gateway.http.connection_pool import ConnectionPool
 from wharf_gateway.http.headers import Headers
@@ -21,6 +20,7 @@
 from wharf_gateway.model.upstream import Upstream
 from wharf_gateway.request_context import RequestContext
 from wharf_gateway.request_runner import RequestRunner
+from wharf_gateway.routing.retry_budgets import RetryBudgets
 from wharf_gateway.routing.upstream_state import UpstreamState
 from wharf_gateway.telemetry.meter import Meter
 
@@ -138,7 +138,7 @@
             PlainDialect(),
             ConnectionPool(),
             None,
-            RetryBudget(),
+            RetryBudgets(0.2, 50, lambda: 1),
             loop.time,
             Random(1),
             Meter(),
