Let a stopping gateway finish what it prepares for others

Ruled out: restarts themselves (results lapse only after kills), the room that the preparer counts (the upstreams' reports said 0 bytes free). Change: only a peer that isn't heard is given up and told so; late results are sent back to be dropped.

--- a/packages/gateway/src/wharf_gateway/peers/peer_link.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_link.py
@@ -25,6 +25,7 @@
 
 # A peer that hasn't been heard for five load notices is not asked any more.
 SILENCE_SECONDS = 0.5
+REMEMBERED = 10_000  # preparations whose late results can still be dropped
 OUTBOX_MESSAGES = 2000  # a peer that doesn't read loses its link
 
 
@@ -40,6 +41,7 @@
         self._clock = clock
         self._numbers = count()
         self._future_by_number = {}
+        self._pool_by_number = {}
         self._task_by_number = {}
         self._outbox = asyncio.Queue(OUTBOX_MESSAGES)
         self.name = None
@@ -84,6 +86,8 @@
     async def prepare(self, preparation, pool):
         """Return the handles that the peer got, or why there are none."""
         number = next(self._numbers)
+        self._pool_by_number[number] = pool
+        self._pool_by_number.pop(number - REMEMBERED, None)
         future = asyncio.get_running_loop().create_future()
         self._future_by_number[number] = future
         now = self._clock()
@@ -109,6 +113,18 @@
         finally:
             self._future_by_number.pop(number, None)
 
+    def fail_if_silent(self):
+        """End what was asked of a peer that isn't heard; return whether that is so.
+
+        One that only takes nothing new, since it stops, finishes what it has.
+        """
+        if self._clock() - self.heard_at < SILENCE_SECONDS:
+            return False
+        for number in self._future_by_number:
+            self.post(Abandon(number))
+        self.fail_pending("peer silent")
+        return True
+
     def fail_pending(self, reason):
         """End what the peer was asked for, so that it is asked for elsewhere."""
         for future in list(self._future_by_number.values()):
@@ -127,9 +143,10 @@
                     lambda _: self._task_by_number.pop(message.number, None)
                 )
             case Prepared(number, handles):
-                self._resolve(number, Ok(list(handles)), handles)
+                if not self._resolve(number, Ok(list(handles))):
+                    self.post(Free(self._pool_by_number.get(number, ""), handles))
             case Refused(number, reason, retry_after):
-                self._resolve(number, Err(Unprepared(reason, retry_after)), ())
+                self._resolve(number, Err(Unprepared(reason, retry_after)))
             case Abandon(number):
                 task = self._task_by_number.get(number)
                 if task:
@@ -137,10 +154,13 @@
             case Free(pool, handles):
                 self._preparers.preparer(pool).free(handles)
 
-    def _resolve(self, number, answer, handles):
+    def _resolve(self, number, answer):
+        """Hand over an answer; return whether somebody waits for it."""
         future = self._future_by_number.get(number)
-        if future is not None and not future.done():
-            future.set_result(answer)
+        if future is None or future.done():
+            return False
+        future.set_result(answer)
+        return True
 
     async def _prepare(self, message):
         now = self._clock()
--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -41,7 +41,7 @@
         self._rng = rng
         self._load = load
         self._dialer_by_name = {}
-        self._was_alive = set()
+        self._state_by_name = {}
         self.link_by_name = {}
 
     async def start(self):
@@ -116,18 +116,16 @@
             notice = self._notice()
             for link in list(self.link_by_name.values()):
                 link.post(notice)
-            self._fail_silent()
+            self._look_after_peers()
 
-    def _fail_silent(self):
+    def _look_after_peers(self):
+        """Tell changes of peers, and ask others in place of silent ones."""
         now = self._clock()
-        alive = self.alive(now)
-        for name in self._was_alive - alive.keys():
-            link = self.link_by_name.get(name)
-            if link is not None:
-                log.info(
-                    "peer_silent",
-                    peer=name,
-                    silent_seconds=round(now - link.heard_at, 3),
-                )
-                link.fail_pending("peer silent")
-        self._was_alive = set(alive)
+        for name, link in list(self.link_by_name.items()):
+            state = "ready" if link.is_ready else "not ready"
+            if link.fail_if_silent():
+                state = "silent"
+            if self._state_by_name.get(name) != state:
+                self._state_by_name[name] = state
+                seconds = round(now - link.heard_at, 3)
+                log.info("peer", peer=name, state=state, heard_seconds_ago=seconds)
