Split admission, registry and fates into files of their own

The gateway took requests in, registered itself and put the parts together; now it does the last only.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -8,15 +8,14 @@
 import structlog
 from result import Err, Ok
 
-from wharf_coordination.code import Code
 from wharf_gateway.fleet import Fleet
 from wharf_gateway.http.connection_pool import ConnectionPool
 from wharf_gateway.http.headers import Headers
 from wharf_gateway.model.caller_limits import CallerLimits
-from wharf_gateway.own_answer import OwnAnswer
 from wharf_gateway.peers.peer_set import PeerSet
+from wharf_gateway.peers.registry import Registry
 from wharf_gateway.preparers import Preparers
-from wharf_gateway.request_context import RequestContext
+from wharf_gateway.request_admission import RequestAdmission
 from wharf_gateway.request_runner import RequestRunner
 from wharf_gateway.routing.retry_budgets import RetryBudgets
 from wharf_gateway.site import Site
@@ -33,11 +32,7 @@
 
 # The balancer asks each second and believes the second refusal.
 NOTICE_SECONDS = 2.5
-# A stopping process refuses what it may not finish: most answers take less.
-FINISH_SECONDS = 2.5
 EXIT_MARGIN_SECONDS = 0.7  # of the stop's time that is left for leaving
-CONFLICT = 409  # the store's answer where an object is there already
-REGISTER_PAUSE_SECONDS = 1.0
 TICK_SECONDS = 0.1  # how often what has expired is looked for
 
 
@@ -65,10 +60,12 @@
             settings, self.preparers, self._clock, self._rng, self.preparers.load
         )
         self.preparers.peers = self.peers
+        self._registry = Registry(settings, self._store, self._rng, self._on_gateways)
+        self._admission = RequestAdmission(self.fleet, self._dialect, self._clock)
         budgets = RetryBudgets(
             settings.retry_share,
             settings.retry_reserve,
-            lambda: len(self._peer_by_name),
+            lambda: len(self._registry.address_by_name),
         )
         self._runner = RequestRunner(
             self.fleet,
@@ -91,8 +88,6 @@
             )
         self._add_gauges()
         self._tasks = []
-        self.ends_at = float("inf")
-        self._peer_by_name = {}
 
     async def start(self):
         """Listen, and begin to follow the store."""
@@ -108,7 +103,11 @@
                 self.fleet.take_configurations,
             ),
             self._follow_upstreams(),
-            self._follow(StoreKind.ENTRIES, self._list_entries, self._change_entries),
+            self._follow(
+                StoreKind.ENTRIES,
+                self._registry.list_entries,
+                self._registry.change_entries,
+            ),
             self._follow(
                 StoreKind.EVACUATIONS,
                 self.fleet.list_evacuations,
@@ -117,20 +116,21 @@
         ]
         self._tasks = [asyncio.create_task(f.run()) for f in self._followers]
         self._tasks.append(asyncio.create_task(self._tick()))
-        self._tasks.append(asyncio.create_task(self._register()))
+        self._tasks.append(asyncio.create_task(self._registry.register()))
 
     async def stop(self):
         """Show not ready, answer what was read, and leave in time."""
         began = self._clock()
         self.site.closing = True
         log.info("stopping", busy=self.site.busy)
-        self.ends_at = began + self.settings.stop_seconds - EXIT_MARGIN_SECONDS
+        ends_at = began + self.settings.stop_seconds - EXIT_MARGIN_SECONDS
+        self._admission.ends_at = ends_at
         await asyncio.sleep(min(NOTICE_SECONDS, self.settings.stop_seconds / 2))
         # A caller without a connection tries elsewhere at once, and more often than
         # one that was refused.
         self.site.stop_accepting()
         self.site.close_idle()
-        while self._clock() < self.ends_at and (self.site.busy or self.preparers.busy):
+        while self._clock() < ends_at and (self.site.busy or self.preparers.busy):
             await asyncio.sleep(TICK_SECONDS / 2)
             self.site.close_idle()
         log.info("stopped", busy=self.site.busy)
@@ -197,7 +197,7 @@
 
     async def handle(self, request, responder):
         """Answer one request of a caller."""
-        match await self._admit(request):
+        match await self._admission.admit(request):
             case Err(answer):
                 log.info(
                     "rejected",
@@ -213,49 +213,6 @@
             case Ok(context):
                 await self._runner.run(context, responder)
 
-    async def _admit(self, request):
-        configuration = self.fleet.configuration
-        if configuration is None:
-            return Err(OwnAnswer.not_run(Code.NOT_CONFIGURED, "no configuration yet"))
-        if self._clock() + FINISH_SECONDS > self.ends_at:
-            return Err(OwnAnswer.not_run(Code.ENTRY_STOPPING, "stopping", 0.1))
-        host = request.headers.get("host", "")
-        route = configuration.find_route(host, request.path)
-        if route is None:
-            return Err(OwnAnswer(404, Code.UNKNOWN_PATH, f"{host} {request.path}"))
-        match self._dialect.read_call(request.headers):
-            case Err(fault):
-                return Err(OwnAnswer(400, Code.BAD_HEADER, fault))
-            case Ok(details):
-                pass
-        customer = configuration.customer_by_key.get(details.key or "")
-        if configuration.has_customers and customer is None and not route.is_public:
-            return Err(OwnAnswer(401, Code.UNKNOWN_CUSTOMER, "unknown key"))
-        if request.too_large:
-            return Err(OwnAnswer(413, Code.BODY_TOO_LARGE, ""))
-        seconds = route.timeout
-        if details.seconds is not None:
-            seconds = min(seconds, details.seconds)
-        deadline = request.received_at + seconds
-        try:
-            async with asyncio.timeout_at(deadline):
-                await request.body_complete.wait()
-        except TimeoutError:
-            return Err(OwnAnswer(408, Code.DEADLINE_PASSED, "the body didn't arrive"))
-        if request.too_large:
-            return Err(OwnAnswer(413, Code.BODY_TOO_LARGE, ""))
-        context = RequestContext(
-            request,
-            route,
-            details,
-            customer,
-            configuration.has_customers,
-            request.received_at + route.target_latency,
-            deadline,
-            configuration.priority(customer, route),
-        )
-        return Ok(context)
-
     def _follow(self, kind, on_listing, on_changes):
         return Follower(
             self._store, kind, on_listing, on_changes, self._clock, self._rng
@@ -271,37 +228,9 @@
         follower = self._follow(StoreKind.UPSTREAMS, on_listing, on_changes)
         return follower
 
-    async def _register(self):
-        """Tell the other gateways where this one is, until the store has it."""
-        name = self.settings.name
-        address = f"{self.settings.host}:{self.settings.peer_port}"
-        spec = {"address": address, "data_centre": self.settings.data_centre}
-        while True:
-            created = await self._store.create(StoreKind.ENTRIES, name, spec)
-            match created:
-                case Ok(_):
-                    return
-                case Err(error) if error.status == CONFLICT:
-                    replaced = await self._store.replace(StoreKind.ENTRIES, name, spec)
-                    if replaced.is_ok():
-                        return
-                case Err(_):
-                    pass
-            await asyncio.sleep(self._rng.uniform(0.5, 1.0) * REGISTER_PAUSE_SECONDS)
-
-    def _list_entries(self, objects, now):
-        self._peer_by_name = {}
-        self._change_entries(objects, now)
-
-    def _change_entries(self, objects, now):
-        for stored in objects:
-            address = stored.spec.get("address") if stored.spec else None
-            if stored.is_gone or not address:
-                self._peer_by_name.pop(stored.name, None)
-            else:
-                self._peer_by_name[stored.name] = address
-        self.fleet.entry_count = max(1, len(self._peer_by_name))
-        self.peers.follow(self._peer_by_name)
+    def _on_gateways(self, address_by_name):
+        self.fleet.entry_count = max(1, len(address_by_name))
+        self.peers.follow(address_by_name)
 
     async def _tick(self):
         while True:
--- /dev/null
+++ b/packages/gateway/src/wharf_gateway/peers/registry.py
@@ -0,0 +1,66 @@
+"""Who the gateways are, by the platform's store."""
+
+import asyncio
+
+import structlog
+from result import Err, Ok
+
+from wharf_gateway.store.store_kind import StoreKind
+
+__all__ = ["Registry"]
+
+log = structlog.get_logger(__name__)
+
+CONFLICT = 409  # the store's answer where an object is there already
+PAUSE_SECONDS = 1.0  # between tries; nobody waits for it but the links to peers
+
+
+class Registry:
+    """Register this gateway and know the addresses of all.
+
+    Entries of gateways that are gone stay; links tell who lives. `on_change` gets the
+    addresses by name.
+    """
+
+    def __init__(self, settings, store, rng, on_change):
+        self._settings = settings
+        self._store = store
+        self._rng = rng
+        self._on_change = on_change
+        self.address_by_name = {}
+
+    async def register(self):
+        """Tell the store where this gateway is, until it has it."""
+        settings = self._settings
+        address = f"{settings.host}:{settings.peer_port}"
+        spec = {"address": address, "data_centre": settings.data_centre}
+        while not await self._write(settings.name, spec):
+            await asyncio.sleep(self._rng.uniform(0.5, 1.0) * PAUSE_SECONDS)
+
+    def list_entries(self, objects, now):
+        """Replace the known gateways by a listing."""
+        self.address_by_name = {}
+        self.change_entries(objects, now)
+
+    def change_entries(self, objects, now):
+        """Take gateways that came, moved or went."""
+        for stored in objects:
+            address = stored.spec.get("address") if stored.spec else None
+            if stored.is_gone or not address:
+                self.address_by_name.pop(stored.name, None)
+            else:
+                self.address_by_name[stored.name] = address
+        self._on_change(self.address_by_name)
+
+    async def _write(self, name, spec):
+        """Create or replace the entry; return whether the store has it."""
+        match await self._store.create(StoreKind.ENTRIES, name, spec):
+            case Ok(_):
+                return True
+            case Err(error) if error.status == CONFLICT:
+                answer = await self._store.replace(StoreKind.ENTRIES, name, spec)
+            case answer:
+                pass
+        if answer.is_err():
+            log.info("not_registered", detail=answer.unwrap_err().detail)
+        return answer.is_ok()
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -6,10 +6,12 @@
 from result import Err, Ok
 
 from wharf_coordination.code import Code
+from wharf_gateway.attempt_fate import AttemptFate
 from wharf_gateway.event_splitter import EventSplitter
 from wharf_gateway.http.broken_answer_error import BrokenAnswerError
 from wharf_gateway.model.route_kind import RouteKind
 from wharf_gateway.own_answer import OwnAnswer
+from wharf_gateway.passed_failure import PassedFailure
 from wharf_gateway.routing.chooser import choose_engine, choose_plain, usable
 from wharf_gateway.stages.preparation import Preparation
 
@@ -260,15 +262,15 @@
         state.note_success(self._clock() - started)
         responder.answer(head.status, _passed(head.headers), body)
         self._log_answer(context, state, head.status, started)
-        return _Fate(None)
+        return AttemptFate()
 
     async def _relay_failure(self, context, state, connection, head, reply):
         body = await connection.body()
         state.note_failure()
         if not reply.is_signed and head.status < 300:
             answer = OwnAnswer(502, Code.ANSWER_BROKEN, "the answer isn't signed")
-            return _Fate(answer, is_final=not self._may_go_on(context, None))
-        return _Fate(_Passed(head.status, _passed(head.headers), body))
+            return AttemptFate(answer, is_final=not self._may_go_on(context, None))
+        return AttemptFate(PassedFailure(head.status, _passed(head.headers), body))
 
     async def _relay_stream(
         self, context, state, responder, connection, head, splitter, started
@@ -287,7 +289,7 @@
             responder.begin(head.status, _passed(head.headers))
         responder.end()
         self._log_answer(context, state, head.status, started)
-        return _Fate(None)
+        return AttemptFate()
 
     async def _next_part(self, context, connection):
         """Return the next bytes; one that may be resumed isn't waited for too long."""
@@ -311,17 +313,17 @@
         if head.status == MISDIRECTED:
             self._fleet.forget(state.upstream.id, "another has its address")
             answer = OwnAnswer.not_run(Code.NO_UPSTREAM, "another has the address")
-            return _Fate(answer, not_run=True, counts=0)
+            return AttemptFate(answer, not_run=True, counts=0)
         state.note_load(state.upstream.slots, 1, now)
         answer = OwnAnswer.not_run(Code.UPSTREAM_FULL, f"status {head.status}")
-        return _Fate(answer, not_run=True)
+        return AttemptFate(answer, not_run=True)
 
     def _broken(self, context, state, error):
         state.note_unreachable(self._clock())
         if not error.was_sent:
             answer = OwnAnswer.not_run(Code.NO_UPSTREAM, str(error))
-            return _Fate(answer, not_run=True, counts=0)
-        return _Fate(OwnAnswer(502, Code.ANSWER_BROKEN, str(error)))
+            return AttemptFate(answer, not_run=True, counts=0)
+        return AttemptFate(OwnAnswer(502, Code.ANSWER_BROKEN, str(error)))
 
     def _free_inputs(self, context):
         if context.inputs:
@@ -367,31 +369,6 @@
         )
 
 
-class _Fate:
-    """How an attempt ended; no answer means that the caller has got it."""
-
-    __slots__ = ("answer", "counts", "is_final", "not_run", "outcome")
-
-    def __init__(self, answer, not_run=False, counts=1, is_final=False):
-        self.answer = answer
-        self.not_run = not_run
-        self.outcome = "served" if answer is None else answer.code.label
-        self.counts = counts
-        self.is_final = is_final
-
-
-class _Passed:
-    """An upstream's own failure, passed on unless another attempt does better."""
-
-    code = Code.UPSTREAM_FAILED
-    detail = "the upstream failed"
-
-    def __init__(self, status, headers, body):
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-
 def _timed_out(context):
     if context.may_have_run:
         return OwnAnswer(504, Code.DEADLINE_PASSED, "no answer in time")
