Never say that a request hasn't run after it may have

Cause: read in review: a second try that certainly didn't run replaced the answer of a first that had (a safe read that failed, a stream that broke before its first event), and the caller got 503, which promises "not run". Change: such a try leaves the earlier answer in place. Seen: three new tests fail before and pass after.

--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -130,7 +130,8 @@
             self._meter.count("wharf_attempts", fate.outcome)
             if fate.answer is None:
                 return None
-            answer = fate.answer
+            if not (fate.not_run and context.may_have_run):
+                answer = fate.answer
             if fate.is_final:
                 return answer
             if not fate.not_run and not self._may_go_on(context, responder):
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -260,3 +260,24 @@
     await ask("unsafe", seconds=0.6)
 
     assert upstreams.fleet.state_by_id["u0"].failure_share > 0
+
+
+@pytest.mark.parametrize("second", [FULL, None])
+async def test_what_has_run_once_is_never_said_not_to_have_run(upstreams, ask, second):
+    """Also where it may run again, and the second try certainly didn't."""
+    await upstreams.add(FAILED)
+    if second:
+        await upstreams.add(second)
+    else:
+        await upstreams.add_at("127.0.0.1:1")
+
+    caller = await ask("safe", attempts=3)
+
+    assert (caller.status, caller.body) == (500, b"bad")
+
+
+async def test_a_stream_that_may_have_run_ends_as_unknown(upstreams, ask):
+    await upstreams.add(STREAM)
+    await upstreams.add(FULL)
+
+    assert (await ask("stream", resumable=True, attempts=3)).status == 502
