List anew after a watch was cut

The store dropped its history; a watch that was cut at that moment and taken up at the old revision was accepted and heard of nothing until its wait ended. Ruled out: 410, which was answered by a listing at once for the other kinds. Change: after any loss a kind is listed anew. Seen: the new test fails before and passes after.

--- a/packages/gateway/src/wharf_gateway/store/follower.py
+++ b/packages/gateway/src/wharf_gateway/store/follower.py
@@ -49,6 +49,9 @@
                     log.info("store_history_gone", kind=self.kind)
                     self.revision = None
                 case Err(error):
+                    # A watch that is taken up again may wait at a revision whose
+                    # history is being dropped, and hear of nothing.
+                    self.revision = None
                     self._note_lost(error)
                     await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
                     pause = min(pause * 2, LONGEST_PAUSE_SECONDS)
--- /dev/null
+++ b/packages/gateway/tests/test_follower.py
@@ -0,0 +1,68 @@
+"""Following the store through cut watches, outages and dropped history."""
+
+import asyncio
+from random import Random
+
+import pytest
+from result import Err, Ok
+
+from wharf_gateway.store.follower import Follower
+from wharf_gateway.store.store_changes import StoreChanges
+from wharf_gateway.store.store_error import HistoryGone, StoreUnavailable
+from wharf_gateway.store.store_kind import StoreKind
+from wharf_gateway.store.stored_object import StoredObject
+
+
+class Store:
+    """Answer listings, and watches in the given order; then wait for ever."""
+
+    def __init__(self, *watches):
+        self._watches = list(watches)
+        self.calls = []
+
+    async def list(self, kind):
+        self.calls.append("list")
+        return Ok(([StoredObject("a", len(self.calls))], len(self.calls)))
+
+    async def watch(self, kind, revision, wait_seconds):
+        self.calls.append(f"watch {revision}")
+        if not self._watches:
+            await asyncio.Event().wait()
+        return self._watches.pop(0)
+
+
+@pytest.fixture
+def follow():
+    async def run(*watches):
+        store = Store(*watches)
+        clock = asyncio.get_running_loop().time
+        follower = Follower(
+            store,
+            StoreKind.CONFIGURATION,
+            lambda objects, now: None,
+            lambda objects, now: None,
+            clock,
+            Random(1),
+        )
+        task = asyncio.create_task(follower.run())
+        await asyncio.sleep(0.3)
+        task.cancel()
+        return store.calls
+
+    return run
+
+
+async def test_a_watch_goes_on_from_the_last_revision(follow):
+    assert await follow(Ok(StoreChanges((), 7))) == ["list", "watch 1", "watch 7"]
+
+
+async def test_a_cut_watch_is_not_taken_up_again(follow):
+    """As on scale-1, seed 620945624302: the store took the old revision for a watch,
+    had dropped what came after it, and told nothing for ten seconds."""
+    calls = await follow(Err(StoreUnavailable("connection lost")))
+
+    assert calls == ["list", "watch 1", "list", "watch 3"]
+
+
+async def test_dropped_history_is_listed_anew(follow):
+    assert await follow(Err(HistoryGone())) == ["list", "watch 1", "list", "watch 3"]
