Take out dead code and repeated parts of the gateway

Read in review: fields that nothing reads (queue times, prompt tokens, calls a second, requests of a connection), a second final_steps on routes, a pause that was overwritten at once, and a copy of an entry that is frozen already. What may be repeated is asked of the route alone; the time of a full call, the wait for an upstream and the measures of an ended request each have one place; a preparation is planned once, not twice; the store's client gives its connection back in one place, which closes it unless its answer was read whole.

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -1,7 +1,6 @@
 """What a process believes of the fleet."""
 
 from collections import Counter
-from dataclasses import replace
 
 import structlog
 from result import Err, Ok
@@ -20,8 +19,8 @@
 class Fleet:
     """Configuration, upstreams and data centres taken out, with their changes.
 
-    `followers` tells of the store: an upstream whose entry vanished around an
-    outage is kept until the grace after the store's return has passed.
+    An upstream whose entry vanished around an outage of the store is kept until the
+    grace after the store's return has passed.
     """
 
     def __init__(self, dialect):
@@ -163,7 +162,7 @@
             return
         if state.upstream.is_draining != upstream.is_draining:
             log.info("upstream_draining", id=upstream.id, draining=upstream.is_draining)
-        state.upstream = replace(upstream)
+        state.upstream = upstream
 
     def _lapse(self, name, now, regained_at):
         if name not in self.state_by_id:
--- a/packages/gateway/src/wharf_gateway/http/upstream_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/upstream_connection.py
@@ -41,7 +41,6 @@
         self.is_lost = False
         self.idle_since = 0.0
         self.idle_limit = None
-        self.requests = 0
 
     def connection_made(self, transport):
         """Watch for a peer that goes silent."""
@@ -87,7 +86,6 @@
 
     def send(self, head, body, is_ours):
         """Write a request whose response is the first for which `is_ours` holds."""
-        self.requests += 1
         self.is_reusable = False
         self._head = None
         self._parts.clear()
--- a/packages/gateway/src/wharf_gateway/model/route.py
+++ b/packages/gateway/src/wharf_gateway/model/route.py
@@ -35,10 +35,6 @@
     @property
     def may_repeat(self):
         """Return whether a request that may have run can be sent again."""
+        if self.kind is RouteKind.STREAM:
+            return self.is_resumable
         return self.kind is RouteKind.SAFE
-
-    @property
-    def final_steps(self):
-        """Return the indices of the steps that no other step needs."""
-        needed = {index for step in self.steps for index in step.after}
-        return [index for index in range(len(self.steps)) if index not in needed]
--- a/packages/gateway/src/wharf_gateway/model/upstream.py
+++ b/packages/gateway/src/wharf_gateway/model/upstream.py
@@ -22,4 +22,3 @@
     is_draining: bool
     started_ms: int
     cold_until: float = 0.0
-    calls_per_second: float = 0.0
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -134,7 +134,7 @@
                 answer = fate.answer
             if fate.is_final:
                 return answer
-            if not fate.not_run and not self._may_go_on(context, responder):
+            if not fate.not_run and not context.route.may_repeat:
                 return answer
             log.info(
                 "retry",
@@ -150,12 +150,6 @@
         state = self._choose(context, only_look=True)
         return state.upstream.data_centre if state else ""
 
-    def _may_go_on(self, context, responder):
-        route = context.route
-        if route.kind is RouteKind.STREAM:
-            return route.is_resumable
-        return route.may_repeat
-
     def _choose(self, context, only_look=False):
         now = self._clock()
         service = self._pick_service(context.route)
@@ -270,7 +264,7 @@
         state.note_failure()
         if not reply.is_signed and head.status < 300:
             answer = OwnAnswer(502, Code.ANSWER_BROKEN, "the answer isn't signed")
-            return AttemptFate(answer, is_final=not self._may_go_on(context, None))
+            return AttemptFate(answer, is_final=not context.route.may_repeat)
         return AttemptFate(PassedFailure(head.status, _passed(head.headers), body))
 
     async def _relay_stream(
@@ -302,7 +296,7 @@
         """Return the seconds after which another upstream is tried, or none."""
         route = context.route
         is_last = len(context.tried) >= route.max_attempts
-        if is_last or not self._may_go_on(context, None):
+        if is_last or not route.may_repeat:
             return None
         if route.kind is RouteKind.STREAM:
             return FIRST_EVENT_SECONDS
@@ -331,12 +325,18 @@
             self._preparers.free(context, context.inputs)
             context.inputs = None
 
-    def _log_answer(self, context, state, status, started):
-        now = self._clock()
+    def _measure(self, context, status, code, now):
+        """Count a request that ended, and return the seconds that it took."""
         kind = context.route.kind.value
-        self._meter.count("wharf_requests", kind, status, "ok")
         seconds = now - context.inbound.received_at
+        self._meter.count("wharf_requests", kind, status, code)
         self._meter.observe("wharf_request_seconds", seconds, kind)
+        return seconds
+
+    def _log_answer(self, context, state, status, started):
+        now = self._clock()
+        seconds = self._measure(context, status, "ok", now)
+        kind = context.route.kind.value
         self._meter.observe("wharf_upstream_seconds", now - started, kind)
         log.info(
             "answered",
@@ -344,17 +344,14 @@
             route=context.route.name,
             upstream=state.upstream.id,
             status=status,
-            seconds=round(now - context.inbound.received_at, 3),
+            seconds=round(seconds, 3),
             upstream_seconds=round(now - started, 3),
             sends=context.sends,
         )
 
     def _log_end(self, context, answer):
         now = self._clock()
-        kind = context.route.kind.value
-        self._meter.count("wharf_requests", kind, answer.status, answer.code.label)
-        seconds = now - context.inbound.received_at
-        self._meter.observe("wharf_request_seconds", seconds, kind)
+        seconds = self._measure(context, answer.status, answer.code.label, now)
         log.info(
             "not_served",
             request=context.details.id,
@@ -362,7 +359,7 @@
             status=answer.status,
             code=answer.code.label,
             detail=answer.detail,
-            seconds=round(now - context.inbound.received_at, 3),
+            seconds=round(seconds, 3),
             left=round(context.deadline - now, 3),
             sends=context.sends,
             tried=sorted(context.tried),
--- a/packages/gateway/src/wharf_gateway/routing/upstream_state.py
+++ b/packages/gateway/src/wharf_gateway/routing/upstream_state.py
@@ -28,7 +28,6 @@
 
     upstream: Upstream
     in_flight: int = 0
-    prompt_tokens: int = 0
     latency: float | None = None
     pace: float = 1.0
     failure_share: float = 0.0
--- a/packages/gateway/src/wharf_gateway/stages/collector.py
+++ b/packages/gateway/src/wharf_gateway/stages/collector.py
@@ -58,7 +58,7 @@
     def submit(self, jobs, now):
         """Let pieces wait for their turn."""
         for job in jobs:
-            self.queue.push(job, now)
+            self.queue.push(job)
         self.advance(now)
 
     def free(self, handles):
@@ -82,9 +82,14 @@
         finally:
             self._freeing.discard(address)
 
-    def piece_seconds(self, batching):
-        """Return what a piece takes beside the call, as measured lately."""
-        return batching.piece_seconds * self._piece_factor
+    def _full_call_seconds(self, batching):
+        """Return what a call with all its places takes, as measured lately."""
+        piece_seconds = batching.piece_seconds * self._piece_factor
+        return batching.call_seconds + batching.batch * piece_seconds
+
+    def _busy_seconds(self, state, now):
+        """Return the seconds until an upstream has probably ended its call."""
+        return max(0.0, self._busy_until_by_id.get(state.upstream.id, now) - now)
 
     def _learn(self, count, seconds, batching):
         each = max(0.0, seconds - batching.call_seconds) / count
@@ -96,7 +101,7 @@
         batching = self._batching()
         if batching is None:
             return 0.0
-        full = batching.call_seconds + batching.batch * self.piece_seconds(batching)
+        full = self._full_call_seconds(batching)
         return sum(
             batching.concurrency * batching.batch / (full * state.pace)
             for state in self._states(now)
@@ -163,12 +168,9 @@
         ]
         if not others:
             return False
-        full = batching.call_seconds + batching.batch * self.piece_seconds(batching)
+        full = self._full_call_seconds(batching)
         calls = max(1.0, len(self.queue) / (batching.batch * len(others)))
-        wait = min(
-            max(0.0, self._busy_until_by_id.get(other.upstream.id, now) - now)
-            for other in others
-        )
+        wait = min(self._busy_seconds(other, now) for other in others)
         return wait + calls * full < full * state.pace
 
     def _wait(self, centre, size, batching, now):
@@ -176,7 +178,7 @@
         most = batching.result_room - size
         return min(
             (
-                max(0.0, self._busy_until_by_id.get(state.upstream.id, now) - now)
+                self._busy_seconds(state, now)
                 for state in self._states(now)
                 if state.upstream.data_centre == centre
                 and self._room.used(state.upstream.address, now) <= most
@@ -234,7 +236,7 @@
                 if reason == "full":
                     self._not_before_by_id[upstream.id] = now + FULL_PAUSE_SECONDS
                 for job in batch:
-                    self._retry(job, reason, now, counts=reason != "full")
+                    self._retry(job, reason, counts=reason != "full")
         self.advance(now)
 
     def _deliver(self, upstream, batch, results, batching, now):
@@ -248,13 +250,11 @@
                     self.free([result.handle])
                 job.finish(result)
                 continue
-            if result.reason == "room":
-                self._not_before_by_id[upstream.id] = now + FULL_PAUSE_SECONDS
-                lacks_room = True
+            lacks_room = lacks_room or result.reason == "room"
             if result.reason in ("late", "gone"):
                 job.finish(result)
             else:
-                self._retry(job, result.reason, now, counts=result.reason != "room")
+                self._retry(job, result.reason, counts=result.reason != "room")
         if lacks_room:
             self._not_before_by_id[upstream.id] = now + ROOM_PAUSE_SECONDS
             self._spawn(self._learn_room(upstream, batching))
@@ -271,14 +271,14 @@
         log.info("room_learnt", upstream=upstream.id, free=free)
         self.advance(now)
 
-    def _retry(self, job, reason, now, counts):
+    def _retry(self, job, reason, counts):
         if job.is_over:
             return
         job.tries += counts
         if job.tries >= MAX_TRIES:
             job.finish(PieceResult(reason=reason))
         else:
-            self.queue.push(job, now)
+            self.queue.push(job)
 
     def _expected_seconds(self, jobs, batching):
         return batching.call_seconds + sum(job.seconds for job in jobs)
@@ -298,12 +298,12 @@
 
     def _states(self, now):
         """Return the upstreams of the pool that aren't resting."""
-        states = [
+        return [
             state
             for state in self._fleet.states(self.service)
             if self._pool.holds(state.upstream.data_centre)
+            and not state.is_resting(now)
         ]
-        return [state for state in states if not state.is_resting(now)]
 
     def _wake_later(self, now):
         if self._timer or not len(self.queue):
--- a/packages/gateway/src/wharf_gateway/stages/piece_caller.py
+++ b/packages/gateway/src/wharf_gateway/stages/piece_caller.py
@@ -1,6 +1,7 @@
 """Calls upstreams to run pieces and to drop results."""
 
 import asyncio
+from dataclasses import replace
 
 import structlog
 from result import Err
@@ -110,13 +111,4 @@
 
 
 def _with_time(job, now):
-    piece = job.piece
-    return type(piece)(
-        piece.call_id,
-        piece.step,
-        piece.index,
-        piece.key,
-        piece.inputs,
-        piece.has_inputs,
-        max(0.001, job.useful_until - now),
-    )
+    return replace(job.piece, seconds_left=max(0.001, job.useful_until - now))
--- a/packages/gateway/src/wharf_gateway/stages/piece_job.py
+++ b/packages/gateway/src/wharf_gateway/stages/piece_job.py
@@ -27,7 +27,6 @@
     result_bytes: int
     done: Any
     group: PieceGroup = field(default_factory=PieceGroup)
-    queued_at: float = 0.0
     tries: int = 0
     is_over: bool = field(default=False)
 
--- a/packages/gateway/src/wharf_gateway/stages/piece_queue.py
+++ b/packages/gateway/src/wharf_gateway/stages/piece_queue.py
@@ -23,9 +23,8 @@
     def __len__(self):
         return len(self.jobs)
 
-    def push(self, job, now):
+    def push(self, job):
         """Let a piece wait."""
-        job.queued_at = now
         self.jobs.append(job)
 
     def take(self, size, room_bytes, call_seconds, now, may_run=lambda job: True):
--- a/packages/gateway/src/wharf_gateway/stages/preparer.py
+++ b/packages/gateway/src/wharf_gateway/stages/preparer.py
@@ -47,8 +47,8 @@
 
     async def run(self, preparation):
         """Return the handles of a request's final results, or why there are none."""
-        demand = Demand.of(self._steps.plan(preparation))
-        ticket = Ticket(preparation, demand, self._clock())
+        plan = self._steps.plan(preparation)
+        ticket = Ticket(preparation, Demand.of(plan), self._clock())
         for service in ticket.demand.pieces_by_service:
             self.collector(service)
         self._gate.add(ticket)
@@ -60,7 +60,7 @@
             if refusal is not None:
                 return Err(refusal)
             started = self._clock()
-            answer = await self._steps.run(preparation, ticket.pieces_left)
+            answer = await self._steps.run(preparation, plan, ticket.pieces_left)
             self._gate.note_end(ticket, self._clock() - started)
             return answer.map(self._remember)
         finally:
--- a/packages/gateway/src/wharf_gateway/stages/step_runner.py
+++ b/packages/gateway/src/wharf_gateway/stages/step_runner.py
@@ -49,12 +49,12 @@
         )
         return StepPlan(steps, counts, seconds)
 
-    async def run(self, preparation, pieces_left):
+    async def run(self, preparation, plan, pieces_left):
         """Return the handles of the final steps, or why there are none.
 
-        `pieces_left`, by service, is counted down as steps end.
+        `plan` is the preparation's, with nothing started. `pieces_left`, by service,
+        is counted down as steps end.
         """
-        plan = self.plan(preparation)
         progress = _Progress()
         try:
             while not plan.is_complete and progress.failure is None:
--- a/packages/gateway/src/wharf_gateway/store/store_client.py
+++ b/packages/gateway/src/wharf_gateway/store/store_client.py
@@ -78,14 +78,11 @@
                 reply = await connection.head()
                 data = await connection.body()
         except (BrokenAnswerError, TimeoutError) as error:
-            if connection:
-                connection.close()
             return Err(StoreUnavailable(repr(error)))
-        except asyncio.CancelledError:
+        finally:
+            # One whose answer wasn't read whole is closed by it.
             if connection:
-                connection.close()
-            raise
-        self._pool.release(self._address, connection, self._clock())
+                self._pool.release(self._address, connection, self._clock())
         if reply.status == HISTORY_GONE:
             return Err(HistoryGone())
         if reply.status not in (200, 201):
--- a/packages/gateway/tests/test_piece_queue.py
+++ b/packages/gateway/tests/test_piece_queue.py
@@ -7,7 +7,7 @@
 def _queue(*jobs):
     queue = PieceQueue()
     for job in jobs:
-        queue.push(job, 0.0)
+        queue.push(job)
     return queue
 
 
