Keep sums and an index in the preparer, so that its cost grows slower than the fleet

Change: ResultRoom keeps a sum an address; Fleet an index by service; StartGate the work that runs; a step is asked once whether it may run, not each of its pieces; only upstreams with a free place are looked at. A test bounds the calls a request among many upstreams to twice those among few. The test of finished steps tells the gate by its method instead of writing its field.

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -28,6 +28,7 @@
         self.configuration = None
         self.is_listed = False
         self.state_by_id = {}
+        self._states_by_service = {}
         self.out_data_centres = frozenset()
         self.entry_count = 1
         self._lapsed_by_id = {}
@@ -66,12 +67,20 @@
         """Return the usable upstreams of a service, draining ones left out."""
         return [
             state
-            for state in self.state_by_id.values()
-            if state.upstream.service == service
-            and not state.upstream.is_draining
+            for state in self._states_by_service.get(service, {}).values()
+            if not state.upstream.is_draining
             and state.upstream.data_centre not in self.out_data_centres
         ]
 
+    def add(self, upstream):
+        """Know an upstream of which nothing has been seen; return its state."""
+        self._drop(upstream.id)
+        state = UpstreamState(upstream)
+        self.state_by_id[upstream.id] = state
+        by_id = self._states_by_service.setdefault(upstream.service, {})
+        by_id[upstream.id] = state
+        return state
+
     def centre_of(self, handles):
         """Return the data centre that holds most of some results, or nothing."""
         makers = Counter(self._dialect.maker_of(handle) for handle in handles)
@@ -149,8 +158,8 @@
     def _take_upstream(self, upstream):
         self._lapsed_by_id.pop(upstream.id, None)
         state = self.state_by_id.get(upstream.id)
-        if state is None or state.upstream.started_ms != upstream.started_ms:
-            self.state_by_id[upstream.id] = UpstreamState(upstream)
+        if state is None or _is_another(state.upstream, upstream):
+            self.add(upstream)
             log.info(
                 "upstream",
                 id=upstream.id,
@@ -174,14 +183,24 @@
 
     def _remove(self, name, reason):
         self._lapsed_by_id.pop(name, None)
-        state = self.state_by_id.pop(name, None)
+        state = self._drop(name)
         if state is None:
             return
         log.info("upstream_gone", id=name, reason=reason)
         for callback in self.on_gone:
             callback(state.upstream)
 
+    def _drop(self, name):
+        state = self.state_by_id.pop(name, None)
+        if state is not None:
+            del self._states_by_service[state.upstream.service][name]
+        return state
+
     def _set_out(self, data_centres):
         if data_centres != self.out_data_centres:
             log.info("data_centres_out", names=sorted(data_centres))
             self.out_data_centres = data_centres
+
+
+def _is_another(known, upstream):
+    return (known.started_ms, known.service) != (upstream.started_ms, upstream.service)
--- a/packages/gateway/src/wharf_gateway/stages/collector.py
+++ b/packages/gateway/src/wharf_gateway/stages/collector.py
@@ -114,18 +114,23 @@
             return
         for job in self.queue.drop_useless(batching.call_seconds, now):
             job.finish(PieceResult(reason="late"))
-        for state in self._nearest_first(now):
+        if not len(self.queue):
+            return
+        free = [s for s in self._states(now) if self._is_free(s, batching, now)]
+        for state in self._nearest_first(free):
             if not len(self.queue):
                 return
             self._start(state, batching, now)
         self._wake_later(now)
 
+    def _is_free(self, state, batching, now):
+        name = state.upstream.id
+        return self._calls_by_id.get(
+            name, 0
+        ) < batching.concurrency and now >= self._not_before_by_id.get(name, 0.0)
+
     def _start(self, state, batching, now):
         upstream = state.upstream
-        if self._calls_by_id.get(upstream.id, 0) >= batching.concurrency:
-            return
-        if now < self._not_before_by_id.get(upstream.id, 0.0):
-            return
         if state.pace > SLOW_PACE and self._others_are_sooner(state, batching, now):
             return
         room = batching.result_room - self._room.used(upstream.address, now)
@@ -288,13 +293,12 @@
         service = configuration and configuration.service_by_name.get(self.service)
         return service.batching if service else None
 
-    def _nearest_first(self, now):
-        """Return the upstreams, those first where most results are wanted."""
+    def _nearest_first(self, states):
+        """Return upstreams, those first where most results are wanted."""
+        if len(states) < 2:
+            return states
         wanted = Counter(job.group.near for job in self.queue.jobs)
-        return sorted(
-            self._states(now),
-            key=lambda state: -wanted[state.upstream.data_centre],
-        )
+        return sorted(states, key=lambda state: -wanted[state.upstream.data_centre])
 
     def _states(self, now):
         """Return the upstreams of the pool that aren't resting."""
--- a/packages/gateway/src/wharf_gateway/stages/piece_queue.py
+++ b/packages/gateway/src/wharf_gateway/stages/piece_queue.py
@@ -35,7 +35,7 @@
         are of use. A step begins only where the results of all of its pieces have
         room, since steps that are half done and wait for room hold it from each
         other. What waits for room isn't passed, save by results so small that they
-        don't matter. Only pieces for which `may_run(job)` holds are considered.
+        don't matter. Steps whose first piece `may_run(job)` forbids are left out.
         """
         batch, free, largest = [], room_bytes, float("inf")
         for group in self._groups(call_seconds, now, may_run):
@@ -62,10 +62,10 @@
     def _groups(self, call_seconds, now, may_run):
         by_group = {}
         for job in self.jobs:
-            if not job.is_over and may_run(job):
+            if not job.is_over:
                 by_group.setdefault(id(job.group), []).append(job)
         return sorted(
-            by_group.values(),
+            (jobs for jobs in by_group.values() if may_run(jobs[0])),
             key=lambda jobs: (
                 not jobs[0].group.is_begun,
                 _rank(jobs[0], call_seconds, now),
@@ -74,9 +74,12 @@
 
     def drop_useless(self, call_seconds, now):
         """Forget pieces that are over and return those whose time has passed."""
+        limit = now + call_seconds
         waiting = [job for job in self.jobs if not job.is_over]
-        late = [job for job in waiting if job.useful_until <= now + call_seconds]
-        self.jobs = [job for job in waiting if job.useful_until > now + call_seconds]
+        late = [job for job in waiting if job.useful_until <= limit]
+        if late:
+            waiting = [job for job in waiting if job.useful_until > limit]
+        self.jobs = waiting
         return late
 
 
--- a/packages/gateway/src/wharf_gateway/stages/preparer.py
+++ b/packages/gateway/src/wharf_gateway/stages/preparer.py
@@ -1,6 +1,7 @@
 """Runs the steps of all requests that are prepared in one pool."""
 
 import asyncio
+from functools import partial
 
 import structlog
 from result import Err
@@ -60,7 +61,9 @@
             if refusal is not None:
                 return Err(refusal)
             started = self._clock()
-            answer = await self._steps.run(preparation, plan, ticket.pieces_left)
+            answer = await self._steps.run(
+                preparation, plan, partial(self._gate.note_done, ticket)
+            )
             self._gate.note_end(ticket, self._clock() - started)
             return answer.map(self._remember)
         finally:
--- a/packages/gateway/src/wharf_gateway/stages/result_room.py
+++ b/packages/gateway/src/wharf_gateway/stages/result_room.py
@@ -1,16 +1,29 @@
 """The room that results take up at the upstreams that made them."""
 
 from dataclasses import dataclass, field
+from heapq import heappop, heappush
 
 __all__ = ["ResultRoom"]
 
 
+@dataclass(slots=True)
+class _Kept:
+    """Results of one address: sizes by handle, their sum, and when they end."""
+
+    size_by_handle: dict[str, int] = field(default_factory=dict)
+    total: float = 0
+    ends: list[tuple[float, str]] = field(default_factory=list)
+
+
 @dataclass(slots=True)
 class ResultRoom:
-    """Bytes by address: of results that are kept, and of calls under way."""
+    """Bytes by address: of results that are kept, and of calls under way.
+
+    It is asked for each piece that waits, so sums are kept up to date.
+    """
 
     reserved_by_address: dict[str, float] = field(default_factory=dict)
-    kept_by_address: dict[str, dict] = field(default_factory=dict)
+    kept_by_address: dict[str, _Kept] = field(default_factory=dict)
     address_by_handle: dict[str, str] = field(default_factory=dict)
     others_by_address: dict[str, tuple] = field(default_factory=dict)
 
@@ -23,11 +36,12 @@
         >>> room.used("a", 9.0), room.used("a", 11.0)
         (8, 3)
         """
-        kept = self.kept_by_address.get(address, {})
-        for handle in [h for h, (_, until) in kept.items() if until <= now]:
-            self.free(handle)
-        own = sum(size for size, _ in kept.values())
-        own += self.reserved_by_address.get(address, 0)
+        kept = self.kept_by_address.get(address)
+        own = self.reserved_by_address.get(address, 0)
+        if kept is not None:
+            while kept.ends and kept.ends[0][0] <= now:
+                self.free(heappop(kept.ends)[1])
+            own += kept.total
         others, until = self.others_by_address.get(address, (0, 0.0))
         return own + (others if now < until else 0)
 
@@ -51,11 +65,15 @@
 
     def keep(self, address, handle, size, until):
         """Count a result until it is freed, or until its lifetime ends."""
-        self.kept_by_address.setdefault(address, {})[handle] = (size, until)
+        kept = self.kept_by_address.setdefault(address, _Kept())
+        kept.size_by_handle[handle] = size
+        kept.total += size
+        heappush(kept.ends, (until, handle))
         self.address_by_handle[handle] = address
 
     def free(self, handle):
         """Count a result no more."""
         address = self.address_by_handle.pop(handle, None)
         if address is not None:
-            self.kept_by_address[address].pop(handle, None)
+            kept = self.kept_by_address[address]
+            kept.total -= kept.size_by_handle.pop(handle, 0)
--- a/packages/gateway/src/wharf_gateway/stages/start_gate.py
+++ b/packages/gateway/src/wharf_gateway/stages/start_gate.py
@@ -1,5 +1,6 @@
 """Decides which preparations start, wait, or are refused."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 
 from wharf_gateway.stages.demand import Demand
@@ -52,6 +53,7 @@
     waiting: list[Ticket] = field(default_factory=list)
     running: list[Ticket] = field(default_factory=list)
     stretch: float = 1.0
+    _work: Counter = field(default_factory=Counter)
 
     def add(self, ticket):
         """Let a preparation wait."""
@@ -63,18 +65,26 @@
             ratio = min(seconds / ticket.demand.seconds, MOST_STRETCH)
             self.stretch += STRETCH_SHARE * (max(ratio, 1.0) - self.stretch)
 
+    def note_done(self, ticket, service, count):
+        """Count pieces of a preparation that are done."""
+        ticket.pieces_left[service] -= count
+        if ticket in self.running:
+            self._work[service] -= count
+
     def remove(self, ticket):
         """Forget a preparation that ended or was given up."""
-        for tickets in (self.waiting, self.running):
-            if ticket in tickets:
-                tickets.remove(ticket)
+        if ticket in self.waiting:
+            self.waiting.remove(ticket)
+        if ticket in self.running:
+            self.running.remove(ticket)
+            self._work.subtract(ticket.pieces_left)
 
     def start(self, rate_by_service, now):
         """Return the preparations that start now.
 
         `rate_by_service` is the pieces a second that each service finishes.
         """
-        work = self._running_work()
+        work = self._work.copy()
         started = []
         for ticket in self._ranked(now):
             if not _fits(ticket, work, rate_by_service):
@@ -84,6 +94,7 @@
         for ticket in started:
             self.waiting.remove(ticket)
             self.running.append(ticket)
+            self._work.update(ticket.pieces_left)
         return started
 
     def hopeless(self, rate_by_service, now):
@@ -92,7 +103,7 @@
         Each is a pair of the ticket and the seconds until the work before it is
         done; they are forgotten.
         """
-        work = self._running_work()
+        work = self._work.copy()
         refused = []
         for ticket in self._ranked(now):
             delay = _delay(ticket, work, rate_by_service)
@@ -109,7 +120,7 @@
 
     def backlog(self, rate_by_service):
         """Return the seconds of work of the busiest service."""
-        work = self._running_work()
+        work = self._work.copy()
         for ticket in self.waiting:
             _add(work, ticket)
         return max(
@@ -144,13 +155,6 @@
         fresh_until = min(ticket.arrived + FRESH_SECONDS, on_time_by - seconds)
         return now > max(latest_start, fresh_until)
 
-    def _running_work(self):
-        work = {}
-        for ticket in self.running:
-            for service, count in ticket.pieces_left.items():
-                work[service] = work.get(service, 0) + count
-        return work
-
 
 def _fits(ticket, work, rate_by_service):
     return all(
--- a/packages/gateway/src/wharf_gateway/stages/step_runner.py
+++ b/packages/gateway/src/wharf_gateway/stages/step_runner.py
@@ -49,11 +49,11 @@
         )
         return StepPlan(steps, counts, seconds)
 
-    async def run(self, preparation, plan, pieces_left):
+    async def run(self, preparation, plan, note_done):
         """Return the handles of the final steps, or why there are none.
 
-        `plan` is the preparation's, with nothing started. `pieces_left`, by service,
-        is counted down as steps end.
+        `plan` is the preparation's, with nothing started. `note_done(service, count)`
+        is told the pieces of each step that ended.
         """
         progress = _Progress()
         try:
@@ -62,7 +62,7 @@
                     self._start(preparation, plan, progress, index)
                 await progress.change.wait()
                 progress.change.clear()
-                self._finish_steps(plan, progress, pieces_left)
+                self._finish_steps(plan, progress, note_done)
         except BaseException:
             self._abandon(plan, progress)
             raise
@@ -140,11 +140,11 @@
             progress.handles[index][number] = result.handle
         progress.change.set()
 
-    def _finish_steps(self, plan, progress, pieces_left):
+    def _finish_steps(self, plan, progress, note_done):
         for index in plan.started - plan.finished:
             if all(progress.handles[index].values()):
                 plan.finished.add(index)
-                pieces_left[plan.steps[index].service] -= plan.pieces[index]
+                note_done(plan.steps[index].service, plan.pieces[index])
         for index in plan.droppable():
             self._free(plan, index, progress.handles.pop(index, {}))
 
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -21,7 +21,6 @@
 from wharf_gateway.request_context import RequestContext
 from wharf_gateway.request_runner import RequestRunner
 from wharf_gateway.routing.retry_budgets import RetryBudgets
-from wharf_gateway.routing.upstream_state import UpstreamState
 from wharf_gateway.telemetry.meter import Meter
 
 SIGNED = b"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nok"
@@ -104,7 +103,7 @@
     async def add_at(self, address):
         name = f"u{len(self.fleet.state_by_id)}"
         upstream = Upstream(name, "s", address, "dc-1", "v1", 4, False, 0)
-        state = self.fleet.state_by_id[name] = UpstreamState(upstream)
+        state = self.fleet.add(upstream)
         # The first is chosen first.
         state.latency = 0.01 * len(self.fleet.state_by_id)
 
--- a/packages/gateway/tests/test_start_gate.py
+++ b/packages/gateway/tests/test_start_gate.py
@@ -46,7 +46,7 @@
     gate.add(second)
     assert _names(gate.start(RATES, 0.0)) == ["first"]
 
-    first.pieces_left["encode"] = 0
+    gate.note_done(first, "encode", 8)
 
     assert _names(gate.start(RATES, 0.1)) == ["second"]
 
--- a/packages/standins/src/wharf_standins/steps/pattern.py
+++ b/packages/standins/src/wharf_standins/steps/pattern.py
@@ -88,6 +88,19 @@
     ),
 )
 
+_MANY_BATCHINGS = {
+    "fetch": Batching(1, 2, 8, 0.2, 0.021, 18e6, 4.0),
+    "encode": Batching(1, 2, 26, 0.2, 0.00657, 3.436e6, 4.0),
+    "rank": Batching(1, 2, 58, 0.2, 0.003, 0.77e6, 4.0),
+}
+_MANY_UPSTREAMS = {
+    "fetch": (3, 3, 2, 2),
+    "encode": (2, 2, 2, 2),
+    "rank": (3, 2, 2, 2),
+}
+# The rates of the fleet that has grown, relative to those of the small one.
+_MANY_LOAD = 6.5
+
 PATTERNS = {
     "steady": Pattern(_CLASSES, _BATCHINGS, _ONE_EACH),
     "burst-of-drafts": Pattern(
@@ -106,4 +119,9 @@
         *(_MARKET, _MARKET_BATCHINGS, _ONE_EACH), (Burst(3.0, 6.5, 2.4, "answers"),)
     ),
     "overload": Pattern(_CLASSES, _BATCHINGS, _ONE_EACH, load=2.0),
+    "many-upstreams": Pattern(
+        *(_CLASSES, _MANY_BATCHINGS, _MANY_UPSTREAMS),
+        (Burst(6.0, 5.0, 2.4, "drafts"), Burst(18.0, 5.0, 2.4, "questions")),
+        load=_MANY_LOAD,
+    ),
 }
--- a/packages/standins/src/wharf_standins/steps/trial.py
+++ b/packages/standins/src/wharf_standins/steps/trial.py
@@ -10,7 +10,6 @@
 from wharf_gateway.model.fleet_configuration import FleetConfiguration
 from wharf_gateway.model.service import Service
 from wharf_gateway.model.upstream import Upstream
-from wharf_gateway.routing.upstream_state import UpstreamState
 from wharf_gateway.stages.pool import pools_of
 from wharf_gateway.stages.preparation import Preparation
 from wharf_gateway.stages.preparer import Preparer
@@ -87,7 +86,7 @@
         ]
         self._upstreams = upstreams
         for upstream in upstreams:
-            self._fleet.state_by_id[upstream.id] = UpstreamState(upstream)
+            self._fleet.add(upstream)
         centre_by_address = {u.address: u.data_centre for u in upstreams}
         service_by_address = {u.address: u.service for u in upstreams}
         self._caller = EmulatedCaller(
--- a/packages/standins/tests/test_step_load.py
+++ b/packages/standins/tests/test_step_load.py
@@ -5,6 +5,10 @@
 within an eighth of its time or was still worth waiting for.
 """
 
+import cProfile
+import pstats
+from dataclasses import replace
+
 import pytest
 
 from wharf_standins.steps.pattern import PATTERNS
@@ -14,7 +18,7 @@
 
 
 @pytest.mark.parametrize("seed", SEEDS)
-@pytest.mark.parametrize("name", ["steady", "burst-of-drafts"])
+@pytest.mark.parametrize("name", ["steady", "burst-of-drafts", "many-upstreams"])
 def test_pattern_within_capacity_is_served_on_time(name, seed):
     outcome = run_trial(PATTERNS[name], seed)
 
@@ -22,6 +26,22 @@
     assert sum(part.refused for part in outcome.by_class.values()) == 0
 
 
+def _python_calls_a_request(name):
+    profile = cProfile.Profile()
+    pattern = replace(PATTERNS[name], seconds=8.0, bursts=())
+    outcome = profile.runcall(run_trial, pattern, 1)
+    asked = sum(part.asked for part in outcome.by_class.values())
+    return pstats.Stats(profile).total_calls / asked
+
+
+def test_a_request_costs_no_more_processor_time_among_many_upstreams():
+    """One gateway prepares for a pool, with half a core: `many-upstreams` has three
+    times as many upstreams and six times the load of `steady`."""
+    few, many = map(_python_calls_a_request, ("steady", "many-upstreams"))
+
+    assert many <= 2 * few
+
+
 @pytest.mark.parametrize("seed", SEEDS)
 @pytest.mark.parametrize("name", ["burst-of-all", "lost-fetch"])
 def test_pattern_beyond_capacity_for_seconds_loses_few(name, seed):
