Let large hosts prepare, and link only those that prepare with the rest

Cause: the preparer of a pool was chosen among all gateways alike. And each of 29 gateways told each other its load ten times a second (406 links). Change: settings processor_share, processor_speed and link_megabits give a capacity; gateways tell it in their entry. Candidates are those with at least half of the most, 16 at most; they alone prepare and have links to all (212 links).

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -65,7 +65,7 @@
         budgets = RetryBudgets(
             settings.retry_share,
             settings.retry_reserve,
-            lambda: len(self._registry.address_by_name),
+            lambda: len(self._registry.entry_by_name),
         )
         self._runner = RequestRunner(
             self.fleet,
@@ -228,9 +228,9 @@
         follower = self._follow(StoreKind.UPSTREAMS, on_listing, on_changes)
         return follower
 
-    def _on_gateways(self, address_by_name):
-        self.fleet.entry_count = max(1, len(address_by_name))
-        self.peers.follow(address_by_name)
+    def _on_gateways(self, entry_by_name):
+        self.fleet.entry_count = max(1, len(entry_by_name))
+        self.peers.follow(entry_by_name)
 
     async def _tick(self):
         while True:
--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -7,6 +7,7 @@
 from websockets.asyncio.server import serve
 from websockets.exceptions import WebSocketException
 
+from wharf_gateway.peers.candidates import candidates
 from wharf_gateway.peers.codec import MAX_FRAME_BYTES
 from wharf_gateway.peers.messages import Greeting, LoadNotice
 from wharf_gateway.peers.peer_link import PeerLink
@@ -32,7 +33,11 @@
 
 
 class PeerSet:
-    """Keep one link to each gateway that is listed; the lesser name dials."""
+    """Keep the links between those that may prepare and all others.
+
+    The lesser name dials. `candidates` are the names of those that may prepare, this
+    gateway perhaps among them.
+    """
 
     def __init__(self, settings, preparers, clock, rng, load):
         self._settings = settings
@@ -43,6 +48,7 @@
         self._dialer_by_name = {}
         self._state_by_name = {}
         self.link_by_name = {}
+        self.candidates = frozenset()
 
     async def start(self):
         """Listen for peers and begin to tell the load."""
@@ -57,13 +63,26 @@
         for task in self._dialer_by_name.values():
             task.cancel()
 
-    def follow(self, address_by_name):
-        """Dial the gateways that are listed, and no others."""
+    def follow(self, entry_by_name):
+        """Dial the gateways that are listed and prepare, or all if this one does."""
+        own = self._settings
+        capacity_by_name = {n: entry.capacity for n, entry in entry_by_name.items()}
+        known = candidates({own.name: own.capacity} | capacity_by_name)
+        if known != self.candidates:
+            self.candidates = known
+            log.info(
+                "preparer_candidates", names=sorted(known), gateways=len(entry_by_name)
+            )
+        wanted = {
+            name: entry.address
+            for name, entry in entry_by_name.items()
+            if own.name in self.candidates or name in self.candidates
+        }
         for name in list(self._dialer_by_name):
-            if name not in address_by_name:
+            if name not in wanted:
                 self._dialer_by_name.pop(name).cancel()
-        for name, address in address_by_name.items():
-            if name > self._settings.name and name not in self._dialer_by_name:
+        for name, address in wanted.items():
+            if name > own.name and name not in self._dialer_by_name:
                 task = asyncio.create_task(self._dial(name, address))
                 self._dialer_by_name[name] = task
 
--- a/packages/gateway/src/wharf_gateway/peers/registry.py
+++ b/packages/gateway/src/wharf_gateway/peers/registry.py
@@ -1,10 +1,13 @@
 """Who the gateways are, by the platform's store."""
 
 import asyncio
+from dataclasses import asdict
 
 import structlog
+from pydantic import ValidationError
 from result import Err, Ok
 
+from wharf_gateway.peers.gateway_entry import GatewayEntries, GatewayEntry
 from wharf_gateway.store.store_kind import StoreKind
 
 __all__ = ["Registry"]
@@ -16,10 +19,10 @@
 
 
 class Registry:
-    """Register this gateway and know the addresses of all.
+    """Register this gateway and know the entries of all.
 
     Entries of gateways that are gone stay; links tell who lives. `on_change` gets the
-    addresses by name.
+    entries by name.
     """
 
     def __init__(self, settings, store, rng, on_change):
@@ -27,30 +30,37 @@
         self._store = store
         self._rng = rng
         self._on_change = on_change
-        self.address_by_name = {}
+        self.entry_by_name = {}
 
     async def register(self):
         """Tell the store where this gateway is, until it has it."""
         settings = self._settings
-        address = f"{settings.host}:{settings.peer_port}"
-        spec = {"address": address, "data_centre": settings.data_centre}
-        while not await self._write(settings.name, spec):
+        entry = GatewayEntry(
+            f"{settings.host}:{settings.peer_port}",
+            settings.data_centre,
+            settings.capacity,
+        )
+        while not await self._write(settings.name, asdict(entry)):
             await asyncio.sleep(self._rng.uniform(0.5, 1.0) * PAUSE_SECONDS)
 
     def list_entries(self, objects, now):
         """Replace the known gateways by a listing."""
-        self.address_by_name = {}
+        self.entry_by_name = {}
         self.change_entries(objects, now)
 
     def change_entries(self, objects, now):
         """Take gateways that came, moved or went."""
         for stored in objects:
-            address = stored.spec.get("address") if stored.spec else None
-            if stored.is_gone or not address:
-                self.address_by_name.pop(stored.name, None)
+            self.entry_by_name.pop(stored.name, None)
+            if stored.is_gone:
+                continue
+            try:
+                entry = GatewayEntries.validate_python(stored.spec)
+            except ValidationError as error:
+                log.warning("entry_unreadable", name=stored.name, detail=str(error))
             else:
-                self.address_by_name[stored.name] = address
-        self._on_change(self.address_by_name)
+                self.entry_by_name[stored.name] = entry
+        self._on_change(self.entry_by_name)
 
     async def _write(self, name, spec):
         """Create or replace the entry; return whether the store has it."""
--- a/packages/gateway/src/wharf_gateway/preparers.py
+++ b/packages/gateway/src/wharf_gateway/preparers.py
@@ -46,13 +46,20 @@
     def owner(self, pool, now):
         """Return the link to who prepares for a pool, none for this gateway.
 
-        Gateways of the pool's data centre go first; all choose alike without
-        agreement.
+        Among the candidates, those of the pool's data centre go first; all gateways
+        choose alike without agreement. Without candidates each prepares itself.
         """
+        own = self._settings
         links = self.peers.alive(now)
-        centre_by_name = {name: link.data_centre for name, link in links.items()}
-        if self.is_ready() or not links:
-            centre_by_name[self._settings.name] = self._settings.data_centre
+        centre_by_name = {
+            name: link.data_centre
+            for name, link in links.items()
+            if name in self.peers.candidates
+        }
+        if self.is_ready() and own.name in self.peers.candidates:
+            centre_by_name[own.name] = own.data_centre
+        if not centre_by_name:
+            return None
         near = [name for name, dc in centre_by_name.items() if pool.holds(dc)]
         return links.get(ranked(pool.name, near or centre_by_name)[0])
 
--- a/packages/gateway/src/wharf_gateway/settings.py
+++ b/packages/gateway/src/wharf_gateway/settings.py
@@ -6,6 +6,9 @@
 
 __all__ = ["GatewaySettings"]
 
+# A core prepares about 250 requests a second, with some 5 KB of messages each.
+MEGABITS_A_CORE = 10.0
+
 Address = Annotated[str, Field(pattern=r"^[^:\s]+:\d{1,5}$")]
 Seconds = Annotated[float, Field(ge=0, le=3600)]
 
@@ -17,6 +20,8 @@
     settings bound all gateways together: `retry_share` of the requests and
     `retry_reserve` more in each `retry_window` seconds. A stopping process ends
     within `stop_seconds`. Metrics are served on `metrics_listen`, if it is given.
+    The host gives `processor_share` of a core that is `processor_speed` times as fast
+    as usual, and a link of `link_megabits` a second.
     """
 
     model_config = ConfigDict(extra="forbid", frozen=True)
@@ -34,4 +39,13 @@
     retry_reserve: float = Field(default=10, ge=0)
     retry_window: Seconds = 10.0
     stop_seconds: Seconds = 8.0
+    processor_share: float = Field(default=1.0, gt=0)
+    processor_speed: float = Field(default=1.0, gt=0)
+    link_megabits: float = Field(default=1000.0, gt=0)
     seed: int | None = None
+
+    @property
+    def capacity(self):
+        """Return how much the host can do, in cores of usual speed."""
+        cores = self.processor_share * self.processor_speed
+        return min(cores, self.link_megabits / MEGABITS_A_CORE)
