Follow, judge and drive rollouts on the users' platform

Change: orders are followed like other objects. Upstreams of a version that no order has finished get nothing. The gateway that rendezvous chooses among the candidates gathers all samples over the peers' links, judges with the library's judge and share plan, tells the share ten times a second (no news for 1 s: nothing goes to the new version), and writes running, completed or rolled_back, each once and conditionally. Before "completed" all requests go to the new version for 2.5 s, since the old one stops at once. A watch is renewed after 25 s instead of 10.

--- a/packages/coordination/src/wharf_coordination/rollout/__init__.py
+++ b/packages/coordination/src/wharf_coordination/rollout/__init__.py
@@ -11,13 +11,13 @@
     MIN_DURATION_SECONDS,
     Rollout,
 )
-from wharf_coordination.rollout.rollout_outcome import RolloutOutcome
 from wharf_coordination.rollout.rollout_view import RolloutView
 from wharf_coordination.rollout.route import Route
 from wharf_coordination.rollout.route_evidence import RouteEvidence
 from wharf_coordination.rollout.sample import Sample
 from wharf_coordination.rollout.share_plan import SharePlan
 from wharf_coordination.rollout.verdict import Bad, Good, Undecided, Verdict
+from wharf_coordination.rollout_outcome import RolloutOutcome
 
 __all__ = [
     "MAX_DURATION_SECONDS",
--- a/packages/coordination/src/wharf_coordination/rollout/rollout.py
+++ b/packages/coordination/src/wharf_coordination/rollout/rollout.py
@@ -6,8 +6,8 @@
 
 from wharf_coordination.code import Code
 from wharf_coordination.refusal import Refusal
-from wharf_coordination.rollout.rollout_outcome import RolloutOutcome
 from wharf_coordination.rollout.route_evidence import RouteEvidence
+from wharf_coordination.rollout_outcome import RolloutOutcome
 
 __all__ = ["MAX_DURATION_SECONDS", "MIN_DURATION_SECONDS", "Rollout"]
 
--- a/packages/coordination/src/wharf_coordination/rollout/rollout_view.py
+++ b/packages/coordination/src/wharf_coordination/rollout/rollout_view.py
@@ -4,8 +4,8 @@
 
 from wharf_coordination.deadline import Deadline
 from wharf_coordination.rollout.rollout import Rollout
-from wharf_coordination.rollout.rollout_outcome import RolloutOutcome
 from wharf_coordination.rollout.share_plan import SharePlan
+from wharf_coordination.rollout_outcome import RolloutOutcome
 
 __all__ = ["RolloutView"]
 
--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -5,6 +5,7 @@
 import structlog
 from result import Err, Ok
 
+from wharf_gateway.rollouts.version_table import VersionTable
 from wharf_gateway.routing.upstream_state import UpstreamState
 
 __all__ = ["Fleet"]
@@ -29,6 +30,8 @@
         self.is_listed = False
         self.state_by_id = {}
         self._states_by_service = {}
+        self._versions = VersionTable()
+        self._version_by_service = {}
         self.out_data_centres = frozenset()
         self.entry_count = 1
         self._lapsed_by_id = {}
@@ -64,11 +67,36 @@
         return "cold" if upstream.cold_until > now else "ready"
 
     def states(self, service):
-        """Return the usable upstreams of a service, draining ones left out."""
+        """Return the usable upstreams of a service in the version that is in use.
+
+        Draining ones and those of data centres that are taken out are left out.
+        """
+        return self._states_of(service, self.version(service))
+
+    def trial_states(self, service):
+        """Return the usable upstreams of the version that a rollout brings."""
+        return self._states_of(service, self._versions.trial_version(service))
+
+    def version(self, service):
+        """Return the version of a service that is in use, if there is any."""
+        if service not in self._version_by_service:
+            states = self._states_by_service.get(service, {}).values()
+            self._version_by_service[service] = self._versions.version(
+                service, [state.upstream.version for state in states]
+            )
+        return self._version_by_service[service]
+
+    def take_order(self, order):
+        """Take an order to move a service to another version."""
+        self._versions.take(order)
+        self._version_by_service.pop(order.service, None)
+
+    def _states_of(self, service, version):
         return [
             state
             for state in self._states_by_service.get(service, {}).values()
-            if not state.upstream.is_draining
+            if state.upstream.version == version
+            and not state.upstream.is_draining
             and state.upstream.data_centre not in self.out_data_centres
         ]
 
@@ -79,6 +107,7 @@
         self.state_by_id[upstream.id] = state
         by_id = self._states_by_service.setdefault(upstream.service, {})
         by_id[upstream.id] = state
+        self._version_by_service.pop(upstream.service, None)
         return state
 
     def centre_of(self, handles):
@@ -193,7 +222,9 @@
     def _drop(self, name):
         state = self.state_by_id.pop(name, None)
         if state is not None:
-            del self._states_by_service[state.upstream.service][name]
+            service = state.upstream.service
+            del self._states_by_service[service][name]
+            self._version_by_service.pop(service, None)
         return state
 
     def _set_out(self, data_centres):
@@ -203,4 +234,8 @@
 
 
 def _is_another(known, upstream):
-    return (known.started_ms, known.service) != (upstream.started_ms, upstream.service)
+    return (known.started_ms, known.service, known.version) != (
+        upstream.started_ms,
+        upstream.service,
+        upstream.version,
+    )
--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -17,6 +17,7 @@
 from wharf_gateway.preparers import Preparers
 from wharf_gateway.request_admission import RequestAdmission
 from wharf_gateway.request_runner import RequestRunner
+from wharf_gateway.rollouts.rollout_keeper import RolloutKeeper
 from wharf_gateway.routing.retry_budgets import RetryBudgets
 from wharf_gateway.site import Site
 from wharf_gateway.stages.piece_caller import PieceCaller
@@ -60,6 +61,15 @@
             settings, self.preparers, self._clock, self._rng, self.preparers.load
         )
         self.preparers.peers = self.peers
+        self.rollouts = RolloutKeeper(
+            self.fleet,
+            self._dialect,
+            self._store,
+            self.preparers.owner,
+            self.peers,
+            self._clock,
+        )
+        self.peers.rollouts = self.rollouts
         self._registry = Registry(settings, self._store, self._rng, self._on_gateways)
         self._admission = RequestAdmission(self.fleet, self._dialect, self._clock)
         budgets = RetryBudgets(
@@ -72,6 +82,7 @@
             self._dialect,
             self._pool,
             self.preparers,
+            self.rollouts,
             budgets,
             self._clock,
             self._rng,
@@ -114,6 +125,13 @@
                 self.fleet.change_evacuations,
             ),
         ]
+        self._followers.append(
+            self._follow(
+                StoreKind.ROLLOUTS,
+                self.rollouts.list_orders,
+                self.rollouts.change_orders,
+            )
+        )
         self._tasks = [asyncio.create_task(f.run()) for f in self._followers]
         self._tasks.append(asyncio.create_task(self._tick()))
         self._tasks.append(asyncio.create_task(self._registry.register()))
@@ -177,6 +195,7 @@
             "store_away_kinds": [f.kind for f in self._followers if f.lost_at],
             "upstreams": self.fleet.dump(now),
             "preparers": self.preparers.dump(now),
+            "rollouts": self.rollouts.dump(now),
             "peers": {
                 name: {
                     "ready": link.is_ready,
@@ -241,3 +260,4 @@
             if self.fleet.configuration:
                 self.site.limits = self.fleet.configuration.limits
             self.preparers.advance(now)
+            self.rollouts.advance(now)
--- a/packages/gateway/src/wharf_gateway/peers/messages.py
+++ b/packages/gateway/src/wharf_gateway/peers/messages.py
@@ -16,6 +16,8 @@
     "Prepare",
     "Prepared",
     "Refused",
+    "TrialNotice",
+    "TrialSample",
 ]
 
 
@@ -93,9 +95,48 @@
     kind: Literal["load"] = "load"
 
 
+@dataclass(frozen=True, slots=True)
+class TrialNotice:
+    """Tell the share of requests that a service's new version gets.
+
+    `elapsed` is the time since its rollout was ordered, in seconds.
+    """
+
+    service: str
+    target: str
+    share: float
+    elapsed: float
+    kind: Literal["trial"] = "trial"
+
+
+@dataclass(frozen=True, slots=True)
+class TrialSample:
+    """Tell the outcome of one attempt to who drives the service's rollout.
+
+    `in_flight` was the upstream's load when it began, `seconds` the time up to the
+    first part of the answer.
+    """
+
+    service: str
+    version: str
+    route: str
+    in_flight: int
+    failed: bool
+    seconds: float
+    kind: Literal["sample"] = "sample"
+
+
 Message = TypeAdapter(
     Annotated[
-        Greeting | Prepare | Prepared | Refused | Abandon | Free | LoadNotice,
+        Greeting
+        | Prepare
+        | Prepared
+        | Refused
+        | Abandon
+        | Free
+        | LoadNotice
+        | TrialNotice
+        | TrialSample,
         Field(discriminator="kind"),
     ]
 )
--- a/packages/gateway/src/wharf_gateway/peers/peer_link.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_link.py
@@ -15,6 +15,8 @@
     Prepare,
     Prepared,
     Refused,
+    TrialNotice,
+    TrialSample,
 )
 from wharf_gateway.stages.preparation import Preparation
 from wharf_gateway.stages.unprepared import Unprepared
@@ -30,14 +32,15 @@
 
 
 class PeerLink:
-    """Ask a peer to prepare, and prepare for it.
+    """Ask a peer to prepare, prepare for it, and tell each other of rollouts.
 
-    `preparers` offers `preparer(pool)`.
+    `preparers` offers `preparer(pool)`, `rollouts` `take_notice` and `take_sample`.
     """
 
-    def __init__(self, socket, preparers, clock):
+    def __init__(self, socket, preparers, rollouts, clock):
         self._socket = socket
         self._preparers = preparers
+        self._rollouts = rollouts
         self._clock = clock
         self._numbers = count()
         self._future_by_number = {}
@@ -153,6 +156,10 @@
                     task.cancel()
             case Free(pool, handles):
                 self._preparers.preparer(pool).free(handles)
+            case TrialNotice():
+                self._rollouts.take_notice(message, self._clock())
+            case TrialSample():
+                self._rollouts.take_sample(message, self._clock())
 
     def _resolve(self, number, answer):
         """Hand over an answer; return whether somebody waits for it."""
--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -45,6 +45,7 @@
         self._clock = clock
         self._rng = rng
         self._load = load
+        self.rollouts = None
         self._dialer_by_name = {}
         self._state_by_name = {}
         self.link_by_name = {}
@@ -110,7 +111,7 @@
         await self._run(socket)
 
     async def _run(self, socket):
-        link = PeerLink(socket, self._preparers, self._clock)
+        link = PeerLink(socket, self._preparers, self.rollouts, self._clock)
         greeting = Greeting(self._settings.name, self._settings.data_centre)
         try:
             await link.run(greeting, self._on_greeting)
--- a/packages/gateway/src/wharf_gateway/request_context.py
+++ b/packages/gateway/src/wharf_gateway/request_context.py
@@ -19,7 +19,7 @@
     caller stops waiting. A lower `priority` is more urgent. `may_have_run` says
     whether some upstream may have begun to run it. `inputs` are the results that its
     engine needs, made in `pool` by the gateway behind the link `owner`, none for this
-    one.
+    one. `first_part_seconds` is what the attempt under way took up to its answer.
     """
 
     inbound: InboundRequest
@@ -36,3 +36,4 @@
     may_have_run: bool = False
     tried: set[str] = field(default_factory=set)
     sends: int = 0
+    first_part_seconds: float | None = None
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -40,11 +40,14 @@
 class RequestRunner:
     """Run requests that have been read and whose route is known."""
 
-    def __init__(self, fleet, dialect, pool, preparers, budgets, clock, rng, meter):
+    def __init__(
+        self, fleet, dialect, pool, preparers, rollouts, budgets, clock, rng, meter
+    ):
         self._fleet = fleet
         self._dialect = dialect
         self._pool = pool
         self._preparers = preparers
+        self._rollouts = rollouts
         self._budgets = budgets
         self._clock = clock
         self._rng = rng
@@ -153,8 +156,19 @@
     def _choose(self, context, only_look=False):
         now = self._clock()
         service = self._pick_service(context.route)
-        states = usable(self._fleet.states(service), context.tried, now)
         found = self._fleet.configuration.service_by_name.get(service)
+        state = None
+        if not (only_look or context.tried):
+            call_id = context.details.id
+            if self._rollouts.is_on_trial(service, call_id, now):
+                states = self._fleet.trial_states(service)
+                state = self._choose_among(states, context, found, only_look, now)
+        return state or self._choose_among(
+            self._fleet.states(service), context, found, only_look, now
+        )
+
+    def _choose_among(self, states, context, found, only_look, now):
+        states = usable(states, context.tried, now)
         if found is not None and found.cold_rate > 0 and not only_look:
             states = self._warm(states, found, now)
         if found is not None and found.engine is not None:
@@ -181,8 +195,11 @@
         context.tried.add(upstream.id)
         started = self._clock()
         ran_before = context.may_have_run
+        in_flight = state.in_flight
+        context.first_part_seconds = None
         state.in_flight += 1
         connection = None
+        failed = True
         try:
             connection = await self._pool.acquire(upstream.address, started)
             self._send(context, state, connection, splitter, started)
@@ -193,9 +210,11 @@
             self._note_reply(state, reply, connection)
             if reply.not_run:
                 context.may_have_run = ran_before
-            return await self._relay(
+            fate = await self._relay(
                 context, state, responder, connection, head, reply, splitter, started
             )
+            failed = not fate.not_run and fate.answer is not None
+            return fate
         except BrokenAnswerError as error:
             return self._broken(context, state, error)
         except TimeoutError:
@@ -208,9 +227,22 @@
             raise
         finally:
             state.in_flight -= 1
+            self._note_trial(context, upstream, in_flight, failed, started)
             if connection is not None:
                 self._pool.release(upstream.address, connection, self._clock())
 
+    def _note_trial(self, context, upstream, in_flight, failed, started):
+        now = self._clock()
+        seconds = context.first_part_seconds
+        if seconds is None:
+            seconds = now - started
+        route = context.route.name
+        self._rollouts.note(upstream, route, in_flight, failed, seconds, now)
+
+    def _note_success(self, context, state, started):
+        context.first_part_seconds = self._clock() - started
+        state.note_success(context.first_part_seconds)
+
     def _send(self, context, state, connection, splitter, now):
         inbound, call_id = context.inbound, context.details.id
         headers = inbound.headers
@@ -254,7 +286,7 @@
                 context, state, responder, connection, head, splitter, started
             )
         body = await connection.body()
-        state.note_success(self._clock() - started)
+        self._note_success(context, state, started)
         responder.answer(head.status, _passed(head.headers), body)
         self._log_answer(context, state, head.status, started)
         return AttemptFate()
@@ -274,7 +306,7 @@
             events = splitter.feed(data)
             if events:
                 if not responder.is_started:
-                    state.note_success(self._clock() - started)
+                    self._note_success(context, state, started)
                     self._free_inputs(context)
                     responder.begin(head.status, _passed(head.headers))
                 await responder.send(events)
--- /dev/null
+++ b/packages/gateway/src/wharf_gateway/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Moves of a service's traffic to a new version."""
--- a/packages/gateway/src/wharf_gateway/store/follower.py
+++ b/packages/gateway/src/wharf_gateway/store/follower.py
@@ -11,8 +11,9 @@
 
 log = structlog.get_logger(__name__)
 
-# A watch that hears nothing is renewed this often; each renewal is a call.
-WATCH_SECONDS = 10.0
+# A watch that hears nothing is renewed this often; each renewal is a call, the store
+# allows 30 s, and probes of the connection tell when it is dead.
+WATCH_SECONDS = 25.0
 # While the store is away: the first pause, and the longest.
 FIRST_PAUSE_SECONDS = 0.1
 LONGEST_PAUSE_SECONDS = 1.0
--- a/packages/gateway/src/wharf_gateway/store/store_client.py
+++ b/packages/gateway/src/wharf_gateway/store/store_client.py
@@ -63,6 +63,12 @@
         body = self._dialect.object_body(name, spec)
         return await self._call("PUT", path, body, CALL_SECONDS)
 
+    async def replace_status(self, kind, name, status, revision):
+        """Replace an object's status if its revision is still `revision`."""
+        path = self._dialect.object_path(kind, name, "status")
+        body = self._dialect.object_body(name, None, revision, status)
+        return await self._call("PUT", path, body, CALL_SECONDS)
+
     def _decode(self, body, reader):
         return getattr(self._dialect, reader)(body).map_err(StoreUnavailable)
 
--- a/packages/gateway/tests/test_peer_link.py
+++ b/packages/gateway/tests/test_peer_link.py
@@ -56,7 +56,7 @@
 
 @pytest.fixture
 async def link(socket, clock):
-    link = PeerLink(socket, None, lambda: clock[0])
+    link = PeerLink(socket, None, None, lambda: clock[0])
     task = asyncio.create_task(link.run(Greeting("me", "dc-1"), lambda link: None))
     await socket.say(Greeting("other", "dc-2"), LoadNotice(True, {}))
     yield link
