Give all routes the same pools

Cause: the pools were taken from the steps of each route. Ruled out: gateways that see different peers (all six candidates were linked and ready), too slow a preparer (the stretch was high with nothing waiting). Change: pools come from all services that run steps, looked at ten times a second.

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -73,6 +73,12 @@
         """
         return self._states_of(service, self.version(service))
 
+    @property
+    def step_services(self):
+        """Return the names of the services that run steps."""
+        services = self.configuration.service_by_name if self.configuration else {}
+        return [name for name, service in services.items() if service.batching]
+
     def trial_states(self, service):
         """Return the usable upstreams of the version that a rollout brings."""
         return self._states_of(service, self._versions.trial_version(service))
--- a/packages/gateway/src/wharf_gateway/preparers.py
+++ b/packages/gateway/src/wharf_gateway/preparers.py
@@ -19,6 +19,7 @@
 AWAY_SECONDS = 0.15
 # What one request adds to a backlog until the next load notice shows it.
 PENDING_SECONDS = 0.04
+POOLS_SECONDS = 0.1  # how long pools are believed; upstreams change by the second
 LINK_REASONS = ("link lost", "peer silent")
 
 
@@ -32,6 +33,8 @@
         self._clock = clock
         self.preparer_by_pool = {}
         self._pending_by_pool = {}
+        self._known_pools = []
+        self._pools_until = float("-inf")
         self.peers = None
         self.is_ready = lambda: True
 
@@ -63,28 +66,38 @@
         near = [name for name, dc in centre_by_name.items() if pool.holds(dc)]
         return links.get(ranked(pool.name, near or centre_by_name)[0])
 
-    def choose_pool(self, steps, near, now):
+    def choose_pool(self, near, now):
         """Return where a request's steps should run, by the backlogs."""
-        needed = {step.service for step in steps}
-        places = [
-            (state.upstream.service, state.upstream.data_centre)
-            for service in needed
-            for state in self._fleet.states(service)
-        ]
         return min(
-            pools_of(places),
+            self._pools(now),
             key=lambda pool: (
                 self._backlog(pool, now) + (0.0 if pool.holds(near) else AWAY_SECONDS),
                 pool.name,
             ),
         )
 
+    def _pools(self, now):
+        """Return the pools, the same for all routes.
+
+        Two pools that share upstreams would be in each other's way.
+        """
+        if now >= self._pools_until:
+            self._pools_until = now + POOLS_SECONDS
+            self._known_pools = pools_of(
+                [
+                    (service, state.upstream.data_centre)
+                    for service in self._fleet.step_services
+                    for state in self._fleet.states(service)
+                ]
+            )
+        return self._known_pools
+
     async def run(self, preparation, context):
         """Return the handles of a request's results, or why there are none."""
         answer = Err(Unprepared("nobody prepares"))
         for _ in range(MAX_ASKED):
             now = self._clock()
-            pool = self.choose_pool(preparation.steps, preparation.near, now)
+            pool = self.choose_pool(preparation.near, now)
             context.pool = pool.name
             link = self.owner(pool, now)
             self._add_pending(pool, now)
--- a/packages/gateway/tests/test_preparers.py
+++ b/packages/gateway/tests/test_preparers.py
@@ -4,6 +4,12 @@
 
 import pytest
 
+from wharf_gateway.fleet import Fleet
+from wharf_gateway.model.batching import Batching
+from wharf_gateway.model.caller_limits import CallerLimits
+from wharf_gateway.model.fleet_configuration import FleetConfiguration
+from wharf_gateway.model.service import Service
+from wharf_gateway.model.upstream import Upstream
 from wharf_gateway.peers.candidates import MOST_CANDIDATES, candidates
 from wharf_gateway.preparers import Preparers
 from wharf_gateway.settings import GatewaySettings
@@ -33,7 +39,7 @@
 
 @pytest.fixture
 def make_preparers():
-    def make(name, peers, candidate_names):
+    def make(name, peers, candidate_names, fleet=None):
         settings = GatewaySettings(
             name=name,
             data_centre=f"dc-{name[-1]}",
@@ -43,13 +49,43 @@
             peer_port=3,
             store="127.0.0.1:4",
         )
-        preparers = Preparers(settings, None, None, lambda: 0.0)
+        preparers = Preparers(settings, fleet, None, lambda: 0.0)
         preparers.peers = Peers(peers, frozenset(candidate_names))
         return preparers
 
     return make
 
 
+@pytest.fixture
+def fleet():
+    fleet = Fleet(None)
+    batching = Batching(1, 2, 4, 0.2, 0.05, 100.0, 4.0)
+    services = {
+        name: Service(name, "/", 100, 0.0, 0.0, batching=batching)
+        for name in ("fetch", "encode")
+    }
+    fleet.configuration = FleetConfiguration(1, (), services, {}, CallerLimits(), False)
+    for service, counts in (("fetch", (3, 3)), ("encode", (3, 2))):
+        for centre, count in enumerate(counts):
+            for number in range(count):
+                name = f"{service}-{centre}-{number}"
+                fleet.add(
+                    Upstream(name, service, name, f"dc-{centre}", "v1", 1, False, 1)
+                )
+    return fleet
+
+
+def test_pools_are_the_same_whatever_steps_a_request_has(make_preparers, fleet):
+    """A route whose only service has enough upstreams in each data centre had pools
+    of its own there, beside the one of the other routes with the same upstreams."""
+    preparers = make_preparers("large-1", [], ["large-1"], fleet)
+
+    assert preparers.choose_pool("dc-0", 0.0).name == "everywhere"
+
+    fleet.add(Upstream("encode-1-9", "encode", "e", "dc-1", "v1", 1, False, 1))
+    assert preparers.choose_pool("dc-0", 1.0).name == "dc-0"
+
+
 def _owner_name(preparers, pool=EVERYWHERE):
     link = preparers.owner(pool, 0.0)
     return link.name if link else "self"
