Link gateways from either side, and gather changes of entries

Change: the greater name dials after a second without a link; of two links both sides keep the one that the lesser name dialled. After a change of entries a gateway waits 0.15 s before it watches on. Tests on loopback: a gateway that knows nobody is dialled, both keep the same link.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -36,6 +36,9 @@
 EXIT_MARGIN_SECONDS = 0.7  # of the stop's time that is left for leaving
 TICK_SECONDS = 0.1  # how often what has expired is looked for
 
+# Entries come and go in series, when upstreams are replaced or hosts start.
+GATHERED_KINDS = (StoreKind.UPSTREAMS, StoreKind.ENTRIES)
+
 
 class Gateway:
     """Serve callers, follow the store, and share work with the other gateways."""
@@ -234,7 +237,13 @@
 
     def _follow(self, kind, on_listing, on_changes):
         return Follower(
-            self._store, kind, on_listing, on_changes, self._clock, self._rng
+            self._store,
+            kind,
+            on_listing,
+            on_changes,
+            self._clock,
+            self._rng,
+            gathers=kind in GATHERED_KINDS,
         )
 
     def _follow_upstreams(self):
--- a/packages/gateway/src/wharf_gateway/peers/peer_link.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_link.py
@@ -53,6 +53,8 @@
         self.backlog_by_pool = {}
         self.heard_at = float("-inf")
         self.is_closed = False
+        self.ended = asyncio.Event()
+        self.is_dialled_by_lesser = None
 
     async def run(self, greeting, on_greeting):
         """Exchange messages until the link ends."""
@@ -74,9 +76,17 @@
             sender.cancel()
             self._end()
 
+    def is_heard(self, now):
+        """Return whether the peer was heard lately."""
+        return not self.is_closed and now - self.heard_at < SILENCE_SECONDS
+
     def is_alive(self, now):
         """Return whether the peer was heard lately and takes work."""
-        return self.is_ready and now - self.heard_at < SILENCE_SECONDS
+        return self.is_ready and self.is_heard(now)
+
+    def close(self):
+        """End the link at once."""
+        self._socket.transport.abort()
 
     def post(self, message):
         """Send a message when the ones before have gone."""
@@ -84,7 +94,7 @@
             self._outbox.put_nowait(encode(message))
         except asyncio.QueueFull:
             log.warning("peer_outbox_full", peer=self.name)
-            self._socket.transport.abort()
+            self.close()
 
     async def prepare(self, preparation, pool):
         """Return the handles that the peer got, or why there are none."""
@@ -195,6 +205,7 @@
     def _end(self):
         self.is_ready = False
         self.is_closed = True
+        self.ended.set()
         self.fail_pending("link lost")
         for task in list(self._task_by_number.values()):
             task.cancel()
--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -19,6 +19,7 @@
 NOTICE_SECONDS = 0.1  # a tenth of the shortest aim of a request
 FIRST_PAUSE_SECONDS = 0.1
 LONGEST_PAUSE_SECONDS = 2.0
+DIAL_BACK_SECONDS = 1.0  # the other side usually links within some 50 ms
 # Of websockets' own pings: a link that is silent for three seconds is given up, as
 # any connection is.
 PING_SECONDS = 1.0
@@ -35,8 +36,9 @@
 class PeerSet:
     """Keep the links between those that may prepare and all others.
 
-    The lesser name dials. `candidates` are the names of those that may prepare, this
-    gateway perhaps among them.
+    The lesser name dials at once, the other if no link comes, since the lesser may not
+    know it: one that lost the store hears of nobody new. `candidates` are the names of
+    those that may prepare, this gateway perhaps among them.
     """
 
     def __init__(self, settings, preparers, clock, rng, load):
@@ -83,8 +85,9 @@
             if name not in wanted:
                 self._dialer_by_name.pop(name).cancel()
         for name, address in wanted.items():
-            if name > own.name and name not in self._dialer_by_name:
-                task = asyncio.create_task(self._dial(name, address))
+            if name != own.name and name not in self._dialer_by_name:
+                delay = 0.0 if name > own.name else DIAL_BACK_SECONDS
+                task = asyncio.create_task(self._dial(name, address, delay))
                 self._dialer_by_name[name] = task
 
     def alive(self, now):
@@ -93,15 +96,22 @@
             name: link for name, link in self.link_by_name.items() if link.is_alive(now)
         }
 
-    async def _dial(self, name, address):
+    async def _dial(self, name, address, delay):
         pause = FIRST_PAUSE_SECONDS
         while True:
+            link = self.link_by_name.get(name)
+            if link is not None:
+                await link.ended.wait()
+            if delay:
+                await asyncio.sleep(delay * self._rng.uniform(1.0, 1.5))
+            if name in self.link_by_name:
+                continue
             try:
                 async with connect(
                     f"ws://{address}", open_timeout=1.0, **_OPTIONS
                 ) as socket:
                     pause = FIRST_PAUSE_SECONDS
-                    await self._run(socket)
+                    await self._run(socket, is_dialled_by_lesser=not delay)
             except (OSError, TimeoutError, WebSocketException) as error:
                 log.debug("peer_unreachable", peer=name, detail=repr(error))
             await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
@@ -110,8 +120,9 @@
     async def _accept(self, socket):
         await self._run(socket)
 
-    async def _run(self, socket):
+    async def _run(self, socket, is_dialled_by_lesser=None):
         link = PeerLink(socket, self._preparers, self.rollouts, self._clock)
+        link.is_dialled_by_lesser = is_dialled_by_lesser
         greeting = Greeting(self._settings.name, self._settings.data_centre)
         try:
             await link.run(greeting, self._on_greeting)
@@ -123,6 +134,18 @@
                 log.info("peer_lost", peer=link.name)
 
     def _on_greeting(self, link):
+        """Keep a link, unless there is a better one to the same peer.
+
+        Where both sides dialled, both keep what the lesser name dialled.
+        """
+        if link.is_dialled_by_lesser is None:
+            link.is_dialled_by_lesser = link.name < self._settings.name
+        other = self.link_by_name.get(link.name)
+        if other is not None and other.is_heard(self._clock()):
+            if link.is_dialled_by_lesser <= other.is_dialled_by_lesser:
+                link.close()
+                return
+            other.close()
         self.link_by_name[link.name] = link
         log.info("peer_linked", peer=link.name, data_centre=link.data_centre)
         link.post(self._notice())
--- a/packages/gateway/src/wharf_gateway/store/follower.py
+++ b/packages/gateway/src/wharf_gateway/store/follower.py
@@ -14,6 +14,9 @@
 # A watch that hears nothing is renewed this often; each renewal is a call, the store
 # allows 30 s, and probes of the connection tell when it is dead.
 WATCH_SECONDS = 25.0
+# Before the next watch after a change, so that changes which come together cost one
+# call; below the 0.2 s of a step's call, for which room is waited for.
+GATHER_SECONDS = 0.15
 # While the store is away: the first pause, and the longest.
 FIRST_PAUSE_SECONDS = 0.1
 LONGEST_PAUSE_SECONDS = 1.0
@@ -23,17 +26,22 @@
     """List a kind once and follow its changes, through outages of the store.
 
     `on_listing(objects, now)` gets all objects, `on_changes(objects, now)` those
-    that changed. `lost_at` is the time since which the store hasn't answered,
-    `regained_at` that at which it last came back.
+    that changed. One that `gathers` waits a moment after each change, for others to
+    come with the next call. `lost_at` is the time since which the store hasn't
+    answered, `regained_at` that at which it last came back.
     """
 
-    def __init__(self, store, kind, on_listing, on_changes, clock, rng):
+    def __init__(
+        self, store, kind, on_listing, on_changes, clock, rng, *, gathers=False
+    ):
         self._store = store
         self.kind = kind
         self._on_listing = on_listing
         self._on_changes = on_changes
         self._clock = clock
         self._rng = rng
+        self._gathers = gathers
+        self._has_changed = False
         self.revision = None
         self.lost_at = None
         self.regained_at = None
@@ -61,6 +69,8 @@
         if self.revision is None:
             answer = await self._store.list(self.kind)
             return answer.map(self._take_listing)
+        if self._has_changed and self._gathers:
+            await asyncio.sleep(GATHER_SECONDS)
         answer = await self._store.watch(self.kind, self.revision, WATCH_SECONDS)
         return answer.map(self._take_changes)
 
@@ -72,6 +82,7 @@
     def _take_changes(self, changes):
         self.revision = changes.revision
         self._note_answer()
+        self._has_changed = bool(changes.objects)
         if changes.objects:
             self._on_changes(changes.objects, self._clock())
 
--- a/packages/gateway/tests/test_follower.py
+++ b/packages/gateway/tests/test_follower.py
@@ -33,7 +33,7 @@
 
 @pytest.fixture
 def follow():
-    async def run(*watches):
+    async def run(*watches, gathers=False, seconds=0.3):
         store = Store(*watches)
         clock = asyncio.get_running_loop().time
         follower = Follower(
@@ -43,9 +43,10 @@
             lambda objects, now: None,
             clock,
             Random(1),
+            gathers=gathers,
         )
         task = asyncio.create_task(follower.run())
-        await asyncio.sleep(0.3)
+        await asyncio.sleep(seconds)
         task.cancel()
         return store.calls
 
@@ -66,3 +67,11 @@
 
 async def test_dropped_history_is_listed_anew(follow):
     assert await follow(Err(HistoryGone())) == ["list", "watch 1", "list", "watch 3"]
+
+
+async def test_changes_that_come_together_cost_one_call(follow):
+    """Each call of each gateway is priced; a release changes an entry a second."""
+    change = Ok(StoreChanges((StoredObject("a", 7),), 7))
+
+    assert await follow(change, gathers=True, seconds=0.05) == ["list", "watch 1"]
+    assert await follow(change, seconds=0.05) == ["list", "watch 1", "watch 7"]
--- /dev/null
+++ b/packages/gateway/tests/test_peer_set.py
@@ -0,0 +1,80 @@
+"""Links between gateways that don't all know each other."""
+
+import asyncio
+import socket
+from contextlib import closing
+from random import Random
+
+import pytest
+
+from wharf_gateway.peers.gateway_entry import GatewayEntry
+from wharf_gateway.peers.peer_set import PeerSet
+from wharf_gateway.settings import GatewaySettings
+
+
+def _free_port():
+    with closing(socket.socket()) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+@pytest.fixture
+async def peer_sets():
+    sets = {}
+    clock = asyncio.get_running_loop().time
+    for name in ("a", "b"):
+        settings = GatewaySettings(
+            name=name,
+            data_centre="dc-1",
+            host="127.0.0.1",
+            listen="127.0.0.1:1",
+            ready_listen="127.0.0.1:2",
+            peer_port=_free_port(),
+            store="127.0.0.1:4",
+        )
+        sets[name] = PeerSet(settings, None, clock, Random(1), lambda: (True, {}))
+        sets[name].port = settings.peer_port
+        await sets[name].start()
+    yield sets
+    for peer_set in sets.values():
+        peer_set.stop()
+
+
+def _entry(peer_set):
+    return GatewayEntry(f"127.0.0.1:{peer_set.port}", "dc-1", 1.0)
+
+
+async def _wait_until(condition):
+    async with asyncio.timeout(5.0):
+        while not condition():
+            await asyncio.sleep(0.02)
+
+
+def _is_linked(peer_sets):
+    now = asyncio.get_running_loop().time()
+    first, second = peer_sets["a"].alive(now), peer_sets["b"].alive(now)
+    return list(first) == ["b"] and list(second) == ["a"]
+
+
+async def test_the_lesser_name_dials(peer_sets):
+    peer_sets["a"].follow({"b": _entry(peer_sets["b"])})
+
+    await _wait_until(lambda: _is_linked(peer_sets))
+
+
+async def test_a_gateway_that_knows_nobody_new_is_dialled_by_the_other(peer_sets):
+    """A preparer that was cut from the store didn't hear of new hosts, which then
+    prepared beside it, with the same upstreams (cored-cyfrif-grown, scale-2)."""
+    peer_sets["b"].follow({"a": _entry(peer_sets["a"])})
+
+    await _wait_until(lambda: _is_linked(peer_sets))
+
+
+async def test_both_keep_the_same_link_where_both_dial(peer_sets):
+    peer_sets["b"].follow({"a": _entry(peer_sets["a"])})
+    await asyncio.sleep(1.0)
+    peer_sets["a"].follow({"b": _entry(peer_sets["b"])})
+
+    await _wait_until(lambda: _is_linked(peer_sets))
+    await asyncio.sleep(0.7)
+    assert _is_linked(peer_sets)
