--- a/packages/control/src/wharf_control/main.py
+++ b/packages/control/src/wharf_control/main.py
@@ -5,6 +5,7 @@
 import defopt
 
 from wharf_control.data_centre_commands import bring_back, take_out
+from wharf_control.explain_command import explain
 from wharf_control.folder_commands import apply, check, show
 from wharf_control.rollout_commands import ROLLOUT_COMMANDS
 from wharf_control.state_commands import dump, status
@@ -20,6 +21,7 @@
     "rollout": ROLLOUT_COMMANDS,
     "status": status,
     "dump": dump,
+    "explain": explain,
 }
 
 
