--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,10 @@
 EDITABLE := $(foreach name,$(PACKAGES),-e packages/$(name)) -e platform
 
 .PHONY: demo test lint setup
-.PHONY: bench bench-claims bench-overhead histories propagation slopes trial-rollouts
+.PHONY: bench bench-claims bench-overhead histories propagation slopes soak
+.PHONY: trial-rollouts
+
+SEEDS ?= 1-50
 
 bench: setup
 	$(BIN)/python -m wharf_standins bench
@@ -26,6 +29,9 @@
 histories: setup
 	$(BIN)/python -m wharf_standins histories --seeds 1-200 --requests 500
 
+soak: setup
+	$(BIN)/python -m wharf_standins soak --seeds $(SEEDS)
+
 slopes: setup
 	$(BIN)/python -m wharf_standins slopes
 
--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -18,6 +18,7 @@
 from wharf_standins.slopes.idle_entry import idle_entry
 from wharf_standins.slopes.peers import ask_streams, serve_upstreams
 from wharf_standins.slopes.profile_relay import profile_relay
+from wharf_standins.soak import soak
 from wharf_standins.steps import step_trial
 
 __all__ = []
@@ -27,6 +28,7 @@
         *(demo, engine, platform),
         *(bench, bench_overhead, claims_bench, outage_trial),
         *(histories, propagation, trial_daemons, trial_rollouts, step_trial),
+        soak,
         *(slopes, profile_relay, idle_entry, ask_streams, serve_upstreams),
     ]
     sys.exit(defopt.run(commands, no_negated_flags=True))
--- /dev/null
+++ b/packages/standins/src/wharf_standins/soak/checks.py
@@ -0,0 +1,44 @@
+"""Checks of the pages' promises, from what callers and upstreams saw."""
+
+from wharf_standins.soak.call import CallKind, Ending
+from wharf_standins.soak.finding import Finding
+from wharf_standins.soak.wire import EVENTS, answer_body, event
+
+__all__ = ["broken_promises"]
+
+NOT_RUN = (408, 421, 429, 503)  # these say that the request hasn't run and won't
+
+
+def broken_promises(calls):
+    """Return what is wrong with the calls of a run."""
+    return [finding for call in calls for finding in _of(call)]
+
+
+def _of(call):
+    if call.kind is not CallKind.SAFE and len(call.runs) > 1:
+        yield Finding("runs once", call.id, f"ran {len(call.runs)} times")
+    if call.status in NOT_RUN and call.runs and call.kind is not CallKind.SAFE:
+        yield Finding("not run is true", call.id, f"{call.status} though it ran")
+    if call.late_runs:
+        yield Finding("leaving upstreams", call.id, "reached one that had left")
+    if call.status == 200:
+        yield from _of_success(call)
+    is_answered = call.ending in (Ending.WHOLE, Ending.UNCONNECTED)
+    if call.is_calm and not is_answered:
+        yield Finding("planned work cuts nothing", call.id, f"ended {call.ending}")
+
+
+def _of_success(call):
+    if not call.is_signed:
+        yield Finding("own whole answer", call.id, "it isn't signed")
+    if call.kind is CallKind.STREAM:
+        whole = b"".join(event(call.id, number) for number in range(EVENTS))
+        is_part = whole.startswith(call.body)
+    else:
+        whole = answer_body(call.id)
+        is_part = whole.startswith(call.body)
+    if not is_part:
+        yield Finding("own whole answer", call.id, f"got {call.body[:40]!r}")
+    elif call.ending is Ending.WHOLE and call.body != whole:
+        detail = f"{len(call.body)} of {len(whole)} bytes look complete"
+        yield Finding("own whole answer", call.id, detail)
