Use the library's backoff in the gateway and derive what was kept twice

Found on reading the whole change: the follower and the dialling of peers doubled their pauses by hand, beside wharf_coordination.Backoff, which the links to sidecars use. A link kept both an event and a flag for its end, and who dialled it in three states set in three places; who dialled follows from its own side and the two names. The silence of a peer was checked by a copy of is_heard. The keeper of rollouts ranked all gateways ten times a second for orders that had ended, kept two sets for one task, and had two methods for the same listing. With one pool, the backlog was worked out for each request and not used. Behaviour is the same: equal pauses from equal draws, equal choice of links.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -129,14 +129,12 @@
                 self.fleet.list_evacuations,
                 self.fleet.change_evacuations,
             ),
-        ]
-        self._followers.append(
             self._follow(
                 StoreKind.ROLLOUTS,
-                self.rollouts.list_orders,
-                self.rollouts.change_orders,
-            )
-        )
+                self.rollouts.take_orders,
+                self.rollouts.take_orders,
+            ),
+        ]
         self._tasks = [asyncio.create_task(f.run()) for f in self._followers]
         self._tasks.append(asyncio.create_task(self._tick()))
         self._tasks.append(asyncio.create_task(self._registry.register()))
--- a/packages/gateway/src/wharf_gateway/peers/peer_link.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_link.py
@@ -37,7 +37,7 @@
     `preparers` offers `preparer(pool)`, `rollouts` `take_notice` and `take_sample`.
     """
 
-    def __init__(self, socket, preparers, rollouts, clock):
+    def __init__(self, socket, preparers, rollouts, clock, *, is_own_dial=False):
         self._socket = socket
         self._preparers = preparers
         self._rollouts = rollouts
@@ -52,9 +52,8 @@
         self.is_ready = False
         self.backlog_by_pool = {}
         self.heard_at = float("-inf")
-        self.is_closed = False
         self.ended = asyncio.Event()
-        self.is_dialled_by_lesser = None
+        self.is_own_dial = is_own_dial
 
     async def run(self, greeting, on_greeting):
         """Exchange messages until the link ends."""
@@ -76,6 +75,11 @@
             sender.cancel()
             self._end()
 
+    @property
+    def is_closed(self):
+        """Return whether the link has ended."""
+        return self.ended.is_set()
+
     def is_heard(self, now):
         """Return whether the peer was heard lately."""
         return not self.is_closed and now - self.heard_at < SILENCE_SECONDS
@@ -131,7 +135,7 @@
 
         One that only takes nothing new, since it stops, finishes what it has.
         """
-        if self._clock() - self.heard_at < SILENCE_SECONDS:
+        if self.is_heard(self._clock()):
             return False
         for number in self._future_by_number:
             self.post(Abandon(number))
@@ -204,7 +208,6 @@
 
     def _end(self):
         self.is_ready = False
-        self.is_closed = True
         self.ended.set()
         self.fail_pending("link lost")
         for task in list(self._task_by_number.values()):
--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -7,6 +7,7 @@
 from websockets.asyncio.server import serve
 from websockets.exceptions import WebSocketException
 
+from wharf_coordination.backoff import Backoff
 from wharf_gateway.peers.candidates import candidates
 from wharf_gateway.peers.codec import MAX_FRAME_BYTES
 from wharf_gateway.peers.messages import Greeting, LoadNotice
@@ -17,8 +18,7 @@
 log = structlog.get_logger(__name__)
 
 NOTICE_SECONDS = 0.1  # a tenth of the shortest aim of a request
-FIRST_PAUSE_SECONDS = 0.1
-LONGEST_PAUSE_SECONDS = 2.0
+RECONNECT = Backoff(first=0.1, longest=2.0)
 DIAL_BACK_SECONDS = 1.0  # the other side usually links within some 50 ms
 # Of websockets' own pings: a link that is silent for three seconds is given up, as
 # any connection is.
@@ -97,7 +97,7 @@
         }
 
     async def _dial(self, name, address, delay):
-        pause = FIRST_PAUSE_SECONDS
+        failures = 0
         while True:
             link = self.link_by_name.get(name)
             if link is not None:
@@ -110,19 +110,20 @@
                 async with connect(
                     f"ws://{address}", open_timeout=1.0, **_OPTIONS
                 ) as socket:
-                    pause = FIRST_PAUSE_SECONDS
-                    await self._run(socket, is_dialled_by_lesser=not delay)
+                    failures = 0
+                    await self._run(socket, is_own_dial=True)
             except (OSError, TimeoutError, WebSocketException) as error:
                 log.debug("peer_unreachable", peer=name, detail=repr(error))
-            await asyncio.sleep(pause * self._rng.uniform(0.5, 1.0))
-            pause = min(pause * 2, LONGEST_PAUSE_SECONDS)
+            failures += 1
+            await asyncio.sleep(RECONNECT.delay(failures, self._rng))
 
     async def _accept(self, socket):
         await self._run(socket)
 
-    async def _run(self, socket, is_dialled_by_lesser=None):
-        link = PeerLink(socket, self._preparers, self.rollouts, self._clock)
-        link.is_dialled_by_lesser = is_dialled_by_lesser
+    async def _run(self, socket, *, is_own_dial=False):
+        link = PeerLink(
+            socket, self._preparers, self.rollouts, self._clock, is_own_dial=is_own_dial
+        )
         greeting = Greeting(self._settings.name, self._settings.data_centre)
         try:
             await link.run(greeting, self._on_greeting)
@@ -138,11 +139,9 @@
 
         Where both sides dialled, both keep what the lesser name dialled.
         """
-        if link.is_dialled_by_lesser is None:
-            link.is_dialled_by_lesser = link.name < self._settings.name
         other = self.link_by_name.get(link.name)
         if other is not None and other.is_heard(self._clock()):
-            if link.is_dialled_by_lesser <= other.is_dialled_by_lesser:
+            if other.is_own_dial == link.is_own_dial or not self._is_preferred(link):
                 link.close()
                 return
             other.close()
@@ -150,6 +149,10 @@
         log.info("peer_linked", peer=link.name, data_centre=link.data_centre)
         link.post(self._notice())
 
+    def _is_preferred(self, link):
+        """Return whether the lesser name dialled a link."""
+        return link.is_own_dial == (self._settings.name < link.name)
+
     def _notice(self):
         return LoadNotice(*self._load())
 
--- a/packages/gateway/src/wharf_gateway/preparers.py
+++ b/packages/gateway/src/wharf_gateway/preparers.py
@@ -68,8 +68,11 @@
 
     def choose_pool(self, near, now):
         """Return where a request's steps should run, by the backlogs."""
+        pools = self._pools(now)
+        if len(pools) == 1:
+            return pools[0]
         return min(
-            self._pools(now),
+            pools,
             key=lambda pool: (
                 self._backlog(pool, now) + (0.0 if pool.holds(near) else AWAY_SECONDS),
                 pool.name,
--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_keeper.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_keeper.py
@@ -38,15 +38,10 @@
         self._clock = clock
         self.trial_by_service = {}
         self.driver_by_service = {}
-        self._writing = set()
-        self._tasks = set()
+        self._write_by_service = {}
 
-    def list_orders(self, objects, now):
-        """Take all orders."""
-        self.change_orders(objects, now)
-
-    def change_orders(self, objects, now):
-        """Take orders that came or changed."""
+    def take_orders(self, objects, now):
+        """Take orders that are listed, came or changed."""
         for stored in objects:
             if stored.is_gone:
                 continue
@@ -93,8 +88,7 @@
     def advance(self, now):
         """Drive what this gateway is chosen to drive, and tell the others."""
         for service, trial in self.trial_by_service.items():
-            is_mine = self._owner_of(DRIVERS_POOL, now) is None
-            if not trial.order.is_open or not is_mine:
+            if not trial.order.is_open or self._owner_of(DRIVERS_POOL, now) is not None:
                 self.driver_by_service.pop(service, None)
                 continue
             driver = self._driver(service, trial, now)
@@ -155,29 +149,25 @@
         return self.driver_by_service[service]
 
     def _write(self, order, outcome, reason):
-        if order.service in self._writing:
+        if order.service in self._write_by_service:
             return
-        self._writing.add(order.service)
         task = asyncio.ensure_future(self._write_outcome(order, outcome, reason))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._write_by_service[order.service] = task
+        task.add_done_callback(lambda _: self._write_by_service.pop(order.service))
 
     async def _write_outcome(self, order, outcome, reason):
         """Write once; what the store then has comes back by the watch."""
-        try:
-            status = self._dialect.rollout_status(order.target, outcome)
-            answer = await self._store.replace_status(
-                StoreKind.ROLLOUTS, order.name, status, order.revision
-            )
-            log.info(
-                "rollout_written",
-                service=order.service,
-                target=order.target,
-                outcome=outcome,
-                reason=reason,
-                revision=order.revision,
-                fault=answer.unwrap_err().detail if answer.is_err() else None,
-            )
-            await asyncio.sleep(WRITE_PAUSE_SECONDS)
-        finally:
-            self._writing.discard(order.service)
+        status = self._dialect.rollout_status(order.target, outcome)
+        answer = await self._store.replace_status(
+            StoreKind.ROLLOUTS, order.name, status, order.revision
+        )
+        log.info(
+            "rollout_written",
+            service=order.service,
+            target=order.target,
+            outcome=outcome,
+            reason=reason,
+            revision=order.revision,
+            fault=answer.unwrap_err().detail if answer.is_err() else None,
+        )
+        await asyncio.sleep(WRITE_PAUSE_SECONDS)
--- a/packages/gateway/src/wharf_gateway/store/follower.py
+++ b/packages/gateway/src/wharf_gateway/store/follower.py
@@ -5,6 +5,7 @@
 import structlog
 from result import Err, Ok
 
+from wharf_coordination.backoff import Backoff
 from wharf_gateway.store.store_error import HistoryGone
 
 __all__ = ["Follower"]
@@ -17,9 +18,8 @@
 # Before the next watch after a change, so that changes which come together cost one
 # call; below the 0.2 s of a step's call, for which room is waited for.
 GATHER_SECONDS = 0.15
-# While the store is away: the first pause, and the longest.
-FIRST_PAUSE_SECONDS = 0.1
-LONGEST_PAUSE_SECONDS = 1.0
+LONGEST_PAUSE_SECONDS = 1.0  # between two tries while the store is away
+RETRY = Backoff(first=0.1, longest=LONGEST_PAUSE_SECONDS)
 
 
 class Follower:
@@ -50,12 +50,12 @@
 
     async def run(self):
         """Follow for ever."""
-        pause = FIRST_PAUSE_SECONDS
+        failures = 0
         while True:
             answer = await self._next()
             match answer:
                 case Ok(_):
-                    pause = FIRST_PAUSE_SECONDS
+                    failures = 0
                 case Err(HistoryGone()):
                     log.info("store_history_gone", kind=self.kind)
                     self.revision = None
@@ -64,9 +64,9 @@
                     # history is being dropped, and hear of nothing.
                     self.revision = None
                     self._note_lost(error)
-                    seconds = pause * self._rng.uniform(0.5, 1.0)
+                    failures += 1
+                    seconds = RETRY.delay(failures, self._rng)
                     await self._outage.wait_turn(self.kind, seconds)
-                    pause = min(pause * 2, LONGEST_PAUSE_SECONDS)
 
     async def _next(self):
         if self.revision is None:
