--- a/packages/control/src/wharf_control/explain_command.py
+++ b/packages/control/src/wharf_control/explain_command.py
@@ -34,8 +34,7 @@
         try:
             read.append(LogFile.read(path))
         except OSError as error:
-            detail = f"{path}: {error.strerror or error}"
-            return Outcome(ExitCode.UNAVAILABLE, (detail,), {"detail": detail})
+            return Outcome.unavailable(f"{path}: {error.strerror or error}")
     faults = [fault for log in read for fault in log.faults]
     moments = timeline(read, request, around)
     if not moments:
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -12,7 +12,7 @@
 from wharf_gateway.model.route_kind import RouteKind
 from wharf_gateway.own_answer import OwnAnswer
 from wharf_gateway.passed_failure import PassedFailure
-from wharf_gateway.routing.chooser import choose_engine, choose_plain, usable
+from wharf_gateway.routing.upstream_choice import UpstreamChoice
 from wharf_gateway.stages.preparation import Preparation
 
 __all__ = ["RequestRunner"]
@@ -50,7 +50,7 @@
         self._rollouts = rollouts
         self._budgets = budgets
         self._clock = clock
-        self._rng = rng
+        self._choice = UpstreamChoice(fleet, rollouts, rng)
         self._meter = meter
 
     async def run(self, context, responder):
@@ -86,7 +86,7 @@
             context.priority,
             context.on_time_by - ENGINE_SECONDS,
             context.deadline - ENGINE_SECONDS,
-            self._near(context),
+            self._choice.near(context, self._clock()),
         )
         started = self._clock()
         answer = await self._preparers.run(preparation, context)
@@ -121,7 +121,7 @@
                 refusal = await self._prepare(context)
                 if refusal is not None:
                     return refusal if not context.may_have_run else answer
-            state = self._choose(context)
+            state = self._choice.upstream(context, self._clock())
             if state is None:
                 return answer
             if context.sends and not self._budgets.spend(state.upstream.service):
@@ -148,48 +148,6 @@
             )
         return answer
 
-    def _near(self, context):
-        """Return the data centre of the engine that the request will likely get."""
-        state = self._choose(context, only_look=True)
-        return state.upstream.data_centre if state else ""
-
-    def _choose(self, context, only_look=False):
-        now = self._clock()
-        service = self._pick_service(context.route)
-        found = self._fleet.configuration.service_by_name.get(service)
-        state = None
-        if not (only_look or context.tried):
-            call_id = context.details.id
-            if self._rollouts.is_on_trial(service, call_id, now):
-                states = self._fleet.trial_states(service)
-                state = self._choose_among(states, context, found, only_look, now)
-        return state or self._choose_among(
-            self._fleet.states(service), context, found, only_look, now
-        )
-
-    def _choose_among(self, states, context, found, only_look, now):
-        states = usable(states, context.tried, now)
-        if found is not None and found.cold_rate > 0 and not only_look:
-            states = self._warm(states, found, now)
-        if found is not None and found.engine is not None:
-            prompt = context.details.prompt
-            prefix = prompt[-2].id if len(prompt) > 1 else ""
-            return choose_engine(states, prefix, now)
-        return choose_plain(states, now, self._rng)
-
-    def _warm(self, states, service, now):
-        """Leave out cold upstreams whose share of requests is used up."""
-        rate = service.cold_rate / self._fleet.entry_count
-        warm = [s for s in states if s.upstream.cold_until <= now]
-        cold = [s for s in states if s.upstream.cold_until > now]
-        return warm or [s for s in cold if s.take_cold_token(rate, now)]
-
-    def _pick_service(self, route):
-        weights = [target.weight for target in route.targets]
-        if len(weights) == 1 or not sum(weights):
-            return route.targets[0].service
-        return self._rng.choices(route.targets, weights)[0].service
-
     async def _attempt(self, context, state, responder, splitter):
         upstream = state.upstream
         context.tried.add(upstream.id)
--- a/packages/standins/src/wharf_standins/history/command.py
+++ b/packages/standins/src/wharf_standins/history/command.py
@@ -7,6 +7,7 @@
 
 from wharf_standins.history.checks import check_history
 from wharf_standins.history.history_run import HistoryRun
+from wharf_standins.seed_range import seed_range
 
 __all__ = ["histories"]
 
@@ -22,8 +23,7 @@
     quiet = structlog.make_filtering_bound_logger(logging.CRITICAL)
     structlog.configure(wrapper_class=quiet)
     logging.disable(logging.CRITICAL)
-    first, _, last = seeds.partition("-")
-    numbers = range(int(first), int(last or first) + 1)
+    numbers = seed_range(seeds)
     failed = [seed for seed in numbers if not _is_kept(seed, requests)]
     print(f"{len(numbers) - len(failed)} of {len(numbers)} histories keep all promises")
     if failed:
--- a/packages/standins/src/wharf_standins/soak/checks.py
+++ b/packages/standins/src/wharf_standins/soak/checks.py
@@ -43,13 +43,10 @@
 def _of_success(call):
     if not call.is_signed:
         yield Finding("own whole answer", call.id, "it isn't signed")
+    whole = answer_body(call.id)
     if call.kind is CallKind.STREAM:
         whole = b"".join(event(call.id, number) for number in range(EVENTS))
-        is_part = whole.startswith(call.body)
-    else:
-        whole = answer_body(call.id)
-        is_part = whole.startswith(call.body)
-    if not is_part:
+    if not whole.startswith(call.body):
         yield Finding("own whole answer", call.id, f"got {call.body[:40]!r}")
     elif call.ending is Ending.WHOLE and call.body != whole:
         detail = f"{len(call.body)} of {len(whole)} bytes look complete"
--- a/packages/standins/src/wharf_standins/soak/command.py
+++ b/packages/standins/src/wharf_standins/soak/command.py
@@ -3,7 +3,7 @@
 import asyncio
 from pathlib import Path
 
-from wharf_standins.soak.fault import schedule
+from wharf_standins.seed_range import seed_range
 from wharf_standins.soak.run import SoakRun
 
 __all__ = ["soak"]
@@ -18,15 +18,15 @@
     :param seconds: time in which faults begin
     :param keep: folder for the gateways' logs of seeds that break a promise
     """
-    first, _, last = seeds.partition("-")
     broken = 0
-    for seed in range(int(first), int(last or first) + 1):
+    for seed in seed_range(seeds):
         folder = None
         if keep is not None:
             folder = keep / str(seed)
             folder.mkdir(parents=True, exist_ok=True)
-        findings = asyncio.run(SoakRun(seed, seconds).play(folder))
-        faults = "; ".join(map(str, schedule(seed, seconds)))
+        run = SoakRun(seed, seconds)
+        findings = asyncio.run(run.play(folder))
+        faults = "; ".join(map(str, run.faults))
         print(f"seed {seed}: {len(findings)} findings ({faults})", flush=True)
         for finding in findings[:10]:
             print(f"  {finding}", flush=True)
--- a/packages/standins/src/wharf_standins/soak/fault.py
+++ b/packages/standins/src/wharf_standins/soak/fault.py
@@ -7,7 +7,7 @@
 
 GATEWAY_KINDS = ("stop", "hup", "kill", "pause")
 STORE_KINDS = ("down", "slow", "lost", "silent", "forget", "configure")
-LINK_KINDS = ("delay", "silent_link", "one_way", "reset", "leave")
+LINK_KINDS = ("delay", "mute", "one_way", "reset", "leave")
 PLANNED_KINDS = frozenset(("stop", "hup", "configure", "leave"))
 LONGEST_SECONDS = 1.5
 
--- a/packages/standins/src/wharf_standins/soak/proxy.py
+++ b/packages/standins/src/wharf_standins/soak/proxy.py
@@ -7,7 +7,7 @@
 
 
 class Proxy:
-    """Pass bytes on; `mode` is pass, delay, silent, one_way or reset.
+    """Pass bytes on; `mode` is pass, delay, mute or one_way.
 
     In the mode one_way only bytes of who dialled pass.
     """
@@ -53,7 +53,7 @@
                 match self.mode:
                     case "delay":
                         await asyncio.sleep(0.1)
-                    case "silent":
+                    case "mute":
                         continue
                     case "one_way" if is_back:
                         continue
--- a/packages/standins/src/wharf_standins/soak/run.py
+++ b/packages/standins/src/wharf_standins/soak/run.py
@@ -37,7 +37,7 @@
 
     def __init__(self, seed, seconds):
         self._rng = Random(seed)
-        self._faults = schedule(seed, seconds)
+        self.faults = schedule(seed, seconds)
         self._seconds = seconds
         self._numbers = count()
         self._call_by_id = {}
@@ -85,7 +85,7 @@
         ]
         began = self._clock()
         works = [
-            asyncio.create_task(self._fault(fault, began)) for fault in self._faults
+            asyncio.create_task(self._fault(fault, began)) for fault in self.faults
         ]
         await asyncio.gather(*works)
         await asyncio.sleep(max(0.0, began + self._seconds - self._clock()))
@@ -139,7 +139,8 @@
     async def _wait_until_ready(self):
         async with asyncio.timeout(START_SECONDS):
             for gateway in self._gateways:
-                while (await self._caller(gateway).ask(CallKind.SAFE)).status != 200:
+                caller = self._caller(gateway)
+                while (await caller.ask(CallKind.SAFE)).status != 200:
                     await asyncio.sleep(0.1)
         self._call_by_id.clear()
 
@@ -184,8 +185,7 @@
             await self._store.put("servers", upstream.name, entry)
             self._left_at_by_upstream.setdefault(upstream.name, self._clock())
         else:
-            proxy.mode = fault.kind.partition("_")[0]
-            proxy.mode = "one_way" if fault.kind == "one_way" else proxy.mode
+            proxy.mode = fault.kind
             await asyncio.sleep(fault.seconds)
             proxy.mode = "pass"
             proxy.reset()
--- a/packages/standins/src/wharf_standins/soak/wire.py
+++ b/packages/standins/src/wharf_standins/soak/wire.py
@@ -1,7 +1,5 @@
 """What callers, upstreams and the store say to gateways, in the platform's words."""
 
-import json
-
 from wharf_adapter import names
 
 __all__ = [
@@ -77,8 +75,3 @@
         "seqNo": 1,
         "born": 1,
     }
-
-
-def body(document):
-    """Return a document as it goes over the wire."""
-    return json.dumps(document).encode()
