Let two gateways watch the store for a large fleet

Weighed: the store's cheap reads by polling (seconds old, more than the bounds on draining allow); one watcher a data centre (five where two do, and none for a data centre that is cut off); relaying revisions only (each gateway still calls). Taken: two feeders by rendezvous among the preparation candidates, in different data centres. They hand changes on over the links that are there and vouch ten times a second for the revision they have handed on, while the store answers their probe (0.4 s, a cheap read). Who hears no feeder for half a second, or missed a change, calls the store itself. Fleets of under 13 gateways watch for themselves as before. Changes over 16 kB aren't handed on, since a feeder's link would take a second for them.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -23,6 +23,7 @@
 from wharf_gateway.stages.piece_client import PieceClient
 from wharf_gateway.store.outage import Outage
 from wharf_gateway.store.store_client import StoreClient
+from wharf_gateway.store.store_feed import StoreFeed
 from wharf_gateway.store.store_kind import StoreKind
 from wharf_gateway.store.store_watcher import StoreWatcher
 from wharf_gateway.telemetry.exposition import expose
@@ -38,8 +39,9 @@
 EXIT_MARGIN_SECONDS = 0.7  # part of `stop_seconds` reserved for the exit itself
 TICK_SECONDS = 0.1  # between checks for expired state
 
-# Kinds whose entries change in series, when upstreams are replaced or hosts start.
-COALESCED_KINDS = (StoreKind.UPSTREAMS, StoreKind.ENTRIES)
+# Kinds that change in series, when upstreams are replaced, hosts start or operators
+# write several versions.
+COALESCED_KINDS = (StoreKind.UPSTREAMS, StoreKind.ENTRIES, StoreKind.CONFIGURATION)
 
 
 class Gateway:
@@ -87,6 +89,14 @@
         self._registry = Registry(
             settings, self._store, self._rng, self._on_gateway_entries
         )
+        self.feed = StoreFeed(
+            settings,
+            self.peers,
+            self._store,
+            lambda: len(self._registry.entry_by_name),
+            self._clock,
+        )
+        self.peers.feed = self.feed
         self._admission = RequestAdmission(self.fleet, self._dialect, self._clock)
         budgets = RetryBudgets(
             settings.retry_share,
@@ -149,6 +159,7 @@
         self._tasks = [asyncio.create_task(f.run()) for f in self._watchers]
         self._tasks.append(asyncio.create_task(self._tick()))
         self._tasks.append(asyncio.create_task(self._registry.register()))
+        self._tasks.append(asyncio.create_task(self.feed.probe()))
 
     async def stop(self):
         """Report not ready, finish requests in progress, and return in time."""
@@ -212,6 +223,7 @@
             "upstreams": self.fleet.dump(now),
             "preparers": self.preparation_router.dump(now),
             "rollouts": self.rollouts.dump(now),
+            "store_feed": self.feed.dump(now),
             "peers": {
                 name: {
                     "ready": link.is_ready,
@@ -260,6 +272,7 @@
             self._clock,
             self._rng,
             coalesces=kind in COALESCED_KINDS,
+            feed=self.feed,
         )
 
     def _watch_upstreams(self):
@@ -280,6 +293,7 @@
         while True:
             await asyncio.sleep(TICK_SECONDS)
             now = self._clock()
+            self.feed.advance(now)
             self.fleet.remove_expired(now)
             self.fleet.decay_paces(TICK_SECONDS)
             if self.fleet.configuration:
--- a/packages/gateway/src/wharf_gateway/peers/messages.py
+++ b/packages/gateway/src/wharf_gateway/peers/messages.py
@@ -5,7 +5,7 @@
 that requests them. All times are relative to the sending of the message, in seconds.
 """
 
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
 from pydantic import Field, TypeAdapter
 from pydantic.dataclasses import dataclass
@@ -14,6 +14,7 @@
 
 __all__ = [
     "Abandon",
+    "FeedNotice",
     "Free",
     "Greeting",
     "LoadNotice",
@@ -23,6 +24,7 @@
     "Refused",
     "ShareNotice",
     "RolloutSample",
+    "StoreNews",
 ]
 
 
@@ -138,6 +140,29 @@
     kind: Literal["sample"] = "sample"
 
 
+@dataclass(frozen=True, slots=True)
+class StoreNews:
+    """Hand on the changes of a kind of objects between two revisions of the store.
+
+    Each change has the object's name, revision, spec and status, and whether it is
+    deleted.
+    """
+
+    store_kind: str
+    since: int
+    revision: int
+    changes: tuple[tuple[str, int, Any, Any, bool], ...]
+    kind: Literal["news"] = "news"
+
+
+@dataclass(frozen=True, slots=True)
+class FeedNotice:
+    """Vouch that all changes up to these revisions have been handed on."""
+
+    revision_by_kind: dict[str, int]
+    kind: Literal["feed"] = "feed"
+
+
 Message = TypeAdapter(
     Annotated[
         Greeting
@@ -148,7 +173,9 @@
         | Free
         | LoadNotice
         | ShareNotice
-        | RolloutSample,
+        | RolloutSample
+        | StoreNews
+        | FeedNotice,
         Field(discriminator="kind"),
     ]
 )
--- a/packages/gateway/src/wharf_gateway/peers/peer_link.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_link.py
@@ -9,6 +9,7 @@
 from wharf_gateway.peers.codec import decode, encode
 from wharf_gateway.peers.messages import (
     Abandon,
+    FeedNotice,
     Free,
     Greeting,
     LoadNotice,
@@ -17,6 +18,7 @@
     Refused,
     RolloutSample,
     ShareNotice,
+    StoreNews,
 )
 from wharf_gateway.stages.preparation import Preparation
 from wharf_gateway.stages.preparation_failure import PreparationFailure
@@ -35,13 +37,17 @@
     """Exchange preparations, their results and the state of rollouts with a peer.
 
     `preparers` has the method `preparer(pool)`; `rollouts` has `handle_share_notice`
-    and `add_sample`. `is_outgoing` says whether this gateway opened the connection.
+    and `add_sample`; `feed` has `handle_news` and `handle_notice`. `is_outgoing` says
+    whether this gateway opened the connection.
     """
 
-    def __init__(self, socket, preparers, rollouts, clock, *, is_outgoing=False):
+    def __init__(
+        self, socket, preparers, rollouts, clock, *, feed=None, is_outgoing=False
+    ):
         self._socket = socket
         self._preparers = preparers
         self._rollouts = rollouts
+        self._feed = feed
         self._clock = clock
         self._numbers = count()
         self._future_by_number = {}
@@ -95,8 +101,12 @@
 
     def post(self, message):
         """Queue a message for sending; close the link if the queue is full."""
+        self.post_frame(encode(message))
+
+    def post_frame(self, frame):
+        """Queue an encoded message for sending."""
         try:
-            self._outbox.put_nowait(encode(message))
+            self._outbox.put_nowait(frame)
         except asyncio.QueueFull:
             log.warning("peer_outbox_full", peer=self.name)
             self.close()
@@ -179,6 +189,10 @@
                 self._rollouts.handle_share_notice(message, self._clock())
             case RolloutSample():
                 self._rollouts.add_sample(message, self._clock())
+            case StoreNews():
+                self._feed.handle_news(message, self._clock())
+            case FeedNotice():
+                self._feed.handle_notice(self.name, message, self._clock())
 
     def _resolve(self, number, answer):
         """Complete a pending preparation; return whether it was still pending."""
--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -9,7 +9,7 @@
 
 from wharf_coordination.backoff import Backoff
 from wharf_gateway.peers.candidates import candidates
-from wharf_gateway.peers.codec import MAX_FRAME_BYTES
+from wharf_gateway.peers.codec import MAX_FRAME_BYTES, encode
 from wharf_gateway.peers.messages import Greeting, LoadNotice
 from wharf_gateway.peers.peer_link import PeerLink
 
@@ -50,6 +50,7 @@
         self._rng = rng
         self._load = load
         self.rollouts = None
+        self.feed = None
         self._dial_task_by_name = {}
         self._state_by_name = {}
         self.link_by_name = {}
@@ -103,6 +104,21 @@
             if link.is_available(now)
         }
 
+    def responsive(self, now):
+        """Return the links to peers that were heard recently, by name."""
+        return {
+            name: link
+            for name, link in self.link_by_name.items()
+            if link.is_responsive(now)
+        }
+
+    def post_all(self, links, message, most=None):
+        """Send a message on several links, unless it exceeds `most` bytes."""
+        frame = encode(message)
+        if most is None or len(frame) <= most:
+            for link in links:
+                link.post_frame(frame)
+
     async def _dial(self, name, address, delay):
         failures = 0
         while True:
@@ -129,7 +145,12 @@
 
     async def _run(self, socket, *, is_outgoing=False):
         link = PeerLink(
-            socket, self._preparers, self.rollouts, self._clock, is_outgoing=is_outgoing
+            socket,
+            self._preparers,
+            self.rollouts,
+            self._clock,
+            feed=self.feed,
+            is_outgoing=is_outgoing,
         )
         greeting = Greeting(self._settings.name, self._settings.data_centre)
         try:
@@ -166,9 +187,7 @@
     async def _send_load_notices(self):
         while True:
             await asyncio.sleep(LOAD_INTERVAL_SECONDS)
-            notice = self._load_notice()
-            for link in list(self.link_by_name.values()):
-                link.post(notice)
+            self.post_all(list(self.link_by_name.values()), self._load_notice())
             self._check_peers()
 
     def _check_peers(self):
--- a/packages/gateway/src/wharf_gateway/store/store_client.py
+++ b/packages/gateway/src/wharf_gateway/store/store_client.py
@@ -55,6 +55,10 @@
         answer = await self._call("GET", path, b"", seconds)
         return answer.and_then(lambda body: self._decode(body, "read_changes"))
 
+    async def probe(self, seconds):
+        """Ask the store for a sign of life, by its cheapest call."""
+        return await self._call("GET", self._dialect.probe_path(), b"", seconds)
+
     async def create(self, kind, name, spec):
         """Create an object."""
         path = self._dialect.list_path(kind)
--- /dev/null
+++ b/packages/gateway/src/wharf_gateway/store/store_feed.py
@@ -0,0 +1,186 @@
+"""Handing on changes of the store between gateways, so that few of them watch it."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import structlog
+
+from wharf_coordination.rendezvous import ranked
+from wharf_gateway.peers.messages import FeedNotice, StoreNews
+from wharf_gateway.store.stored_object import StoredObject
+
+__all__ = ["StoreFeed"]
+
+log = structlog.get_logger(__name__)
+
+# Gateways that watch the store for all, in different data centres if possible.
+FEEDER_COUNT = 2
+# In smaller fleets each gateway watches for itself, as that costs few calls.
+MIN_FLEET_SIZE = 13
+# A feeder vouches for what it has handed on for this long after a call that the store
+# answered; its watch alone wouldn't show that it is cut off.
+PROBE_INTERVAL_SECONDS = 0.4
+PROBE_VALID_SECONDS = 0.8
+NOTICE_VALID_SECONDS = 0.5  # five intervals of notices
+# After its start a gateway waits this long for a feeder before it watches itself.
+FIRST_NOTICE_SECONDS = 0.6
+# Larger changes aren't handed on: each gateway reads them from the store, whose link
+# carries more than a feeder's.
+MAX_NEWS_BYTES = 16_000
+
+
+@dataclass(slots=True)
+class _Source:
+    """What a feeder vouches for: revisions by kind, and when it last did so."""
+
+    revision_by_kind: dict = field(default_factory=dict)
+    heard_at: float = float("-inf")
+
+
+class StoreFeed:
+    """Decide who watches the store, and exchange what the watchers see.
+
+    The feeders are chosen by rendezvous among the gateways that are linked to all
+    others. They hand each change on and tell ten times a second up to which revision
+    they have done so, while the store answers them. A gateway that no feeder vouches
+    to, or that misses a change, calls the store itself. `gateway_count()` returns the
+    number of registered gateways. Times are those of the event loop, in seconds.
+    """
+
+    def __init__(self, settings, peers, store, gateway_count, clock):
+        self._settings = settings
+        self._peers = peers
+        self._store = store
+        self._gateway_count = gateway_count
+        self._clock = clock
+        self._started_at = clock()
+        self._source_by_name = {}
+        self._probed_at = float("-inf")
+        self._was_feeder = False
+        self.watcher_by_kind = {}
+        self._waiter_by_kind = {}
+
+    def is_starting(self, now):
+        """Return whether it is too early to expect a feeder's notice."""
+        return now - self._started_at < FIRST_NOTICE_SECONDS
+
+    def is_feeder(self, now):
+        """Return whether this gateway watches the store for others."""
+        return self._is_large() and self._settings.name in self.feeders(now)
+
+    def feeders(self, now):
+        """Return the names of the gateways that watch the store for all."""
+        centre_by_name = {
+            name: link.data_centre
+            for name, link in self._peers.responsive(now).items()
+            if name in self._peers.candidates
+        }
+        if self._settings.name in self._peers.candidates:
+            centre_by_name[self._settings.name] = self._settings.data_centre
+        names = ranked("store", centre_by_name)
+        if not names:
+            return []
+        first = names[0]
+        # Stable, so that names of the first one's data centre go last.
+        others = sorted(
+            names[1:], key=lambda name: centre_by_name[name] == centre_by_name[first]
+        )
+        return [first, *others[: FEEDER_COUNT - 1]]
+
+    def covers(self, kind, revision, now):
+        """Return whether a feeder vouches that `revision` of a kind is the newest."""
+        if not self._is_large() or self.is_feeder(now):
+            return False
+        revisions = [
+            source.revision_by_kind.get(kind)
+            for source in self._source_by_name.values()
+            if now - source.heard_at < NOTICE_VALID_SECONDS
+        ]
+        known = [value for value in revisions if value is not None]
+        return bool(known) and max(known) <= revision
+
+    async def wait_uncovered(self, kind):
+        """Wait until no feeder vouches for this gateway's revision of a kind."""
+        future = asyncio.get_running_loop().create_future()
+        self._waiter_by_kind[kind] = future
+        try:
+            await future
+        finally:
+            del self._waiter_by_kind[kind]
+
+    def advance(self, now):
+        """Wake the watchers that no feeder vouches to; as a feeder, vouch to others."""
+        for kind, future in self._waiter_by_kind.items():
+            revision = self.watcher_by_kind[kind].revision
+            if not future.done() and not self.covers(kind, revision, now):
+                future.set_result(None)
+        is_feeder = self.is_feeder(now)
+        if is_feeder != self._was_feeder:
+            self._was_feeder = is_feeder
+            log.info("store_feeder", feeding=is_feeder)
+        if is_feeder and now - self._probed_at < PROBE_VALID_SECONDS:
+            self._post(FeedNotice(self._fresh_revisions()))
+
+    async def probe(self):
+        """As a feeder, keep asking the store whether it still answers."""
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL_SECONDS)
+            now = self._clock()
+            if self.is_feeder(now):
+                answer = await self._store.probe(PROBE_INTERVAL_SECONDS)
+                if answer.is_ok():
+                    self._probed_at = now
+
+    def publish(self, kind, since, revision, objects):
+        """As a feeder, hand on the changes of a kind after the revision `since`."""
+        if not self.is_feeder(self._clock()):
+            return
+        changes = tuple(
+            (o.name, o.revision, o.spec, o.status, o.is_deleted) for o in objects
+        )
+        self._post(StoreNews(kind, since, revision, changes), MAX_NEWS_BYTES)
+
+    def handle_news(self, message, now):
+        """Apply changes that a feeder has handed on.
+
+        A feeder takes none, so that it vouches only for what it has seen itself.
+        """
+        if self.is_feeder(now):
+            return
+        watcher = self.watcher_by_kind.get(message.store_kind)
+        if watcher is not None:
+            objects = tuple(StoredObject(*change) for change in message.changes)
+            watcher.apply_news(message.since, message.revision, objects, now)
+
+    def handle_notice(self, name, message, now):
+        """Record up to which revisions a feeder has handed on changes."""
+        source = self._source_by_name.setdefault(name, _Source())
+        source.revision_by_kind, source.heard_at = message.revision_by_kind, now
+
+    def dump(self, now):
+        """Return who watches the store and what they vouch for, for operators."""
+        return {
+            "feeders": self.feeders(now) if self._is_large() else [],
+            "sources": {
+                name: {
+                    "heard_seconds_ago": round(now - source.heard_at, 3),
+                    "revisions": source.revision_by_kind,
+                }
+                for name, source in self._source_by_name.items()
+            },
+        }
+
+    def _is_large(self):
+        return self._gateway_count() >= MIN_FLEET_SIZE
+
+    def _fresh_revisions(self):
+        return {
+            str(kind): watcher.revision
+            for kind, watcher in self.watcher_by_kind.items()
+            if watcher.is_watching
+        }
+
+    def _post(self, message, most=None):
+        links = list(self._peers.link_by_name.values())
+        if links:
+            self._peers.post_all(links, message, most)
--- a/packages/gateway/src/wharf_gateway/store/store_watcher.py
+++ b/packages/gateway/src/wharf_gateway/store/store_watcher.py
@@ -19,6 +19,7 @@
 # call. Shorter than a call of a step (0.2 s), since pieces may be waiting for capacity.
 COALESCE_SECONDS = 0.15
 MAX_RETRY_SECONDS = 1.0  # between calls while the store is unavailable
+START_POLL_SECONDS = 0.1
 RETRY_BACKOFF = Backoff(first=0.1, longest=MAX_RETRY_SECONDS)
 
 
@@ -30,6 +31,8 @@
     that it returns several changes at once. `unavailable_since` is the time of the
     first failed call of an outage, None while the store answers; `recovered_at` is the
     time at which the last outage ended. All watchers of a process share an `outage`.
+    While a feeder of `feed` vouches for this gateway's revision, the store isn't
+    called.
     """
 
     def __init__(
@@ -43,6 +46,7 @@
         rng,
         *,
         coalesces=False,
+        feed=None,
     ):
         self._store = store
         self.kind = kind
@@ -52,6 +56,9 @@
         self._rng = rng
         self._outage = outage
         self._gathers = coalesces
+        self._feed = feed
+        if feed is not None:
+            feed.watcher_by_kind[kind] = self
         self._has_changed = False
         self.revision = None
         self.unavailable_since = None
@@ -83,6 +90,12 @@
             return answer.map(self._apply_listing)
         if self._has_changed and self._gathers:
             await asyncio.sleep(COALESCE_SECONDS)
+        if self._feed is not None:
+            while self._feed.is_starting(self._clock()):
+                await asyncio.sleep(START_POLL_SECONDS)
+            if self._feed.covers(self.kind, self.revision, self._clock()):
+                await self._feed.wait_uncovered(self.kind)
+                return Ok(None)
         answer = await self._store.watch(self.kind, self.revision, WATCH_SECONDS)
         return answer.map(self._apply_changes)
 
@@ -92,11 +105,41 @@
         self._on_listing(objects, self._clock())
 
     def _apply_changes(self, changes):
-        self.revision = changes.revision
         self._record_answer()
         self._has_changed = bool(changes.objects)
-        if changes.objects:
-            self._on_changes(changes.objects, self._clock())
+        since = self.revision
+        self._advance_to(changes.revision, changes.objects, self._clock())
+        if self._feed is not None:
+            self._feed.publish(self.kind, since, changes.revision, changes.objects)
+
+    def apply_news(self, since, revision, objects, now):
+        """Apply the changes that a feeder saw after the revision `since`.
+
+        They are of no use if this watcher lacks some before them.
+        """
+        if self.revision is not None and since <= self.revision:
+            self._advance_to(revision, objects, now)
+
+    @property
+    def is_watching(self):
+        """Return whether all changes are known up to `revision`."""
+        return self.revision is not None and self.unavailable_since is None
+
+    def _advance_to(self, revision, objects, now):
+        """Apply changes up to a revision, unless they are known already.
+
+        News and an own watch may return the same changes, in any order.
+        """
+        if revision <= self.revision:
+            return
+        known, self.revision = self.revision, revision
+        objects = tuple(
+            changed
+            for changed in objects
+            if changed.is_deleted or changed.revision > known
+        )
+        if objects:
+            self._on_changes(objects, now)
 
     def _record_failure(self, error):
         if self.unavailable_since is None:
