Read what was missed from the store instead of watching from an old revision

A change of the configuration is too large to hand on, so each gateway watched from the revision that it had; the store was dropping its history, took that watch and told nothing. The same was seen after an outage. Ruled out: a feeder cut off (both handed on and vouched), a lost notice (the revision told was newer than the known one).

Change: a gateway that has waited for a feeder lists the kind and then follows again: one call as before. After its start it lists again if no feeder is there. Test: a change is missed and the history gone; failed first.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -39,9 +39,8 @@
 EXIT_MARGIN_SECONDS = 0.7  # part of `stop_seconds` reserved for the exit itself
 TICK_SECONDS = 0.1  # between checks for expired state
 
-# Kinds that change in series, when upstreams are replaced, hosts start or operators
-# write several versions.
-COALESCED_KINDS = (StoreKind.UPSTREAMS, StoreKind.ENTRIES, StoreKind.CONFIGURATION)
+# Kinds whose entries change in series, when upstreams are replaced or hosts start.
+COALESCED_KINDS = (StoreKind.UPSTREAMS, StoreKind.ENTRIES)
 
 
 class Gateway:
--- a/packages/gateway/src/wharf_gateway/peers/messages.py
+++ b/packages/gateway/src/wharf_gateway/peers/messages.py
@@ -14,7 +14,6 @@
 
 __all__ = [
     "Abandon",
-    "FeedNotice",
     "Free",
     "Greeting",
     "LoadNotice",
@@ -101,11 +100,14 @@
     """Report the sender's backlog in seconds for each pool whose preparer it is.
 
     The message also serves as a heartbeat. A sender that is not `ready` accepts no
-    preparations.
+    preparations. It sends the next notice well within `valid_seconds`. If it watches
+    the store for others, it has handed on all changes up to `revision_by_kind`.
     """
 
     ready: bool
     backlog_by_pool: dict[str, float]
+    valid_seconds: float = 0.5
+    revision_by_kind: dict[str, int] = Field(default_factory=dict)
     kind: Literal["load"] = "load"
 
 
@@ -155,14 +157,6 @@
     kind: Literal["news"] = "news"
 
 
-@dataclass(frozen=True, slots=True)
-class FeedNotice:
-    """Vouch that all changes up to these revisions have been handed on."""
-
-    revision_by_kind: dict[str, int]
-    kind: Literal["feed"] = "feed"
-
-
 Message = TypeAdapter(
     Annotated[
         Greeting
@@ -174,8 +168,7 @@
         | LoadNotice
         | ShareNotice
         | RolloutSample
-        | StoreNews
-        | FeedNotice,
+        | StoreNews,
         Field(discriminator="kind"),
     ]
 )
--- a/packages/gateway/src/wharf_gateway/peers/peer_link.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_link.py
@@ -9,7 +9,6 @@
 from wharf_gateway.peers.codec import decode, encode
 from wharf_gateway.peers.messages import (
     Abandon,
-    FeedNotice,
     Free,
     Greeting,
     LoadNotice,
@@ -27,7 +26,8 @@
 
 log = structlog.get_logger(__name__)
 
-# Five intervals of load notices; a peer silent for longer gets no preparations.
+# Until its first notice says otherwise, a peer that is silent for longer than this gets
+# no preparations.
 PEER_TIMEOUT_SECONDS = 0.5
 MAX_TRACKED_PREPARATIONS = 10_000  # whose late results can still be released
 MAX_QUEUED_MESSAGES = 2000  # the link to a peer that doesn't read is closed
@@ -59,6 +59,7 @@
         self.is_ready = False
         self.backlog_by_pool = {}
         self.last_received_at = float("-inf")
+        self._valid_seconds = PEER_TIMEOUT_SECONDS
         self.ended = asyncio.Event()
         self.is_outgoing = is_outgoing
 
@@ -89,7 +90,8 @@
 
     def is_responsive(self, now):
         """Return whether a message of the peer arrived recently."""
-        return not self.is_closed and now - self.last_received_at < PEER_TIMEOUT_SECONDS
+        silence = now - self.last_received_at
+        return not self.is_closed and silence < self._valid_seconds
 
     def is_available(self, now):
         """Return whether the peer is responsive and accepts preparations."""
@@ -165,9 +167,12 @@
 
     def _handle(self, message):
         match message:
-            case LoadNotice(ready, backlogs):
+            case LoadNotice(ready, backlogs, valid_seconds, revision_by_kind):
                 self.is_ready = ready
                 self.backlog_by_pool = backlogs
+                self._valid_seconds = valid_seconds
+                if revision_by_kind:
+                    self._feed.handle_notice(self.name, revision_by_kind, self._clock())
             case Prepare():
                 task = asyncio.create_task(self._prepare(message))
                 self._task_by_number[message.number] = task
@@ -191,8 +196,6 @@
                 self._rollouts.add_sample(message, self._clock())
             case StoreNews():
                 self._feed.handle_news(message, self._clock())
-            case FeedNotice():
-                self._feed.handle_notice(self.name, message, self._clock())
 
     def _resolve(self, number, answer):
         """Complete a pending preparation; return whether it was still pending."""
--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -17,7 +17,14 @@
 
 log = structlog.get_logger(__name__)
 
-LOAD_INTERVAL_SECONDS = 0.1  # a tenth of the shortest latency target of a request
+# Gateways that others depend on send notices at a tenth of the shortest latency target
+# of a request; those that may take their place less often, all others only to show
+# that they run.
+LOAD_INTERVAL_SECONDS = 0.1
+STANDBY_INTERVALS = 2
+IDLE_INTERVALS = 4
+VALID_SECONDS = 0.5
+IDLE_VALID_SECONDS = 1.0
 RECONNECT_BACKOFF = Backoff(first=0.1, longest=2.0)
 FALLBACK_DIAL_SECONDS = 1.0  # the other side usually connects within some 50 ms
 # Pings of the websockets library; as for all connections, a link is closed after three
@@ -182,12 +189,29 @@
         return link.is_outgoing == (self._settings.name < link.name)
 
     def _load_notice(self):
-        return LoadNotice(*self._load())
+        ready, backlog_by_pool = self._load()
+        vouched = self.feed.vouched_revisions(self._clock()) if self.feed else {}
+        is_candidate = self._settings.name in self.candidates
+        valid_seconds = VALID_SECONDS if is_candidate else IDLE_VALID_SECONDS
+        return LoadNotice(ready, backlog_by_pool, valid_seconds, vouched)
+
+    def _notice_intervals(self, notice, last):
+        """Return after how many intervals a notice follows the last one sent."""
+        if self._settings.name not in self.candidates:
+            return IDLE_INTERVALS
+        is_needed = notice.backlog_by_pool or notice.revision_by_kind
+        has_changed = last is None or notice.ready != last.ready
+        return 1 if is_needed or has_changed else STANDBY_INTERVALS
 
     async def _send_load_notices(self):
+        last, waited = None, 0
         while True:
             await asyncio.sleep(LOAD_INTERVAL_SECONDS)
-            self.post_all(list(self.link_by_name.values()), self._load_notice())
+            waited += 1
+            notice = self._load_notice()
+            if waited >= self._notice_intervals(notice, last):
+                self.post_all(list(self.link_by_name.values()), notice)
+                last, waited = notice, 0
             self._check_peers()
 
     def _check_peers(self):
--- a/packages/gateway/src/wharf_gateway/store/store_feed.py
+++ b/packages/gateway/src/wharf_gateway/store/store_feed.py
@@ -1,12 +1,12 @@
 """Handing on changes of the store between gateways, so that few of them watch it."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 import structlog
 
 from wharf_coordination.rendezvous import ranked
-from wharf_gateway.peers.messages import FeedNotice, StoreNews
+from wharf_gateway.peers.messages import StoreNews
 from wharf_gateway.store.stored_object import StoredObject
 
 __all__ = ["StoreFeed"]
@@ -29,12 +29,12 @@
 MAX_NEWS_BYTES = 16_000
 
 
-@dataclass(slots=True)
+@dataclass(frozen=True, slots=True)
 class _Source:
     """What a feeder vouches for: revisions by kind, and when it last did so."""
 
-    revision_by_kind: dict = field(default_factory=dict)
-    heard_at: float = float("-inf")
+    revision_by_kind: dict
+    heard_at: float
 
 
 class StoreFeed:
@@ -109,7 +109,7 @@
             del self._waiter_by_kind[kind]
 
     def advance(self, now):
-        """Wake the watchers that no feeder vouches to; as a feeder, vouch to others."""
+        """Wake the watchers that no feeder vouches to any more."""
         for kind, future in self._waiter_by_kind.items():
             revision = self.watcher_by_kind[kind].revision
             if not future.done() and not self.covers(kind, revision, now):
@@ -118,8 +118,20 @@
         if is_feeder != self._was_feeder:
             self._was_feeder = is_feeder
             log.info("store_feeder", feeding=is_feeder)
-        if is_feeder and now - self._probed_at < PROBE_VALID_SECONDS:
-            self._post(FeedNotice(self._fresh_revisions()))
+
+    def vouched_revisions(self, now):
+        """Return up to which revisions this gateway vouches for each kind to others.
+
+        This is empty unless it is a feeder whose last probe was answered just now.
+        """
+        is_sure = now - self._probed_at < PROBE_VALID_SECONDS
+        if not is_sure or not self.is_feeder(now):
+            return {}
+        return {
+            str(kind): watcher.revision
+            for kind, watcher in self.watcher_by_kind.items()
+            if watcher.is_watching
+        }
 
     async def probe(self):
         """As a feeder, keep asking the store whether it still answers."""
@@ -152,10 +164,9 @@
             objects = tuple(StoredObject(*change) for change in message.changes)
             watcher.apply_news(message.since, message.revision, objects, now)
 
-    def handle_notice(self, name, message, now):
+    def handle_notice(self, name, revision_by_kind, now):
         """Record up to which revisions a feeder has handed on changes."""
-        source = self._source_by_name.setdefault(name, _Source())
-        source.revision_by_kind, source.heard_at = message.revision_by_kind, now
+        self._source_by_name[name] = _Source(revision_by_kind, now)
 
     def dump(self, now):
         """Return who watches the store and what they vouch for, for operators."""
@@ -173,13 +184,6 @@
     def _is_large(self):
         return self._gateway_count() >= MIN_FLEET_SIZE
 
-    def _fresh_revisions(self):
-        return {
-            str(kind): watcher.revision
-            for kind, watcher in self.watcher_by_kind.items()
-            if watcher.is_watching
-        }
-
     def _post(self, message, most=None):
         links = list(self._peers.link_by_name.values())
         if links:
--- a/packages/gateway/src/wharf_gateway/store/store_watcher.py
+++ b/packages/gateway/src/wharf_gateway/store/store_watcher.py
@@ -91,14 +91,25 @@
         if self._has_changed and self._gathers:
             await asyncio.sleep(COALESCE_SECONDS)
         if self._feed is not None:
-            while self._feed.is_starting(self._clock()):
-                await asyncio.sleep(START_POLL_SECONDS)
-            if self._feed.covers(self.kind, self.revision, self._clock()):
-                await self._feed.wait_uncovered(self.kind)
+            if await self._follow_feed():
+                # The store may have dropped the history since this revision.
+                self.revision = None
                 return Ok(None)
         answer = await self._store.watch(self.kind, self.revision, WATCH_SECONDS)
         return answer.map(self._apply_changes)
 
+    async def _follow_feed(self):
+        """Wait while a feeder vouches for this revision; return whether it waited."""
+        has_waited = False
+        while self._feed.is_starting(self._clock()):
+            await asyncio.sleep(START_POLL_SECONDS)
+            has_waited = True
+        if self._feed.covers(self.kind, self.revision, self._clock()):
+            await self._feed.wait_uncovered(self.kind)
+            await asyncio.sleep(COALESCE_SECONDS)
+            has_waited = True
+        return has_waited
+
     def _apply_listing(self, listing):
         objects, self.revision = listing
         self._record_answer()
--- a/packages/standins/src/wharf_standins/steps/pattern.py
+++ b/packages/standins/src/wharf_standins/steps/pattern.py
@@ -125,6 +125,22 @@
         *(_MARKET, _MARKET_BATCHINGS, _ONE_EACH), (Burst(3.0, 6.5, 2.4, "answers"),)
     ),
     "overload": Pattern(_CLASSES, _BATCHINGS, _ONE_EACH, load=2.0),
+    # A data centre is emptied for the rest of the day: a third of the upstreams.
+    "centre-out": Pattern(
+        *(_CLASSES, _MANY_BATCHINGS, dict.fromkeys(_BATCHINGS, (4, 4, 0))),
+        (Burst(6.0, 5.0, 1.5),),
+        load=6.0,
+    ),
+    "market-centre-out": Pattern(
+        *(_MARKET, _MARKET_BATCHINGS, dict.fromkeys(_BATCHINGS, (4, 4, 0))),
+        (Burst(6.0, 6.0, 2.4, "reports"), Burst(18.0, 6.0, 2.3, "answers")),
+        load=3.7,
+    ),
+    "long-overload": Pattern(
+        *(_MARKET, _MARKET_BATCHINGS, dict.fromkeys(_BATCHINGS, (4, 4, 4))),
+        (Burst(6.0, 12.0, 2.0),),
+        load=4.0,
+    ),
     "many-upstreams": Pattern(
         *(_CLASSES, _MANY_BATCHINGS, _MANY_UPSTREAMS),
         (Burst(6.0, 5.0, 2.4, "drafts"), Burst(18.0, 5.0, 2.4, "questions")),
--- a/packages/standins/tests/test_store_feed.py
+++ b/packages/standins/tests/test_store_feed.py
@@ -12,7 +12,7 @@
 import pytest
 from result import Err, Ok
 
-from wharf_gateway.peers.messages import FeedNotice, StoreNews
+from wharf_gateway.peers.messages import StoreNews
 from wharf_gateway.store.outage import Outage
 from wharf_gateway.store.store_changes import StoreChanges
 from wharf_gateway.store.store_error import StoreUnavailable
@@ -37,6 +37,7 @@
         self.changed = asyncio.Event()
         self.calls = 0
         self.cut = set()
+        self.history_from = 0
 
     def write(self, name):
         self.revision += 1
@@ -70,7 +71,12 @@
     async def watch(self, kind, revision, wait_seconds):
         answer = await self._call(wait_seconds)
         while answer.is_ok():
-            found = tuple(c for c in self._store.changes if c.revision > revision)
+            is_dropped = revision < self._store.history_from
+            found = tuple(
+                c
+                for c in self._store.changes
+                if c.revision > revision and not is_dropped
+            )
             if self._name in self._store.cut:
                 await asyncio.sleep(wait_seconds)
                 return Err(StoreUnavailable("silent"))
@@ -149,18 +155,22 @@
         feed = self.feed_by_name[receiver]
         match message:
             case StoreNews():
-                args = (feed.handle_news, message)
-            case FeedNotice():
-                args = (feed.handle_notice, sender, message)
-        handle, *rest = args
-        self._loop.call_later(LINK_SECONDS, lambda: handle(*rest, self._loop.time()))
+                handle, args = feed.handle_news, (message,)
+            case revisions:
+                handle, args = feed.handle_notice, (sender, revisions)
+        self._loop.call_later(LINK_SECONDS, lambda: handle(*args, self._loop.time()))
 
     async def _tick(self):
         while True:
             await asyncio.sleep(NOTICE_SECONDS)
             for name, feed in self.feed_by_name.items():
-                if name not in self.frozen:
-                    feed.advance(self.clock())
+                if name in self.frozen:
+                    continue
+                feed.advance(self.clock())
+                revisions = feed.vouched_revisions(self.clock())
+                if revisions:
+                    for other in self.names:
+                        self._deliver(name, other, revisions)
 
     def slowest(self, name, since):
         """Return the seconds until the last gateway had seen an object."""
@@ -308,3 +318,23 @@
         return fleet.seen_by_name[name]["upstream"] - began
 
     assert played(miss) < 0.5
+
+
+def test_a_gateway_that_missed_a_change_needs_no_history(played):
+    """On scale-1 of a fleet of 108 hosts the store had dropped the history since the
+    revision that gateways had, took their watch and told them nothing for six seconds:
+    keys that were revoked meanwhile were still let in."""
+
+    async def miss(fleet):
+        name = next(n for n in fleet.names if n not in fleet.feeders)
+        feed = fleet.feed_by_name[name]
+        handle, feed.handle_news = feed.handle_news, lambda message, now: None
+        fleet.store.write("upstream")
+        fleet.store.history_from = fleet.store.revision
+        began = fleet.clock()
+        await asyncio.sleep(0.05)
+        feed.handle_news = handle
+        await asyncio.sleep(1.0)
+        return fleet.seen_by_name[name].get("upstream", float("inf")) - began
+
+    assert played(miss) < 0.5
