--- a/packages/gateway/src/wharf_gateway/store/store_watcher.py
+++ b/packages/gateway/src/wharf_gateway/store/store_watcher.py
@@ -90,11 +90,10 @@
             return answer.map(self._apply_listing)
         if self._has_changed and self._gathers:
             await asyncio.sleep(COALESCE_SECONDS)
-        if self._feed is not None:
-            if await self._follow_feed():
-                # The store may have dropped the history since this revision.
-                self.revision = None
-                return Ok(None)
+        if self._feed is not None and await self._follow_feed():
+            # The store may have dropped the history since this revision.
+            self.revision = None
+            return Ok(None)
         answer = await self._store.watch(self.kind, self.revision, WATCH_SECONDS)
         return answer.map(self._apply_changes)
 
--- a/packages/standins/tests/test_store_feed.py
+++ b/packages/standins/tests/test_store_feed.py
@@ -330,9 +330,9 @@
         feed = fleet.feed_by_name[name]
         handle, feed.handle_news = feed.handle_news, lambda message, now: None
         fleet.store.write("upstream")
-        fleet.store.history_from = fleet.store.revision
         began = fleet.clock()
         await asyncio.sleep(0.05)
+        fleet.store.history_from = fleet.store.revision
         feed.handle_news = handle
         await asyncio.sleep(1.0)
         return fleet.seen_by_name[name].get("upstream", float("inf")) - began
