Bound what an upstream may send, and judge streams by events

Change: limits on heads (bytes, fields, interim heads, bytes between chunks), on bodies and events that are held as a whole, on answers that are skipped; a declared length over the limit is refused unread; the connection is reset and the answer is broken with the code answer_too_large, never repeated where it may have run. Reading pauses while 256 kB wait, so that a caller that reads slowly slows its engine down. A stream is stalled after the allowed pause without a whole event, or four times its own longest pause; one that may be resumed then moves on, any other ends when its caller has left by the operators' rule. Settings max_answer_bytes and max_answer_head_bytes.

Not measured: requests a core before and after.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -9,6 +9,7 @@
 from result import Err, Ok
 
 from wharf_gateway.fleet import Fleet
+from wharf_gateway.http.answer_limits import AnswerLimits
 from wharf_gateway.http.connection_pool import ConnectionPool
 from wharf_gateway.http.headers import Headers
 from wharf_gateway.http_server import HttpServer
@@ -39,6 +40,9 @@
 EXIT_MARGIN_SECONDS = 0.7  # part of `stop_seconds` reserved for the exit itself
 TICK_SECONDS = 0.1  # between checks for expired state
 
+# A page of the store holds about a megabyte of objects, written as JSON.
+STORE_LIMITS = AnswerLimits(body_bytes=8 << 20)
+
 # Kinds whose entries change in series, when upstreams are replaced or hosts start.
 COALESCED_KINDS = (StoreKind.UPSTREAMS, StoreKind.ENTRIES)
 
@@ -54,8 +58,13 @@
         self.meter = Meter()
         self._dialect = import_module(settings.dialect).Dialect()
         self.fleet = Fleet(self._dialect)
-        self._pool = ConnectionPool()
-        self._store_pool = ConnectionPool()
+        self._pool = ConnectionPool(
+            limits=AnswerLimits(
+                head_bytes=settings.max_answer_head_bytes,
+                body_bytes=settings.max_answer_bytes,
+            )
+        )
+        self._store_pool = ConnectionPool(limits=STORE_LIMITS)
         self._store = StoreClient(
             settings.store, self._dialect, self._store_pool, self._clock
         )
@@ -112,6 +121,7 @@
             self._clock,
             self._rng,
             self.meter,
+            settings.max_answer_bytes,
         )
         self.server = HttpServer(settings.listen, CallerLimits(), self.handle)
         self._ready_server = HttpServer(
--- a/packages/gateway/src/wharf_gateway/http/connection_pool.py
+++ b/packages/gateway/src/wharf_gateway/http/connection_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import defaultdict, deque
 
+from wharf_gateway.http.answer_limits import AnswerLimits
 from wharf_gateway.http.http_call_error import HttpCallError
 from wharf_gateway.http.upstream_connection import UpstreamConnection
 
@@ -21,10 +22,11 @@
 class ConnectionPool:
     """Open and reuse connections, keeping at most `max_idle` idle ones per address.
 
-    `opened` counts the attempts to open one.
+    `opened` counts the attempts to open one. `limits` apply to each response.
     """
 
-    def __init__(self, max_idle=8):
+    def __init__(self, max_idle=8, limits=None):
+        self._limits = limits or AnswerLimits()
         self._idle = defaultdict(deque)
         self._max_idle = max_idle
         self.opened = 0
@@ -70,7 +72,7 @@
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                 _, connection = await loop.create_connection(
-                    UpstreamConnection, host, int(port)
+                    lambda: UpstreamConnection(self._limits), host, int(port)
                 )
         except (OSError, TimeoutError) as error:
             reason = f"no connection to {address}: {error!r}"
--- a/packages/gateway/src/wharf_gateway/http/http_call_error.py
+++ b/packages/gateway/src/wharf_gateway/http/http_call_error.py
@@ -1,6 +1,6 @@
 """Failure of an HTTP call."""
 
-__all__ = ["HttpCallError"]
+__all__ = ["AnswerTooLargeError", "HttpCallError"]
 
 
 class HttpCallError(Exception):
@@ -12,3 +12,7 @@
     def __init__(self, reason, was_sent=True):
         super().__init__(reason)
         self.was_sent = was_sent
+
+
+class AnswerTooLargeError(HttpCallError):
+    """Raised if a response exceeds a limit; its connection has been reset."""
--- a/packages/gateway/src/wharf_gateway/http/upstream_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/upstream_connection.py
@@ -5,8 +5,9 @@
 
 import httptools
 
+from wharf_gateway.http.answer_limits import AnswerLimits
 from wharf_gateway.http.headers import Headers
-from wharf_gateway.http.http_call_error import HttpCallError
+from wharf_gateway.http.http_call_error import AnswerTooLargeError, HttpCallError
 from wharf_gateway.http.response_head import ResponseHead
 from wharf_gateway.http.socket_options import detect_dead_peer
 
@@ -21,9 +22,15 @@
     Responses to other requests, recognised by `matches(headers)`, are read and dropped.
     A connection on which unexpected data arrived is not reused. `idle_timeout` is how
     long the upstream keeps the idle connection open, in seconds, None if unknown.
+    A response that exceeds `limits` fails, and the connection is reset at once.
     """
 
-    def __init__(self):
+    def __init__(self, limits=None):
+        self._limits = limits or AnswerLimits()
+        self._held_bytes = 0
+        self._unparsed_bytes = 0
+        self._skipped_bytes = 0
+        self._interim_heads = 0
         self._transport = None
         self._parser = None
         self._fields = []
@@ -77,6 +84,7 @@
         if self._parser is None:
             self.close()
             return
+        self._unparsed_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -84,12 +92,21 @@
         except httptools.HttpParserError as error:
             self._fail(f"invalid response: {error}")
             self.close()
+        if self._unparsed_bytes > self._limits.head_bytes:
+            most = self._limits.head_bytes
+            self._fail_too_large(f"over {most} bytes of a head or between chunks")
+        if self._held_bytes > self._limits.held_bytes:
+            self._transport.pause_reading()
 
     def send(self, head, body, matches):
         """Write a request; its response is the first whose headers match."""
         self.is_reusable = False
         self._head = None
         self._parts.clear()
+        self._held_bytes = 0
+        self._unparsed_bytes = 0
+        self._skipped_bytes = 0
+        self._interim_heads = 0
         self._is_complete = False
         self._is_close_delimited = False
         self._error = None
@@ -111,13 +128,29 @@
                 return b""
             self._check()
             await self._wait()
-        return self._parts.popleft()
+        part = self._parts.popleft()
+        self._held_bytes -= len(part)
+        if self._held_bytes <= self._limits.held_bytes:
+            self._transport.resume_reading()
+        return part
 
     async def body(self):
-        """Return the whole body; raise `HttpCallError` if it is incomplete."""
-        parts = []
+        """Return the whole body.
+
+        Raises `HttpCallError` if it is incomplete, `AnswerTooLargeError` if it has more
+        bytes than the limit or declares so.
+        """
+        most = self._limits.body_bytes
+        declared = self._head.headers.get("content-length") if self._head else None
+        if declared and declared.isdecimal() and int(declared) > most:
+            self._fail_too_large(f"body of {declared} bytes, over {most}")
+        parts, size = [], 0
         while data := await self.next_part():
             parts.append(data)
+            size += len(data)
+            if size > most:
+                self._fail_too_large(f"body over {most} bytes")
+                self._check()
         return b"".join(parts)
 
     def close(self):
@@ -136,11 +169,15 @@
         self._fields = []
 
     def on_header(self, name, value):
-        """Collect a header field."""
+        """Collect a header field, or a field after a chunked body."""
+        self._unparsed_bytes = 0
         self._fields.append((name.decode("latin-1"), value.decode("latin-1")))
+        if len(self._fields) > self._limits.fields:
+            self._fail_too_large(f"over {self._limits.fields} header fields")
 
     def on_headers_complete(self):
         """Store the head of the expected response; skip any other message."""
+        self._unparsed_bytes = 0
         if self._head is not None:
             self._is_skipped = True
             return
@@ -148,6 +185,9 @@
         headers = Headers(tuple(self._fields))
         if 100 <= status < 200:
             self._is_skipped = True
+            self._interim_heads += 1
+            if self._interim_heads > self._limits.interim_heads:
+                self._fail_too_large(f"over {self._limits.interim_heads} interim heads")
             return
         self._is_skipped = not self._matches(headers)
         if self._is_skipped:
@@ -163,9 +203,15 @@
 
     def on_body(self, body):
         """Store a part of the expected response's body."""
+        self._unparsed_bytes = 0
         if not self._is_skipped:
             self._parts.append(body)
+            self._held_bytes += len(body)
             self._wake()
+            return
+        self._skipped_bytes += len(body)
+        if self._skipped_bytes > self._limits.body_bytes:
+            self._fail_too_large(f"skipped over {self._limits.body_bytes} bytes")
 
     def on_message_complete(self):
         """Complete the response, unless the message is skipped."""
@@ -188,7 +234,7 @@
         return False
 
     def _complete(self):
-        self._is_complete = True
+        self._is_complete = self._error is None
         self._wake()
 
     def _fail(self, reason):
@@ -196,6 +242,13 @@
             self._error = HttpCallError(reason)
         self._wake()
 
+    def _fail_too_large(self, reason):
+        if self._error is None:
+            self._error = AnswerTooLargeError(reason)
+        self._parts.clear()
+        self._wake()
+        self.close()
+
     def _check(self):
         if self._error:
             raise self._error
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -7,9 +7,10 @@
 
 from wharf_coordination.code import Code
 from wharf_gateway.attempt_result import AttemptResult
+from wharf_gateway.event_pace import EventPace
 from wharf_gateway.event_splitter import EventSplitter
 from wharf_gateway.gateway_response import GatewayResponse
-from wharf_gateway.http.http_call_error import HttpCallError
+from wharf_gateway.http.http_call_error import AnswerTooLargeError, HttpCallError
 from wharf_gateway.model.route_kind import RouteKind
 from wharf_gateway.routing.upstream_selector import UpstreamSelector
 from wharf_gateway.stages.preparation import Preparation
@@ -30,6 +31,8 @@
 # Engines send events every few dozen milliseconds, so that one which pauses for this
 # long is stuck. Callers give up after two seconds at the earliest.
 STALL_TIMEOUT_SECONDS = 1.0
+# Callers give up a stream after a pause of this long, or longer by their route's times.
+GIVE_UP_SECONDS = 2.0
 # A long prompt that is queued behind others takes up to a second.
 FIRST_EVENT_TIMEOUT_SECONDS = 1.5
 # A cancelled attempt counts as a failure of its upstream after this long.
@@ -52,6 +55,7 @@
         clock,
         rng,
         meter,
+        max_event_bytes=1 << 20,
     ):
         self._fleet = fleet
         self._dialect = dialect
@@ -62,6 +66,7 @@
         self._clock = clock
         self._choice = UpstreamSelector(fleet, rollouts, rng)
         self._meter = meter
+        self._max_event_bytes = max_event_bytes
 
     async def run(self, context, responder):
         """Answer the request within its deadline."""
@@ -277,14 +282,19 @@
     async def _relay_stream(
         self, context, state, responder, connection, head, splitter, started
     ):
-        while data := await self._next_part(context, connection):
+        pace = EventPace(_allowed_pause(context.route), self._clock())
+        while data := await self._next_part(pace, connection):
+            received_at = self._clock()
             events = splitter.feed(data)
+            if len(splitter.buffer) > self._max_event_bytes:
+                raise AnswerTooLargeError(f"event over {self._max_event_bytes} bytes")
             if events:
                 if not responder.is_started:
                     self._note_success(context, state, started)
                     self._drop_inputs(context)
                     responder.begin(head.status, _forwarded_headers(head.headers))
                 await responder.send(events)
+                pace.record(received_at, self._clock())
         if splitter.buffer:
             raise HttpCallError("the stream ended in the middle of an event")
         if not responder.is_started:
@@ -293,10 +303,9 @@
         self._log_answer(context, state, head.status, started)
         return AttemptResult()
 
-    async def _next_part(self, context, connection):
-        """Return the next bytes; a resumable stream times out when it stalls."""
-        seconds = STALL_TIMEOUT_SECONDS if context.route.is_resumable else None
-        async with asyncio.timeout(seconds):
+    async def _next_part(self, pace, connection):
+        """Return the next bytes; raise `TimeoutError` if the stream has stalled."""
+        async with asyncio.timeout_at(pace.stalled_at):
             return await connection.next_part()
 
     def _attempt_timeout(self, context, state):
@@ -327,7 +336,9 @@
         if not error.was_sent:
             answer = GatewayResponse.not_run(Code.NO_UPSTREAM, str(error))
             return AttemptResult(answer, not_run=True, counts=0)
-        return AttemptResult(GatewayResponse(502, Code.ANSWER_BROKEN, str(error)))
+        is_too_large = isinstance(error, AnswerTooLargeError)
+        code = Code.ANSWER_TOO_LARGE if is_too_large else Code.ANSWER_BROKEN
+        return AttemptResult(GatewayResponse(502, code, str(error)))
 
     def _drop_inputs(self, context):
         if context.inputs:
@@ -376,6 +387,17 @@
         )
 
 
+def _allowed_pause(route):
+    """Return the seconds without an event after which a stream counts as stalled.
+
+    One that may be resumed can go on at another upstream. Any other ends when its
+    caller has given it up, by the operators' rule.
+    """
+    if route.is_resumable:
+        return max(STALL_TIMEOUT_SECONDS, 2 * route.max_event_gap)
+    return max(GIVE_UP_SECONDS, 4 * route.target_latency, 8 * route.max_event_gap)
+
+
 def _deadline_response(context):
     if context.may_have_run:
         return GatewayResponse(
--- a/packages/gateway/src/wharf_gateway/settings.py
+++ b/packages/gateway/src/wharf_gateway/settings.py
@@ -20,7 +20,9 @@
     settings limit the retries of all gateways together, to the fraction `retry_share`
     of the requests plus `retry_reserve` in each `retry_window` seconds. A process that
     is stopped exits within `stop_seconds`. Metrics are served on `metrics_listen`, if
-    it is given. The host provides `processor_share` of a core that is
+    it is given. An upstream's answer is broken if its head exceeds
+    `max_answer_head_bytes`, or if a body or an event that has to be held as a whole
+    exceeds `max_answer_bytes`. The host provides `processor_share` of a core that is
     `processor_speed` times as fast as usual, and a link of `link_megabits` a second.
     """
 
@@ -39,6 +41,8 @@
     retry_reserve: float = Field(default=10, ge=0)
     retry_window: Seconds = 10.0
     stop_seconds: Seconds = 8.0
+    max_answer_head_bytes: int = Field(default=65_536, ge=1024, le=1 << 24)
+    max_answer_bytes: int = Field(default=1 << 20, ge=1024, le=1 << 30)
     processor_share: float = Field(default=1.0, gt=0)
     processor_speed: float = Field(default=1.0, gt=0)
     link_megabits: float = Field(default=1000.0, gt=0)
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -1,10 +1,12 @@
 """Responses to callers for what upstreams do, over real connections."""
 
 import asyncio
+import json
 from random import Random
 
 import pytest
 
+from wharf_coordination.code import Code
 from wharf_gateway.fleet import Fleet
 from wharf_gateway.http.connection_pool import ConnectionPool
 from wharf_gateway.http.headers import Headers
@@ -151,6 +153,42 @@
     return run
 
 
+async def test_stream_that_sends_bytes_but_no_event_is_resumed(upstreams, ask):
+    """Each byte once began the time limit anew, so that the stream never ended."""
+    first = STREAM + b"f\r\nid: 1\ndata: a\n\n\r\n"
+    await upstreams.add(first, *[b"1\r\n:\r\n"] * 500, silent=True)
+    await upstreams.add(STREAM, b"f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n")
+
+    caller = await ask("stream", resumable=True, seconds=4.0)
+
+    assert caller.body == b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+    assert caller.ending == "whole"
+
+
+async def test_slow_but_sound_stream_is_not_cut(upstreams, ask):
+    event = b"9\r\ndata: a\n\n\r\n"
+    pauses = [event, *[b""] * 60] * 3
+    await upstreams.add(STREAM, *pauses, b"0\r\n\r\n")
+
+    caller = await ask("stream", resumable=True, seconds=4.0)
+
+    assert (caller.body, caller.ending) == (b"data: a\n\n" * 3, "whole")
+    assert len(upstreams.seen) == 1
+
+
+async def test_answer_over_the_limit_has_its_own_code(upstreams, ask):
+    size = (1 << 20) + 1
+    await upstreams.add(
+        b"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\nContent-Length: %d\r\n\r\n" % size
+    )
+    await upstreams.add(SIGNED)
+
+    caller = await ask("unsafe")
+
+    assert json.loads(caller.body)["code"] == Code.ANSWER_TOO_LARGE
+    assert len(upstreams.seen) == 1
+
+
 async def test_response_is_forwarded(upstreams, ask):
     await upstreams.add(SIGNED)
 
