Trust nothing after a pause before the store has been asked again

It could happen here: the monotonic clock stops while a machine is suspended, so that a new version's share, a feeder's word and deadlines stayed valid by the gateway's own clock; and after any pause requests were routed by the upstreams, data centres and keys known before it until the watch's answers had been read.

Change: the event loop runs on the boot time, which counts suspensions. A process that has done no step for a second reads all kinds again, on new connections, and holds new requests and attempts until then, at most a second if the store is away.

Not shown: a real process under SIGSTOP or a suspended host.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -14,6 +14,7 @@
 from wharf_gateway.http.headers import Headers
 from wharf_gateway.http_server import HttpServer
 from wharf_gateway.model.caller_limits import CallerLimits
+from wharf_gateway.pause_guard import PauseGuard
 from wharf_gateway.peers.peer_set import PeerSet
 from wharf_gateway.peers.registry import Registry
 from wharf_gateway.preparation_router import PreparationRouter
@@ -105,6 +106,7 @@
             self._clock,
         )
         self.peers.feed = self.feed
+        self.pause_guard = PauseGuard(self._clock(), self._ask_again, self._is_current)
         self._admission = RequestAdmission(self.fleet, self._dialect, self._clock)
         budgets = RetryBudgets(
             settings.retry_share,
@@ -122,6 +124,7 @@
             self._rng,
             self.meter,
             settings.max_answer_bytes,
+            self.pause_guard,
         )
         self.server = HttpServer(settings.listen, CallerLimits(), self.handle)
         self._ready_server = HttpServer(
@@ -134,6 +137,8 @@
             )
         self._add_gauges()
         self._tasks = []
+        self._watchers = []
+        self._watch_tasks = []
 
     async def start(self):
         """Start listening and following the store."""
@@ -165,7 +170,7 @@
                 self.rollouts.apply_orders,
             ),
         ]
-        self._tasks = [asyncio.create_task(f.run()) for f in self._watchers]
+        self._watch_tasks = [asyncio.create_task(f.run()) for f in self._watchers]
         self._tasks.append(asyncio.create_task(self._tick()))
         self._tasks.append(asyncio.create_task(self._registry.register()))
         self._tasks.append(asyncio.create_task(self.feed.probe()))
@@ -188,7 +193,7 @@
             await asyncio.sleep(TICK_SECONDS / 2)
             self.server.close_idle()
         log.info("stopped", busy=self.server.busy_count)
-        for task in self._tasks:
+        for task in (*self._tasks, *self._watch_tasks):
             task.cancel()
 
     @property
@@ -255,6 +260,7 @@
 
     async def handle(self, request, responder):
         """Serve one request of a caller."""
+        await self.pause_guard.wait_sure(self._clock)
         match await self._admission.admit(request):
             case Err(answer):
                 log.info(
@@ -298,10 +304,23 @@
         self.fleet.gateway_count = max(1, len(entry_by_name))
         self.peers.update_peers(entry_by_name)
 
+    def _ask_again(self):
+        """Read all kinds from the store again, on connections of their own."""
+        for task in self._watch_tasks:
+            task.cancel()
+        self._store_pool.close()
+        for watcher in self._watchers:
+            watcher.revision = None
+        self._watch_tasks = [asyncio.create_task(f.run()) for f in self._watchers]
+
+    def _is_current(self):
+        return all(watcher.revision is not None for watcher in self._watchers)
+
     async def _tick(self):
         while True:
             await asyncio.sleep(TICK_SECONDS)
             now = self._clock()
+            self.pause_guard.step(now)
             self.feed.advance(now)
             self.fleet.remove_expired(now)
             self.fleet.decay_paces(TICK_SECONDS)
--- a/packages/gateway/src/wharf_gateway/main.py
+++ b/packages/gateway/src/wharf_gateway/main.py
@@ -12,6 +12,7 @@
 from pydantic import ValidationError
 from result import Err, Ok
 
+from wharf_gateway.boot_time_loop import BootTimeLoop
 from wharf_gateway.gateway import Gateway
 from wharf_gateway.settings import GatewaySettings
 from wharf_gateway.telemetry.log_setup import set_up_logs
@@ -58,7 +59,8 @@
 def _start(settings):
     writer = set_up_logs(sys.stdout.fileno())
     try:
-        asyncio.run(_serve(settings, writer))
+        with asyncio.Runner(loop_factory=BootTimeLoop) as runner:
+            runner.run(_serve(settings, writer))
     except OSError as error:
         print(f"{settings.name}: {error}", file=sys.stderr)
         return EXIT_NOT_STARTED
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -56,6 +56,7 @@
         rng,
         meter,
         max_event_bytes=1 << 20,
+        pause_guard=None,
     ):
         self._fleet = fleet
         self._dialect = dialect
@@ -67,6 +68,7 @@
         self._choice = UpstreamSelector(fleet, rollouts, rng)
         self._meter = meter
         self._max_event_bytes = max_event_bytes
+        self._pause_guard = pause_guard
 
     async def run(self, context, responder):
         """Answer the request within its deadline."""
@@ -135,10 +137,14 @@
         answer = GatewayResponse.not_run(Code.NO_UPSTREAM, "no upstream available")
         attempts = 0
         while context.sends < MAX_SENDS and attempts < context.route.max_attempts:
+            if self._pause_guard is not None:
+                await self._pause_guard.wait_sure(self._clock)
             if context.route.steps and context.inputs is None:
                 refusal = await self._prepare(context)
                 if refusal is not None:
                     return refusal if not context.may_have_run else answer
+            if self._pause_guard is not None:
+                await self._pause_guard.wait_sure(self._clock)
             state = self._choice.select(context, self._clock())
             if state is None:
                 return answer
