--- a/packages/gateway/src/wharf_gateway/stages/preparation_scheduler.py
+++ b/packages/gateway/src/wharf_gateway/stages/preparation_scheduler.py
@@ -16,9 +16,9 @@
 # so that a single one that met a fault changes little.
 STRETCH_WEIGHT = 0.1
 # How long after its arrival a request with a short target latency still ranks among
-# those that can be on time: about half a call of its first service, as it has to wait
-# for the call that runs. Any longer, and in overload all start too late to be on time.
-ARRIVAL_GRACE_SECONDS = 0.15
+# those that can be on time: about one call of its first service, for which it has to
+# wait in any case.
+ARRIVAL_GRACE_SECONDS = 0.3
 # A late preparation also waits behind later arrivals that can be on time. Its delay is
 # estimated as this multiple of the time for the work before it.
 LATE_DELAY_FACTOR = 3.0
