--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 
 .PHONY: demo test lint setup
 .PHONY: bench bench-claims bench-overhead histories propagation slopes soak
-.PHONY: trial-rollouts
+.PHONY: trial-judge trial-rollouts
 
 SEEDS ?= 1-50
 
@@ -39,6 +39,9 @@
 	$(BIN)/python -m wharf_standins trial-rollouts
 	$(BIN)/python -m wharf_standins trial-daemons
 
+trial-judge: setup
+	$(BIN)/python -m wharf_standins trial-judge
+
 test: setup
 	$(BIN)/python -m pytest
 
