Send to all peers, and wait after a pause, by one piece of code each

- Two copies of the loop over all links, and the rollout manager's own, which encoded a share once a link: PeerSet.post_all serves the three.
- A request without steps asked the pause guard twice in a row before it was sent; each decision now asks once.
- A feed ranked the feeders anew for each waiting kind, ten times a second; once a tick.
- The validity of a notice stood in two files; limits of a connection had two defaults.
- Two tests of cut and frozen feeders computed what Fleet.slowest does.

--- a/packages/gateway/src/wharf_gateway/http/upstream_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/upstream_connection.py
@@ -5,7 +5,6 @@
 
 import httptools
 
-from wharf_gateway.http.answer_limits import AnswerLimits
 from wharf_gateway.http.headers import Headers
 from wharf_gateway.http.http_call_error import AnswerTooLargeError, HttpCallError
 from wharf_gateway.http.response_head import ResponseHead
@@ -25,8 +24,8 @@
     A response that exceeds `limits` fails, and the connection is reset at once.
     """
 
-    def __init__(self, limits=None):
-        self._limits = limits or AnswerLimits()
+    def __init__(self, limits):
+        self._limits = limits
         self._held_bytes = 0
         self._unparsed_bytes = 0
         self._skipped_bytes = 0
--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -11,7 +11,7 @@
 from wharf_gateway.peers.candidates import candidates
 from wharf_gateway.peers.codec import MAX_FRAME_BYTES, encode
 from wharf_gateway.peers.messages import Greeting, LoadNotice
-from wharf_gateway.peers.peer_link import PeerLink
+from wharf_gateway.peers.peer_link import PEER_TIMEOUT_SECONDS, PeerLink
 
 __all__ = ["PeerSet"]
 
@@ -23,7 +23,6 @@
 LOAD_INTERVAL_SECONDS = 0.1
 STANDBY_INTERVALS = 2
 IDLE_INTERVALS = 4
-VALID_SECONDS = 0.5
 IDLE_VALID_SECONDS = 1.0
 RECONNECT_BACKOFF = Backoff(first=0.1, longest=2.0)
 FALLBACK_DIAL_SECONDS = 1.0  # the other side usually connects within some 50 ms
@@ -119,11 +118,11 @@
             if link.is_responsive(now)
         }
 
-    def post_all(self, links, message, most=None):
-        """Send a message on several links, unless it exceeds `most` bytes."""
+    def post_all(self, message, most=None):
+        """Send a message to all peers, unless it exceeds `most` bytes."""
         frame = encode(message)
         if most is None or len(frame) <= most:
-            for link in links:
+            for link in list(self.link_by_name.values()):
                 link.post_frame(frame)
 
     async def _dial(self, name, address, delay):
@@ -192,7 +191,7 @@
         ready, backlog_by_pool = self._load()
         vouched = self.feed.vouched_revisions(self._clock()) if self.feed else {}
         is_candidate = self._settings.name in self.candidates
-        valid_seconds = VALID_SECONDS if is_candidate else IDLE_VALID_SECONDS
+        valid_seconds = PEER_TIMEOUT_SECONDS if is_candidate else IDLE_VALID_SECONDS
         return LoadNotice(ready, backlog_by_pool, valid_seconds, vouched)
 
     def _notice_intervals(self, notice, last):
@@ -210,7 +209,7 @@
             waited += 1
             notice = self._load_notice()
             if waited >= self._notice_intervals(notice, last):
-                self.post_all(list(self.link_by_name.values()), notice)
+                self.post_all(notice)
                 last, waited = notice, 0
             self._check_peers()
 
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -94,6 +94,7 @@
 
     async def _prepare(self, context):
         """Prepare the inputs of the request's engine; return a refusal or None."""
+        await self._wait_sure()
         route = context.route
         preparation = Preparation(
             context.details.id,
@@ -137,14 +138,11 @@
         answer = GatewayResponse.not_run(Code.NO_UPSTREAM, "no upstream available")
         attempts = 0
         while context.sends < MAX_SENDS and attempts < context.route.max_attempts:
-            if self._pause_guard is not None:
-                await self._pause_guard.wait_sure(self._clock)
             if context.route.steps and context.inputs is None:
                 refusal = await self._prepare(context)
                 if refusal is not None:
                     return refusal if not context.may_have_run else answer
-            if self._pause_guard is not None:
-                await self._pause_guard.wait_sure(self._clock)
+            await self._wait_sure()
             state = self._choice.select(context, self._clock())
             if state is None:
                 return answer
@@ -172,6 +170,10 @@
             )
         return answer
 
+    async def _wait_sure(self):
+        if self._pause_guard is not None:
+            await self._pause_guard.wait_sure(self._clock)
+
     async def _attempt(self, context, state, responder, splitter):
         upstream = state.upstream
         context.tried.add(upstream.id)
--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
@@ -108,8 +108,7 @@
             notice = ShareNotice(
                 service, progress.order.target, share, now - progress.began_at
             )
-            for link in list(self._peers.link_by_name.values()):
-                link.post(notice)
+            self._peers.post_all(notice)
             outcome = driver.outcome or RolloutOutcome.RUNNING
             if outcome is not progress.order.outcome:
                 self._write(progress.order, outcome, driver.reason)
--- a/packages/gateway/src/wharf_gateway/store/store_feed.py
+++ b/packages/gateway/src/wharf_gateway/store/store_feed.py
@@ -89,8 +89,10 @@
 
     def covers(self, kind, revision, now):
         """Return whether a feeder vouches that `revision` of a kind is the newest."""
-        if not self._is_large() or self.is_feeder(now):
-            return False
+        follows = self._is_large() and not self.is_feeder(now)
+        return follows and self._is_vouched(kind, revision, now)
+
+    def _is_vouched(self, kind, revision, now):
         revisions = [
             source.revision_by_kind.get(kind)
             for source in self._source_by_name.values()
@@ -110,11 +112,13 @@
 
     def advance(self, now):
         """Wake the watchers that no feeder vouches to any more."""
+        is_feeder = self.is_feeder(now)
+        follows = self._is_large() and not is_feeder
         for kind, future in self._waiter_by_kind.items():
             revision = self.watcher_by_kind[kind].revision
-            if not future.done() and not self.covers(kind, revision, now):
+            is_covered = follows and self._is_vouched(kind, revision, now)
+            if not future.done() and not is_covered:
                 future.set_result(None)
-        is_feeder = self.is_feeder(now)
         if is_feeder != self._was_feeder:
             self._was_feeder = is_feeder
             log.info("store_feeder", feeding=is_feeder)
@@ -150,7 +154,8 @@
         changes = tuple(
             (o.name, o.revision, o.spec, o.status, o.is_deleted) for o in objects
         )
-        self._post(StoreNews(kind, since, revision, changes), MAX_NEWS_BYTES)
+        news = StoreNews(kind, since, revision, changes)
+        self._peers.post_all(news, MAX_NEWS_BYTES)
 
     def handle_news(self, message, now):
         """Apply changes that a feeder has handed on.
@@ -183,8 +188,3 @@
 
     def _is_large(self):
         return self._gateway_count() >= MIN_FLEET_SIZE
-
-    def _post(self, message, most=None):
-        links = list(self._peers.link_by_name.values())
-        if links:
-            self._peers.post_all(links, message, most)
--- a/packages/gateway/tests/test_rollouts.py
+++ b/packages/gateway/tests/test_rollouts.py
@@ -49,6 +49,9 @@
 
     link_by_name: dict = field(default_factory=dict)
 
+    def post_all(self, message):
+        pass
+
 
 @pytest.fixture
 def fleet():
--- a/packages/standins/tests/test_store_feed.py
+++ b/packages/standins/tests/test_store_feed.py
@@ -102,9 +102,9 @@
     def responsive(self, now):
         return self.link_by_name
 
-    def post_all(self, links, message, most=None):
-        for link in links:
-            self._deliver(self._name, link.name, message)
+    def post_all(self, message, most=None):
+        for other in self.link_by_name:
+            self._deliver(self._name, other, message)
 
 
 class Fleet:
@@ -172,9 +172,13 @@
                     for other in self.names:
                         self._deliver(name, other, revisions)
 
-    def slowest(self, name, since):
+    def slowest(self, name, since, besides=()):
         """Return the seconds until the last gateway had seen an object."""
-        seen = [at.get(name, float("inf")) for at in self.seen_by_name.values()]
+        seen = [
+            at.get(name, float("inf"))
+            for gateway, at in self.seen_by_name.items()
+            if gateway not in besides
+        ]
         return max(seen) - since
 
 
@@ -229,9 +233,7 @@
         began = fleet.clock()
         fleet.store.write("upstream")
         await asyncio.sleep(DRAIN_SECONDS)
-        others = set(fleet.names) - feeders
-        seen = [fleet.seen_by_name[n].get("upstream", float("inf")) for n in others]
-        return max(seen) - began
+        return fleet.slowest("upstream", began, besides=feeders)
 
     assert played(cut) < DRAIN_SECONDS - 0.3
 
@@ -244,9 +246,7 @@
         began = fleet.clock()
         fleet.store.write("upstream")
         await asyncio.sleep(DRAIN_SECONDS)
-        others = set(fleet.names) - feeders
-        seen = [fleet.seen_by_name[n].get("upstream", float("inf")) for n in others]
-        return max(seen) - began
+        return fleet.slowest("upstream", began, besides=feeders)
 
     assert played(freeze) < DRAIN_SECONDS - 0.3
 
