Log each lost attempt with its prompt and how far the answer had come

Cause: the logs couldn't tell the hypotheses of the incident 'deadly prompt part' apart: a retry named its upstream but not the prompt, nor whether the upstream had begun to answer when it died.

Change: a line attempt_lost with both.

--- a/packages/gateway/src/wharf_gateway/request_context.py
+++ b/packages/gateway/src/wharf_gateway/request_context.py
@@ -22,7 +22,8 @@
     that is None. `may_have_run` says whether an upstream may have begun to run the
     request. `tried` are ids of upstreams, `sends` counts the attempts.
     `response_latency` is the time from the start of the current attempt to its
-    response or, for a stream, to its first event; None until then.
+    response or, for a stream, to its first event; None until then. `response_began`
+    says whether the current attempt's upstream has sent the head of its response.
     """
 
     inbound: InboundRequest
@@ -40,3 +41,4 @@
     tried: set[str] = field(default_factory=set)
     sends: int = 0
     response_latency: float | None = None
+    response_began: bool = False
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -181,6 +181,7 @@
         ran_before = context.may_have_run
         in_flight = state.in_flight
         context.response_latency = None
+        context.response_began = False
         state.in_flight += 1
         connection = None
         failed = True
@@ -191,6 +192,7 @@
             async with asyncio.timeout(self._attempt_timeout(context, state)):
                 head = await connection.head()
             reply = self._dialect.read_response(head)
+            context.response_began = True
             self._note_reply(state, reply, connection)
             if reply.not_run:
                 context.may_have_run = ran_before
@@ -341,6 +343,16 @@
 
     def _failure_result(self, context, state, error):
         state.record_unreachable(self._clock())
+        log.info(
+            "attempt_lost",
+            request=context.details.id,
+            upstream=state.upstream.id,
+            detail=str(error),
+            sent=error.was_sent,
+            began=context.response_began,
+            served=context.response_latency is not None,
+            prompt=[part.id for part in context.details.prompt],
+        )
         if not error.was_sent:
             answer = GatewayResponse.not_run(Code.NO_UPSTREAM, str(error))
             return AttemptResult(answer, not_run=True, counts=0)
