Measure an upstream at its first event of a resumed stream too

Cause: the latency and success of an attempt were noted only before the caller's response began. An upstream that resumed a broken stream was never noted as answering: its backoff stayed, and its sample for a rollout was the length of the whole stream.

Change: the first event of each attempt is noted.

Evidence: the new test failed before (needs_probe stayed true) and passes now.

--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -299,8 +299,9 @@
             if len(splitter.buffer) > self._max_event_bytes:
                 raise AnswerTooLargeError(f"event over {self._max_event_bytes} bytes")
             if events:
-                if not responder.is_started:
+                if context.response_latency is None:
                     self._note_success(context, state, started)
+                if not responder.is_started:
                     self._drop_inputs(context)
                     responder.begin(head.status, _forwarded_headers(head.headers))
                 await responder.send(events)
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -293,6 +293,22 @@
     assert caller.ending == "whole"
 
 
+async def test_first_event_of_a_resumed_stream_is_a_success_of_its_upstream(
+    upstreams, ask
+):
+    """Only the first upstream of a stream was measured, so that one which resumed it
+    kept the backoff of an earlier failure.
+    """
+    await upstreams.add(STREAM, b"f\r\nid: 1\ndata: a\n\n\r\n")
+    await upstreams.add(STREAM, b"f\r\nid: 2\ndata: b\n\n\r\n0\r\n\r\n")
+    second = upstreams.fleet.state_by_id["u1"]
+    second.record_unreachable(0.0)
+
+    await ask("stream", resumable=True)
+
+    assert not second.needs_probe
+
+
 async def test_hanging_upstream_gets_a_failure_share(upstreams, ask):
     await upstreams.add(silent=True)
 
