Take a stream that ends with its connection before an event as broken off

What callers saw: a whole answer without events, if an upstream that declares neither a length nor chunks closed its connection after the head.

Cause: the end of the connection ends such an answer, so that nothing was missing.

Change: a stream has at least one event; one that ends before it is broken off, and goes on elsewhere if it may be resumed. One that ends inside an event already was.

Evidence: the test of the first case failed before, that of the second did not.

--- a/packages/gateway/src/wharf_gateway/http/upstream_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/upstream_connection.py
@@ -49,6 +49,11 @@
         self.idle_since = 0.0
         self.idle_timeout = None
 
+    @property
+    def is_close_delimited(self):
+        """Return whether the response ends with its connection."""
+        return self._is_close_delimited
+
     def connection_made(self, transport):
         """Enable the detection of a dead peer."""
         self._transport = transport
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -308,6 +308,8 @@
                 pace.record(received_at, self._clock())
         if splitter.buffer:
             raise HttpCallError("the stream ended in the middle of an event")
+        if context.response_latency is None and connection.is_close_delimited:
+            raise HttpCallError("the connection ended before the first event")
         if not responder.is_started:
             responder.begin(head.status, _forwarded_headers(head.headers))
         responder.end()
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -266,6 +266,32 @@
     assert b"Last: 1\r\n" in upstreams.seen[1]
 
 
+async def test_stream_that_ends_with_its_connection_before_an_event_is_retried(
+    upstreams, ask
+):
+    """A crash before the first event looked like a whole answer without events."""
+    head = b"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\nConnection: close\r\n\r\n"
+    await upstreams.add(head)
+    await upstreams.add(head, b"id: 1\ndata: a\n\n")
+
+    caller = await ask("stream", resumable=True)
+
+    assert (caller.body, caller.ending) == (b"id: 1\ndata: a\n\n", "whole")
+
+
+async def test_stream_that_ends_with_its_connection_in_an_event_is_resumed(
+    upstreams, ask
+):
+    head = b"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\nConnection: close\r\n\r\n"
+    await upstreams.add(head, b"id: 1\ndata: a\n\nid: 2\nda")
+    await upstreams.add(head, b"id: 2\ndata: b\n\n")
+
+    caller = await ask("stream", resumable=True)
+
+    assert caller.body == b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+    assert caller.ending == "whole"
+
+
 async def test_broken_stream_without_resumption_is_aborted(upstreams, ask):
     await upstreams.add(STREAM, b"f\r\nid: 1\ndata: a\n\nid\r\n")
     await upstreams.add(SIGNED)
