Attribute crashes to what requests share, and quarantine it, as library parts

Cause: the library knew crashing requests by their fingerprint only. Where no two such requests are alike, each new one crashes two upstreams or more.

Change: CrashAttribution joins the reports of a crash and finds the most specific feature that explains the crashes, from requests that had begun to be answered; an answer to a request with the feature disproves it.

Evidence: unit tests; a process that crashed again under its id was first counted as one crash, which its test showed.

--- a/packages/coordination/src/wharf_coordination/__init__.py
+++ b/packages/coordination/src/wharf_coordination/__init__.py
@@ -27,6 +27,12 @@
 from wharf_coordination.outlier_detector import OutlierDetector
 from wharf_coordination.permit import Permit
 from wharf_coordination.priority import Priority
+from wharf_coordination.quarantine import (
+    CrashAttribution,
+    CrashSuspect,
+    Quarantine,
+    QuarantineEntry,
+)
 from wharf_coordination.queued_call import QueuedCall
 from wharf_coordination.ran import Ran
 from wharf_coordination.rate_limiter import RateLimiter
@@ -54,6 +60,8 @@
     "Deadline",
     "DeathKind",
     "CrashTracker",
+    "CrashAttribution",
+    "CrashSuspect",
     "DrainRate",
     "Fact",
     "FactKind",
@@ -67,6 +75,8 @@
     "LatestRevision",
     "OutlierDetector",
     "Priority",
+    "Quarantine",
+    "QuarantineEntry",
     "QueuedCall",
     "Ran",
     "ReceiveWindow",
--- /dev/null
+++ b/packages/coordination/src/wharf_coordination/quarantine/crash_attribution.py
@@ -0,0 +1,170 @@
+"""Attribution of crashes to features of the requests that were running."""
+
+from dataclasses import dataclass, field
+
+from wharf_coordination.quarantine.attribution import Attribution
+from wharf_coordination.quarantine.crash import Crash
+
+__all__ = ["FAMILIAR_CRASHES", "CrashAttribution"]
+
+CONCLUSIVE_CRASHES = 2
+# For a feature of requests that were answered before the first of the crashes. Shared
+# features are on most upstreams, so that they are present in most crashes.
+FAMILIAR_CRASHES = 4
+# Crashes of different upstreams within this time may have one cause outside them.
+SIMULTANEOUS_SECONDS = 0.1
+# Reports of one crash arrive within this time of each other.
+REPORT_SECONDS = 3.0
+EVIDENCE_SECONDS = 600.0
+MAX_CRASHES = 256
+MAX_FEATURES = 10_000
+
+
+@dataclass(slots=True)
+class _Evidence:
+    """Times of the crashes of a feature, and the requests with it."""
+
+    position: int
+    times: list[float] = field(default_factory=list)
+    fingerprints: set[str] = field(default_factory=set)
+
+    @property
+    def crashes(self):
+        """Return the number of crashes that are apart in time."""
+        count, last = 0, float("-inf")
+        for at in sorted(self.times):
+            if at - last >= SIMULTANEOUS_SECONDS:
+                count, last = count + 1, at
+        return count
+
+
+@dataclass(slots=True)
+class CrashAttribution:
+    """Find the features whose requests crash every upstream that begins to answer them.
+
+    A feature is found once upstreams have crashed twice while requests with it, of at
+    least two fingerprints, were the suspects, and none has been answered since the
+    first; for a fingerprint its repeats suffice. A feature of requests that were
+    answered before takes four crashes. A crash explained by one feature doesn't count
+    against others; of equal ones, the most specific is found. At most `max_crashes`
+    crashes and `max_features` answered features are kept, the newest ones.
+
+    >>> from wharf_coordination.quarantine import CrashSuspect
+    >>> attribution = CrashAttribution()
+    >>> first, second = CrashSuspect("r1", ("a", "x")), CrashSuspect("r2", ("a", "x"))
+    >>> attribution.record_crash("upstream-1", 1.0, [first], 1.0)
+    []
+    >>> attribution.record_crash("upstream-2", 5.0, [second], 5.0)
+    [Attribution(feature='x', crashes=2, first_at=1.0)]
+    """
+
+    max_crashes: int = MAX_CRASHES
+    max_features: int = MAX_FEATURES
+    _crashes: list[Crash] = field(default_factory=list)
+    _answered_at_by_feature: dict[str, float] = field(default_factory=dict)
+
+    def record_crash(self, upstream, at, suspects, now) -> list[Attribution]:
+        """Record requests that were running at a crash; return what is found by it.
+
+        `upstream` names the crashed process. `at` and `now` are in seconds; `at` is an
+        observer's estimate, which may differ from those of others.
+        """
+        self._expire(now)
+        crash = self._crash(upstream, at)
+        crash.add(suspects)
+        involved = {
+            feature
+            for suspect in crash.suspect_by_fingerprint.values()
+            for feature in (*suspect.features, suspect.fingerprint)
+        }
+        return [found for found in self._attributions() if found.feature in involved]
+
+    def record_answered(self, features, at):
+        """Record that a request with `features` was answered at the time `at`."""
+        answered = self._answered_at_by_feature
+        for feature in features:
+            previous = answered.pop(feature, at)
+            answered[feature] = max(previous, at)
+        while len(answered) > self.max_features:
+            del answered[next(iter(answered))]
+
+    def answered_at(self, feature) -> float | None:
+        """Return when a request with `feature` was last answered, None if never."""
+        return self._answered_at_by_feature.get(feature)
+
+    @property
+    def has_crashes(self):
+        """Return whether any crash is on record."""
+        return bool(self._crashes)
+
+    def is_disproved(self, attribution) -> bool:
+        """Return whether answers known here contradict an attribution of another.
+
+        The other may not know of them. An answer since the first crash disproves it,
+        an earlier one shows that more crashes are needed.
+        """
+        answered_at = self.answered_at(attribution.feature)
+        if answered_at is None:
+            return False
+        is_answered_since = answered_at > attribution.first_at
+        return is_answered_since or attribution.crashes < FAMILIAR_CRASHES
+
+    def _attributions(self):
+        found = {}
+        while True:
+            conclusive = [
+                (evidence.crashes, evidence.position, feature, min(evidence.times))
+                for feature, evidence in self._evidence(found).items()
+                if feature not in found and self._is_conclusive(feature, evidence)
+            ]
+            if not conclusive:
+                return list(found.values())
+            crashes, _, feature, first_at = max(conclusive)
+            found[feature] = Attribution(feature, crashes, first_at)
+
+    def _is_conclusive(self, feature, evidence):
+        is_familiar = feature in self._answered_at_by_feature
+        needed = FAMILIAR_CRASHES if is_familiar else CONCLUSIVE_CRASHES
+        is_fingerprint = feature in evidence.fingerprints
+        has_requests = is_fingerprint or len(evidence.fingerprints) > 1
+        return has_requests and evidence.crashes >= needed
+
+    def _evidence(self, found):
+        """Return the evidence by feature, without the crashes that `found` explains."""
+        evidence_by_feature = {}
+        for crash in self._crashes:
+            for suspect in _unexplained(crash.prime_suspects, found):
+                features = (*suspect.features, suspect.fingerprint)
+                for position, feature in enumerate(features):
+                    answered_at = self._answered_at_by_feature.get(feature)
+                    if answered_at is not None and answered_at >= crash.at:
+                        continue
+                    evidence = evidence_by_feature.setdefault(
+                        feature, _Evidence(position)
+                    )
+                    evidence.times.append(crash.at)
+                    evidence.fingerprints.add(suspect.fingerprint)
+        return evidence_by_feature
+
+    def _crash(self, upstream, at):
+        """Return the crash that an observer reports, a new one if it is the first."""
+        for crash in reversed(self._crashes):
+            if crash.upstream == upstream and abs(at - crash.at) <= REPORT_SECONDS:
+                return crash
+        crash = Crash(upstream, at)
+        self._crashes = [*self._crashes, crash][-self.max_crashes :]
+        return crash
+
+    def _expire(self, now):
+        self._crashes = [c for c in self._crashes if now - c.at <= EVIDENCE_SECONDS]
+
+
+def _unexplained(suspects, found):
+    """Return the suspects of a crash that count as evidence beyond `found`.
+
+    A found feature explains the crash. A found fingerprint explains it for the other
+    requests only, since one of the request's own features may be behind it.
+    """
+    if any(feature in found for s in suspects for feature in s.features):
+        return []
+    return [s for s in suspects if s.fingerprint in found] or suspects
