Share among gateways which part of a prompt crashes engines, and refuse it

Cause: each gateway took a crash for the engine's fault and sent the request to the next engine; nothing remembered what had been running, and no gateway saw enough alone. Ruled out: the caller's repeats alone (new requests crashed engines just as well), the retry alone (a route with one attempt crashed one engine for each request).

Change: a gateway whose request had no part of its answer when the connection broke checks that nothing listens at the engine any more, and tells the others which requests these were. The library's attribution decides; what it finds is in quarantine at all gateways, before steps run and again before each send, and preparations under way end. Gateways that know of an answer object. Those linked to all repeat the quarantines each second for gateways that were away. A request that lost an engine as its answer began waits 0.1 s, then goes to the least loaded engine, apart from other requests.

Open: what is known is lost if all gateways are killed at once.

--- /dev/null
+++ b/packages/gateway/src/wharf_gateway/crash_guard.py
@@ -0,0 +1,270 @@
+"""Keeps requests that crash upstreams from being sent to further ones."""
+
+import asyncio
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+
+import structlog
+
+from wharf_coordination.code import Code
+from wharf_coordination.quarantine import (
+    Attribution,
+    CrashAttribution,
+    CrashSuspect,
+    Quarantine,
+    QuarantineEntry,
+)
+from wharf_gateway.gateway_response import GatewayResponse
+from wharf_gateway.peers.messages import (
+    MAX_SUSPECTS,
+    AnsweredNotice,
+    CrashNotice,
+    QuarantineItem,
+    QuarantineNotice,
+)
+from wharf_gateway.request_features import all_features, prompt_features
+
+__all__ = ["CrashGuard"]
+
+log = structlog.get_logger(__name__)
+
+# All connections to a crashed upstream break within some milliseconds.
+GATHER_SECONDS = 0.02
+# A gateway that has just linked to a candidate learns of all quarantines this soon.
+NOTICE_INTERVAL_SECONDS = 1.0
+
+
+@dataclass(slots=True)
+class _Loss:
+    """Requests that one upstream left unanswered as its connections broke."""
+
+    at: float
+    suspects: list[CrashSuspect] = field(default_factory=list)
+
+
+class CrashGuard:
+    """Attribute crashes to features of requests, and refuse requests with these.
+
+    Each gateway tells the others which of its requests an upstream left without an
+    answer when it crashed. Any gateway that concludes from this that a feature is the
+    cause quarantines it everywhere; one that knows of an answer to such a request
+    objects, which lifts the quarantine. The gateways that are linked to all others
+    repeat what is in quarantine, for those that were away.
+    """
+
+    def __init__(self, name, pool, peers, clock, meter):
+        self._pool = pool
+        self._peers = peers
+        self._clock = clock
+        self._meter = meter
+        self._attribution = CrashAttribution()
+        self._quarantine = Quarantine(name)
+        self._loss_by_upstream = {}
+        self._scope_by_context = {}
+        self._tasks = set()
+        self._noticed_at = float("-inf")
+        meter.gauge("wharf_quarantined", lambda: {(): len(self._quarantine)})
+
+    # Decisions on requests.
+
+    def refusal(self, context, now):
+        """Return the refusal of a request that may run at none of its services.
+
+        Return None if it may run.
+        """
+        blocks = [self._block(context, t.service, now) for t in context.route.targets]
+        if not blocks or None in blocks:
+            return None
+        return self._refusal(context, blocks[0], now)
+
+    def refusal_at(self, context, service, now):
+        """Return the refusal of a request that may not run at `service`, or None."""
+        feature = self._block(context, service, now)
+        return None if feature is None else self._refusal(context, feature, now)
+
+    @contextmanager
+    def running(self, context, service):
+        """Record that a request runs; only one with a feature on probation may."""
+        if not self._quarantine:
+            yield
+            return
+        features, holder = all_features(service, context), context.details.id
+        self._quarantine.begin_probation_run(features, holder)
+        try:
+            yield
+        finally:
+            self._quarantine.end_probation_run(features, holder)
+
+    @contextmanager
+    def interrupting(self, context, scope):
+        """Let the timeout `scope` expire once the request may not run any more."""
+        self._scope_by_context[context] = scope
+        try:
+            yield
+        finally:
+            del self._scope_by_context[context]
+
+    # What happens to requests.
+
+    def record_answered(self, context, service, now):
+        """Record that an upstream began to answer a request and didn't crash."""
+        if self._attribution.has_crashes or self._quarantine:
+            features = all_features(service, context)
+        else:
+            # Fingerprints are only needed to clear repeats of a suspect.
+            features = prompt_features(service, context.details)
+        self._attribution.record_answered(features, now)
+        for feature in features:
+            if self._lift_if_disproved(feature, now):
+                self._post_answered(feature, now)
+
+    def record_loss(self, context, upstream, now):
+        """Record that the connection broke before an answer to a sent request."""
+        *features, fingerprint = all_features(upstream.service, context)
+        suspect = CrashSuspect(fingerprint, tuple(features), context.response_began)
+        name = f"{upstream.id}/{upstream.started_ms}"
+        loss = self._loss_by_upstream.get(name)
+        if loss is None:
+            loss = self._loss_by_upstream[name] = _Loss(now)
+            task = asyncio.ensure_future(self._report(name, upstream))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        if len(loss.suspects) < MAX_SUSPECTS:
+            loss.suspects.append(suspect)
+
+    def advance(self, now):
+        """Repeat to all gateways what is in quarantine, if they are linked to this."""
+        if now - self._noticed_at < NOTICE_INTERVAL_SECONDS:
+            return
+        self._noticed_at = now
+        entries = self._quarantine.entries(now)
+        if entries and self._peers.is_candidate:
+            self._post(entries, now)
+
+    # Messages of other gateways.
+
+    def handle_crash(self, message, now):
+        """Add another gateway's suspects to the evidence."""
+        at = now - message.seconds_ago
+        self._record_crash(message.upstream, at, message.suspects, now)
+
+    def handle_quarantine(self, message, link, now):
+        """Apply another gateway's quarantines, or object to them."""
+        for item in message.items:
+            entry = _entry(item, now)
+            feature = entry.attribution.feature
+            if self._attribution.is_disproved(entry.attribution):
+                answered_at = self._attribution.answered_at(feature)
+                link.post(AnsweredNotice(feature, now - answered_at))
+            elif self._quarantine.adopt(entry):
+                self._log_entry(entry, now)
+                self._interrupt(now)
+
+    def handle_answered(self, message, now):
+        """Record an answer that another gateway knows of."""
+        answered_at = now - message.seconds_ago
+        self._attribution.record_answered((message.feature,), answered_at)
+        if self._lift_if_disproved(message.feature, now) and self._peers.is_candidate:
+            self._post_answered(message.feature, now)
+
+    def dump(self, now):
+        """Return what is in quarantine, for operators."""
+        return {
+            entry.attribution.feature: {
+                "crashes": entry.attribution.crashes,
+                "seconds_left": round(entry.ends_at - now, 1),
+                "seconds": entry.seconds,
+            }
+            for entry in self._quarantine.entries(now)
+        }
+
+    def _block(self, context, service, now):
+        if not self._quarantine:
+            return None
+        features = all_features(service, context)
+        return self._quarantine.blocking_feature(features, now, context.details.id)
+
+    def _refusal(self, context, feature, now):
+        retry_after = self._quarantine.seconds_left(feature, now)
+        self._meter.count("wharf_quarantine_refusals")
+        detail = f"requests with {feature} crash upstreams"
+        if context.may_have_run:
+            return GatewayResponse(502, Code.REQUEST_CONDEMNED, detail)
+        return GatewayResponse.not_run(Code.REQUEST_CONDEMNED, detail, retry_after)
+
+    async def _report(self, name, upstream):
+        """Tell all gateways of a crash once the upstream is known to be gone."""
+        await asyncio.sleep(GATHER_SECONDS)
+        loss = self._loss_by_upstream.pop(name)
+        if not await self._pool.is_refused(upstream.address):
+            return
+        now = self._clock()
+        log.info(
+            "upstream_crashed",
+            upstream=upstream.id,
+            suspects=len(loss.suspects),
+            began=sum(suspect.began for suspect in loss.suspects),
+        )
+        suspects = tuple(loss.suspects)
+        self._peers.post_all(CrashNotice(name, now - loss.at, suspects))
+        self._record_crash(name, loss.at, suspects, now)
+
+    def _record_crash(self, name, at, suspects, now):
+        found = self._attribution.record_crash(name, at, suspects, now)
+        entries = [self._quarantine.begin(attribution, now) for attribution in found]
+        features = {f for s in suspects for f in (*s.features, s.fingerprint)}
+        entries += self._quarantine.record_crash(features, at, now)
+        entries = [entry for entry in entries if entry is not None]
+        for entry in entries:
+            self._log_entry(entry, now)
+        if entries:
+            self._post(entries, now)
+            self._interrupt(now)
+
+    def _lift_if_disproved(self, feature, now):
+        entry = self._quarantine.entry(feature)
+        if entry is None or not self._attribution.is_disproved(entry.attribution):
+            return False
+        self._quarantine.lift(feature)
+        seconds = now - self._attribution.answered_at(feature)
+        log.info(
+            "quarantine_lifted", feature=feature, answered_seconds_ago=round(seconds, 3)
+        )
+        return True
+
+    def _post_answered(self, feature, now):
+        seconds_ago = now - self._attribution.answered_at(feature)
+        self._peers.post_all(AnsweredNotice(feature, seconds_ago))
+
+    def _interrupt(self, now):
+        for context, scope in list(self._scope_by_context.items()):
+            if self.refusal(context, now) is not None:
+                scope.reschedule(now)
+
+    def _post(self, entries, now):
+        self._peers.post_all(QuarantineNotice(tuple(_item(e, now) for e in entries)))
+
+    def _log_entry(self, entry, now):
+        log.info(
+            "quarantine",
+            feature=entry.attribution.feature,
+            crashes=entry.attribution.crashes,
+            first_seconds_ago=round(now - entry.attribution.first_at, 3),
+            seconds_left=round(entry.ends_at - now, 1),
+        )
+
+
+def _item(entry, now):
+    attribution = entry.attribution
+    return QuarantineItem(
+        attribution.feature,
+        attribution.crashes,
+        now - attribution.first_at,
+        entry.ends_at - now,
+        entry.seconds,
+    )
+
+
+def _entry(item, now):
+    attribution = Attribution(item.feature, item.crashes, now - item.first_seconds_ago)
+    return QuarantineEntry(attribution, now + item.seconds_left, item.seconds)
--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -8,6 +8,7 @@
 import structlog
 from result import Err, Ok
 
+from wharf_gateway.crash_guard import CrashGuard
 from wharf_gateway.fleet import Fleet
 from wharf_gateway.http.answer_limits import AnswerLimits
 from wharf_gateway.http.connection_pool import ConnectionPool
@@ -95,6 +96,10 @@
             self._clock,
         )
         self.peers.rollouts = self.rollouts
+        self.crash_guard = CrashGuard(
+            settings.name, self._pool, self.peers, self._clock, self.meter
+        )
+        self.peers.crashes = self.crash_guard
         self._registry = Registry(
             settings, self._store, self._rng, self._on_gateway_entries
         )
@@ -123,6 +128,7 @@
             self._clock,
             self._rng,
             self.meter,
+            self.crash_guard,
             settings.max_answer_bytes,
             self.pause_guard,
         )
@@ -237,6 +243,7 @@
             "upstreams": self.fleet.dump(now),
             "preparers": self.preparation_router.dump(now),
             "rollouts": self.rollouts.dump(now),
+            "quarantine": self.crash_guard.dump(now),
             "store_feed": self.feed.dump(now),
             "peers": {
                 name: {
@@ -328,3 +335,4 @@
                 self.server.limits = self.fleet.configuration.limits
             self.preparation_router.advance(now)
             self.rollouts.advance(now)
+            self.crash_guard.advance(now)
--- a/packages/gateway/src/wharf_gateway/http/connection_pool.py
+++ b/packages/gateway/src/wharf_gateway/http/connection_pool.py
@@ -46,6 +46,18 @@
             connection.close()
         return await self._open(address)
 
+    async def is_refused(self, address):
+        """Return whether nothing listens at an address, as after a crash.
+
+        A host that doesn't respond at all may only be cut off.
+        """
+        try:
+            connection = await self._open(address)
+        except HttpCallError as error:
+            return isinstance(error.__cause__, ConnectionError)
+        connection.close()
+        return False
+
     def release(self, address, connection, now):
         """Keep a connection for reuse, or close it if it can't be reused."""
         if not connection.release(now):
--- a/packages/gateway/src/wharf_gateway/peers/messages.py
+++ b/packages/gateway/src/wharf_gateway/peers/messages.py
@@ -10,22 +10,30 @@
 from pydantic import Field, TypeAdapter
 from pydantic.dataclasses import dataclass
 
+from wharf_coordination.quarantine.crash_suspect import CrashSuspect
 from wharf_gateway.model.step import Step
 
 __all__ = [
     "Abandon",
+    "AnsweredNotice",
+    "CrashNotice",
     "Free",
     "Greeting",
     "LoadNotice",
+    "MAX_SUSPECTS",
     "Message",
     "Prepare",
     "Prepared",
+    "QuarantineItem",
+    "QuarantineNotice",
     "Refused",
     "ShareNotice",
     "RolloutSample",
     "StoreNews",
 ]
 
+MAX_SUSPECTS = 64
+
 
 @dataclass(frozen=True, slots=True)
 class Greeting:
@@ -157,6 +165,50 @@
     kind: Literal["news"] = "news"
 
 
+@dataclass(frozen=True, slots=True)
+class CrashNotice:
+    """Report the sender's requests that had no answer when an upstream crashed.
+
+    `upstream` names the crashed process, not only its host.
+    """
+
+    upstream: str
+    seconds_ago: float
+    suspects: tuple[CrashSuspect, ...] = Field(max_length=MAX_SUSPECTS)
+    kind: Literal["crash"] = "crash"
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineItem:
+    """A feature whose requests may not run; times are relative to the message.
+
+    `seconds_left` is negative on probation, `seconds` the quarantine's whole length.
+    """
+
+    feature: str
+    crashes: int
+    first_seconds_ago: float
+    seconds_left: float
+    seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineNotice:
+    """Tell all features in quarantine or on probation that the sender knows."""
+
+    items: tuple[QuarantineItem, ...]
+    kind: Literal["quarantine"] = "quarantine"
+
+
+@dataclass(frozen=True, slots=True)
+class AnsweredNotice:
+    """Tell that a request with a feature was answered, against its quarantine."""
+
+    feature: str
+    seconds_ago: float
+    kind: Literal["answered"] = "answered"
+
+
 Message = TypeAdapter(
     Annotated[
         Greeting
@@ -168,7 +220,10 @@
         | LoadNotice
         | ShareNotice
         | RolloutSample
-        | StoreNews,
+        | StoreNews
+        | CrashNotice
+        | QuarantineNotice
+        | AnsweredNotice,
         Field(discriminator="kind"),
     ]
 )
--- a/packages/gateway/src/wharf_gateway/peers/peer_link.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_link.py
@@ -9,11 +9,14 @@
 from wharf_gateway.peers.codec import decode, encode
 from wharf_gateway.peers.messages import (
     Abandon,
+    AnsweredNotice,
+    CrashNotice,
     Free,
     Greeting,
     LoadNotice,
     Prepare,
     Prepared,
+    QuarantineNotice,
     Refused,
     RolloutSample,
     ShareNotice,
@@ -37,17 +40,27 @@
     """Exchange preparations, their results and the state of rollouts with a peer.
 
     `preparers` has the method `preparer(pool)`; `rollouts` has `handle_share_notice`
-    and `add_sample`; `feed` has `handle_news` and `handle_notice`. `is_outgoing` says
-    whether this gateway opened the connection.
+    and `add_sample`; `feed` has `handle_news` and `handle_notice`; `crashes` has a
+    `handle_` method for each notice about crashes. `is_outgoing` says whether this
+    gateway opened the connection.
     """
 
     def __init__(
-        self, socket, preparers, rollouts, clock, *, feed=None, is_outgoing=False
+        self,
+        socket,
+        preparers,
+        rollouts,
+        clock,
+        *,
+        feed=None,
+        crashes=None,
+        is_outgoing=False,
     ):
         self._socket = socket
         self._preparers = preparers
         self._rollouts = rollouts
         self._feed = feed
+        self._crashes = crashes
         self._clock = clock
         self._numbers = count()
         self._future_by_number = {}
@@ -196,6 +209,12 @@
                 self._rollouts.add_sample(message, self._clock())
             case StoreNews():
                 self._feed.handle_news(message, self._clock())
+            case CrashNotice():
+                self._crashes.handle_crash(message, self._clock())
+            case QuarantineNotice():
+                self._crashes.handle_quarantine(message, self, self._clock())
+            case AnsweredNotice():
+                self._crashes.handle_answered(message, self._clock())
 
     def _resolve(self, number, answer):
         """Complete a pending preparation; return whether it was still pending."""
--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -57,6 +57,7 @@
         self._load = load
         self.rollouts = None
         self.feed = None
+        self.crashes = None
         self._dial_task_by_name = {}
         self._state_by_name = {}
         self.link_by_name = {}
@@ -118,6 +119,11 @@
             if link.is_responsive(now)
         }
 
+    @property
+    def is_candidate(self):
+        """Return whether this gateway has links to all others."""
+        return self._settings.name in self.candidates
+
     def post_all(self, message, most=None):
         """Send a message to all peers, unless it exceeds `most` bytes."""
         frame = encode(message)
@@ -156,6 +162,7 @@
             self.rollouts,
             self._clock,
             feed=self.feed,
+            crashes=self.crashes,
             is_outgoing=is_outgoing,
         )
         greeting = Greeting(self._settings.name, self._settings.data_centre)
--- a/packages/gateway/src/wharf_gateway/request_context.py
+++ b/packages/gateway/src/wharf_gateway/request_context.py
@@ -24,6 +24,8 @@
     `response_latency` is the time from the start of the current attempt to its
     response or, for a stream, to its first event; None until then. `response_began`
     says whether the current attempt's upstream has sent the head of its response.
+    `is_suspect` says that an upstream was lost as it began to answer the request.
+    `features_by_service` holds what `request_features` has worked out.
     """
 
     inbound: InboundRequest
@@ -42,3 +44,5 @@
     sends: int = 0
     response_latency: float | None = None
     response_began: bool = False
+    is_suspect: bool = False
+    features_by_service: dict[str, tuple[str, ...]] = field(default_factory=dict)
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -14,6 +14,7 @@
 from wharf_gateway.model.route_kind import RouteKind
 from wharf_gateway.routing.upstream_selector import UpstreamSelector
 from wharf_gateway.stages.preparation import Preparation
+from wharf_gateway.stages.preparation_failure import PreparationFailure
 from wharf_gateway.upstream_failure import UpstreamFailure
 
 __all__ = ["RequestRunner"]
@@ -39,6 +40,9 @@
 CANCELLED_FAILURE_SECONDS = 0.5
 # Usual time of an engine up to its first event, kept free after the preparation.
 ENGINE_SECONDS = 0.25
+# A request whose upstream was lost as it began to answer waits for what other gateways
+# know of it before it is sent to the next one.
+SUSPECT_DELAY_SECONDS = 0.1
 
 
 class RequestRunner:
@@ -55,6 +59,7 @@
         clock,
         rng,
         meter,
+        crash_guard,
         max_event_bytes=1 << 20,
         pause_guard=None,
     ):
@@ -67,6 +72,7 @@
         self._clock = clock
         self._choice = UpstreamSelector(fleet, rollouts, rng)
         self._meter = meter
+        self._crash_guard = crash_guard
         self._max_event_bytes = max_event_bytes
         self._pause_guard = pause_guard
 
@@ -107,7 +113,7 @@
             self._choice.expected_data_centre(context, self._clock()),
         )
         started = self._clock()
-        answer = await self._preparation_router.run(preparation, context)
+        answer = await self._run_preparation(preparation, context)
         outcome = "prepared" if answer.is_ok() else "refused"
         self._meter.count("wharf_preparations", outcome)
         seconds = self._clock() - started
@@ -129,11 +135,25 @@
                 context.inputs = inputs
                 return None
 
+    async def _run_preparation(self, preparation, context):
+        """Return the preparation's answer; stop once the request may not run."""
+        try:
+            async with asyncio.timeout(None) as scope:
+                with self._crash_guard.interrupting(context, scope):
+                    return await self._preparation_router.run(preparation, context)
+        except TimeoutError:
+            if not scope.expired():
+                raise
+            return Err(PreparationFailure("the request is in quarantine"))
+
     async def _send_until_answered(self, context, responder):
         """Send the request until it is answered.
 
         Return the response for the caller, or None if it has been answered.
         """
+        refusal = self._crash_guard.refusal(context, self._clock())
+        if refusal is not None:
+            return refusal
         splitter = EventSplitter()
         answer = GatewayResponse.not_run(Code.NO_UPSTREAM, "no upstream available")
         attempts = 0
@@ -141,16 +161,22 @@
             if context.route.steps and context.inputs is None:
                 refusal = await self._prepare(context)
                 if refusal is not None:
-                    return refusal if not context.may_have_run else answer
+                    condemned = self._crash_guard.refusal(context, self._clock())
+                    return answer if context.may_have_run else condemned or refusal
             await self._wait_sure()
             state = self._choice.select(context, self._clock())
             if state is None:
                 return answer
-            if context.sends and not self._budgets.spend(state.upstream.service):
+            service = state.upstream.service
+            refusal = self._crash_guard.refusal_at(context, service, self._clock())
+            if refusal is not None:
+                return answer if context.may_have_run else refusal
+            if context.sends and not self._budgets.spend(service):
                 return answer
             context.sends += 1
             splitter.discard_partial()
-            result = await self._attempt(context, state, responder, splitter)
+            with self._crash_guard.running(context, service):
+                result = await self._attempt(context, state, responder, splitter)
             attempts += result.counts
             self._meter.count("wharf_attempts", result.outcome)
             if result.answer is None:
@@ -168,6 +194,8 @@
                 detail=answer.detail,
                 may_have_run=context.may_have_run,
             )
+            if context.is_suspect:
+                await asyncio.sleep(SUSPECT_DELAY_SECONDS)
         return answer
 
     async def _wait_sure(self):
@@ -183,6 +211,8 @@
         context.response_latency = None
         context.response_began = False
         state.in_flight += 1
+        state.suspects += context.is_suspect
+        was_suspect = context.is_suspect
         connection = None
         failed = True
         try:
@@ -202,6 +232,7 @@
             failed = not result.not_run and result.answer is not None
             return result
         except HttpCallError as error:
+            self._record_loss(context, state, error)
             return self._failure_result(context, state, error)
         except TimeoutError:
             seconds = self._clock() - started
@@ -213,6 +244,7 @@
             raise
         finally:
             state.in_flight -= 1
+            state.suspects -= was_suspect
             self._record_sample(context, upstream, in_flight, failed, started)
             if connection is not None:
                 self._pool.release(upstream.address, connection, self._clock())
@@ -225,8 +257,18 @@
         route = context.route.name
         self._rollouts.record_attempt(upstream, route, in_flight, failed, seconds, now)
 
-    def _note_success(self, context, state, started):
-        context.response_latency = self._clock() - started
+    def _record_loss(self, context, state, error):
+        """Record a connection that broke before any part of the answer came."""
+        is_answered = context.response_latency is not None
+        if not error.was_sent or is_answered or isinstance(error, AnswerTooLargeError):
+            return
+        context.is_suspect = context.is_suspect or context.response_began
+        self._crash_guard.record_loss(context, state.upstream, self._clock())
+
+    def _note_answered(self, context, state, started):
+        now = self._clock()
+        context.response_latency = now - started
+        self._crash_guard.record_answered(context, state.upstream.service, now)
         state.record_success(context.response_latency)
 
     def _send(self, context, state, connection, splitter, now):
@@ -272,7 +314,7 @@
                 context, state, responder, connection, head, splitter, started
             )
         body = await connection.body()
-        self._note_success(context, state, started)
+        self._note_answered(context, state, started)
         responder.answer(head.status, _forwarded_headers(head.headers), body)
         self._log_answer(context, state, head.status, started)
         return AttemptResult()
@@ -280,6 +322,9 @@
     async def _relay_failure(self, context, state, connection, head, reply):
         body = await connection.body()
         state.record_failure()
+        if reply.is_signed:
+            now = self._clock()
+            self._crash_guard.record_answered(context, state.upstream.service, now)
         if not reply.is_signed and head.status < 300:
             answer = GatewayResponse(
                 502, Code.ANSWER_BROKEN, "the response is not signed"
@@ -300,7 +345,7 @@
                 raise AnswerTooLargeError(f"event over {self._max_event_bytes} bytes")
             if events:
                 if context.response_latency is None:
-                    self._note_success(context, state, started)
+                    self._note_answered(context, state, started)
                 if not responder.is_started:
                     self._drop_inputs(context)
                     responder.begin(head.status, _forwarded_headers(head.headers))
--- a/packages/gateway/src/wharf_gateway/routing/upstream_selector.py
+++ b/packages/gateway/src/wharf_gateway/routing/upstream_selector.py
@@ -44,6 +44,13 @@
         return self._choose(states, context, service, now)
 
     def _choose(self, states, context, service, now):
+        """Return the best of `states`, and keep suspects apart from other requests.
+
+        A request that may crash its upstream goes where it would interrupt the fewest.
+        """
+        if context.is_suspect:
+            return min(states, key=lambda state: state.load(now), default=None)
+        states = [state for state in states if not state.suspects] or states
         settings = self._service(service)
         if settings is not None and settings.engine is not None:
             prompt = context.details.prompt
--- a/packages/gateway/src/wharf_gateway/routing/upstream_state.py
+++ b/packages/gateway/src/wharf_gateway/routing/upstream_state.py
@@ -26,11 +26,13 @@
     `pace` is the moving mean of the duration of calls relative to the expected one,
     at least 1. `failure_rate` is the moving mean of failures. No requests are sent
     before `backoff_until`; the next backoff lasts `backoff_seconds`. `cold_tokens`
-    limits the rate of requests while the upstream is cold.
+    limits the rate of requests while the upstream is cold. `suspects` is the number of
+    calls in flight that have lost an upstream before.
     """
 
     upstream: Upstream
     in_flight: int = 0
+    suspects: int = 0
     latency: float | None = None
     pace: float = 1.0
     failure_rate: float = 0.0
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -7,6 +7,7 @@
 import pytest
 
 from wharf_coordination.code import Code
+from wharf_gateway.crash_guard import CrashGuard
 from wharf_gateway.fleet import Fleet
 from wharf_gateway.http.connection_pool import ConnectionPool
 from wharf_gateway.http.headers import Headers
@@ -82,6 +83,15 @@
         self.ending = "broken"
 
 
+class Alone:
+    """A gateway without peers."""
+
+    is_candidate = True
+
+    def post_all(self, message):
+        pass
+
+
 class Upstreams:
     """Servers that send fixed parts; `seen` holds the heads of their requests."""
 
@@ -135,16 +145,19 @@
         context = RequestContext(
             *(inbound, route, RequestDetails("r1"), None, False, now + 1), now + seconds
         )
+        pool, meter = ConnectionPool(), Meter()
+        guard = CrashGuard("g", pool, Alone(), loop.time, meter)
         runner = RequestRunner(
             upstreams.fleet,
             PlainDialect(),
-            ConnectionPool(),
+            pool,
             None,
             RolloutManager(upstreams.fleet, None, None, None, None, loop.time),
             RetryBudgets(0.2, 50, lambda: 1),
             loop.time,
             Random(1),
-            Meter(),
+            meter,
+            guard,
         )
         caller = Caller()
         await runner.run(context, caller)
--- /dev/null
+++ b/packages/standins/tests/test_deadly_prompt_part.py
@@ -0,0 +1,116 @@
+"""Gateways contain requests with a part in their prompts that crashes upstreams."""
+
+import asyncio
+import json
+from itertools import cycle
+
+import pytest
+
+from wharf_adapter import names
+from wharf_coordination import Code
+from wharf_standins.soak.crashing_upstream import CrashingUpstream
+from wharf_standins.soak.gateway_process import GatewayProcess
+from wharf_standins.soak.store import SoakStore
+from wharf_standins.soak.wire import HOST, configuration, upstream_entry
+
+DEADLY_PART = "dead"
+UPSTREAM_COUNT = 5
+GATEWAY_COUNT = 3
+DOWN_SECONDS = 1.0
+MAX_CRASHES = 5  # after which the operators allow three further requests
+
+
+@pytest.fixture
+def upstreams():
+    return [
+        CrashingUpstream(f"upstream-{number}", DEADLY_PART, DOWN_SECONDS)
+        for number in range(UPSTREAM_COUNT)
+    ]
+
+
+@pytest.fixture
+async def gateways(tmp_path, upstreams):
+    store = SoakStore()
+    await store.start()
+    document = configuration(1)
+    for route in document["routes"]:
+        route["isResumable"] = route["name"] == "stream"
+    await store.put("config", "main", document)
+    for upstream in upstreams:
+        entry = upstream_entry(f"127.0.0.1:{await upstream.start()}")
+        await store.put("servers", upstream.name, entry)
+    processes = [
+        GatewayProcess(f"gateway-{number}", tmp_path, store.port)
+        for number in range(GATEWAY_COUNT)
+    ]
+    for process in processes:
+        await process.start()
+    async with asyncio.timeout(20.0):
+        for process in processes:
+            while (await _send(process, "ready", "warm:1,ready:1"))[0] != 200:
+                await asyncio.sleep(0.1)
+    yield processes
+    for process in processes:
+        await process.kill()
+    for upstream in upstreams:
+        upstream.stop()
+    await store.stop()
+
+
+async def _send(gateway, request_id, prompt):
+    """Return the status and the code of the response, or 0 if there is none."""
+    host, _, port = gateway.address.rpartition(":")
+    try:
+        reader, writer = await asyncio.open_connection(host, int(port))
+    except OSError:
+        return 0, None
+    writer.write(
+        f"POST /stream/x HTTP/1.1\r\nHost: {HOST}\r\nContent-Length: 0\r\n"
+        f"{names.ATTEMPT_ID}: {request_id}\r\n{names.DEADLINE}: 3000\r\n"
+        f"{names.PROMPT}: {prompt}\r\nConnection: close\r\n\r\n".encode()
+    )
+    try:
+        head, _, body = (await reader.read()).partition(b"\r\n\r\n")
+    except OSError:
+        return 0, None
+    finally:
+        writer.close()
+    if not head:
+        return 0, None
+    status = int(head.split()[1])
+    if status == 200 and not body.endswith(b"0\r\n\r\n"):
+        return 0, None
+    return status, None if status == 200 else json.loads(body).get("code")
+
+
+def _deadly_prompt(number):
+    return f"common:800,subject:200,{DEADLY_PART}:200,own{number}:50"
+
+
+async def test_part_of_prompts_that_crashes_upstreams_is_refused_at_all_gateways(
+    gateways, upstreams
+):
+    """Each gateway sent such requests to one upstream after the other, as no two were
+    alike and none knew of the crashes that others had seen (tainted, seed 2).
+    """
+    await asyncio.sleep(1.0)
+    turns = cycle(gateways)
+    for number in range(6):
+        await _send(next(turns), f"deadly-{number}", _deadly_prompt(number))
+        await asyncio.sleep(0.2)
+    crashes = sum(len(upstream.crashed_at) for upstream in upstreams)
+    assert 2 <= crashes <= MAX_CRASHES
+    await asyncio.sleep(DOWN_SECONDS)
+
+    refused = [
+        await _send(gateway, f"late-{n}", _deadly_prompt(100 + n))
+        for n, gateway in enumerate(gateways)
+    ]
+    sound = [
+        await _send(gateway, f"sound-{n}", f"common:800,subject:200,sound{n}:50")
+        for n, gateway in enumerate(gateways)
+    ]
+
+    assert refused == [(503, Code.REQUEST_CONDEMNED)] * GATEWAY_COUNT
+    assert sound == [(200, None)] * GATEWAY_COUNT
+    assert sum(len(upstream.crashed_at) for upstream in upstreams) == crashes
