Keep quarantines in the platform's store

What callers saw: after all gateways had been killed at once, requests with a deadly part crashed two to four more engines until they were known again.

Cause: what the gateways know of crashes was in their memory only. Ruled out: keeping it in the gateways' own entries (each would hold all quarantines); a call for each crash (calls are priced, and evidence is of use for seconds only).

Change: a quarantine is one object in the store, written by the first of the gateways that are linked to all, after a delay that differs between them; a gateway that starts adopts what it lists. A lifted or forgotten one is deleted.

--- a/packages/coordination/src/wharf_coordination/quarantine/quarantine.py
+++ b/packages/coordination/src/wharf_coordination/quarantine/quarantine.py
@@ -107,7 +107,8 @@
     def entries(self, now) -> list[QuarantineEntry]:
         """Return all entries, in quarantine or on probation."""
         for feature, entry in list(self._entry_by_feature.items()):
-            if now >= self._end(entry) + PROBATION_SECONDS:
+            # At the same time on all hosts, however long the quarantine is there.
+            if now >= entry.ends_at + entry.seconds + PROBATION_SECONDS:
                 self.lift(feature)
         return list(self._entry_by_feature.values())
 
--- a/packages/coordination/tests/test_quarantine.py
+++ b/packages/coordination/tests/test_quarantine.py
@@ -95,7 +95,7 @@
     quarantine.begin(DEADLY, now=0.0)
 
     assert len(quarantine.entries(100.0)) == 1
-    assert quarantine.entries(_end(quarantine) + 600.0) == []
+    assert quarantine.entries(660.0) == []
 
 
 def test_number_of_entries_is_bounded():
--- a/packages/gateway/src/wharf_gateway/crash_guard.py
+++ b/packages/gateway/src/wharf_gateway/crash_guard.py
@@ -156,9 +156,8 @@
             if self._attribution.is_disproved(entry.attribution):
                 answered_at = self._attribution.answered_at(feature)
                 link.post(AnsweredNotice(feature, now - answered_at))
-            elif self._quarantine.adopt(entry):
-                self._log_entry(entry, now)
-                self._interrupt(now)
+            else:
+                self._adopt(entry, now)
 
     def handle_answered(self, message, now):
         """Record an answer that another gateway knows of."""
@@ -167,6 +166,22 @@
         if self._lift_if_disproved(message.feature, now) and self._peers.is_candidate:
             self._post_answered(message.feature, now)
 
+    # The store's copies of quarantines.
+
+    def entries(self, now):
+        """Return all quarantines and probations."""
+        return self._quarantine.entries(now)
+
+    def adopt(self, entry, now):
+        """Apply a quarantine of earlier processes, unless it has been forgotten."""
+        if not self._attribution.is_disproved(entry.attribution):
+            self._adopt(entry, now)
+
+    def _adopt(self, entry, now):
+        if self._quarantine.adopt(entry):
+            self._log_entry(entry, now)
+            self._interrupt(now)
+
     def dump(self, now):
         """Return what is in quarantine, for operators."""
         return {
--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from importlib import import_module
 from random import Random
 
@@ -19,6 +20,7 @@
 from wharf_gateway.peers.peer_set import PeerSet
 from wharf_gateway.peers.registry import Registry
 from wharf_gateway.preparation_router import PreparationRouter
+from wharf_gateway.quarantine_keeper import QuarantineKeeper
 from wharf_gateway.request_admission import RequestAdmission
 from wharf_gateway.request_runner import RequestRunner
 from wharf_gateway.rollouts.rollout_manager import RolloutManager
@@ -100,6 +102,9 @@
             settings.name, self._pool, self.peers, self._clock, self.meter
         )
         self.peers.crashes = self.crash_guard
+        self._quarantine_keeper = QuarantineKeeper(
+            settings.name, self._store, self.crash_guard, self.peers, time.time
+        )
         self._registry = Registry(
             settings, self._store, self._rng, self._on_gateway_entries
         )
@@ -175,6 +180,11 @@
                 self.rollouts.apply_orders,
                 self.rollouts.apply_orders,
             ),
+            self._watch(
+                StoreKind.QUARANTINES,
+                self._quarantine_keeper.replace_documents,
+                self._quarantine_keeper.update_documents,
+            ),
         ]
         self._watch_tasks = [asyncio.create_task(f.run()) for f in self._watchers]
         self._tasks.append(asyncio.create_task(self._tick()))
@@ -336,3 +346,4 @@
             self.preparation_router.advance(now)
             self.rollouts.advance(now)
             self.crash_guard.advance(now)
+            self._quarantine_keeper.advance(now)
--- a/packages/gateway/src/wharf_gateway/store/store_client.py
+++ b/packages/gateway/src/wharf_gateway/store/store_client.py
@@ -71,6 +71,11 @@
         body = self._dialect.object_body(name, spec)
         return await self._call("PUT", path, body, CALL_TIMEOUT_SECONDS)
 
+    async def delete(self, kind, name):
+        """Delete an object, whatever its revision."""
+        path = self._dialect.object_path(kind, name)
+        return await self._call("DELETE", path, b"", CALL_TIMEOUT_SECONDS)
+
     async def replace_status(self, kind, name, status, revision):
         """Replace an object's status if its revision is still `revision`."""
         path = self._dialect.object_path(kind, name, "status")
--- a/packages/gateway/src/wharf_gateway/store/store_kind.py
+++ b/packages/gateway/src/wharf_gateway/store/store_kind.py
@@ -13,3 +13,4 @@
     EVACUATIONS = "evacuations"
     ROLLOUTS = "rollouts"
     ENTRIES = "entries"
+    QUARANTINES = "quarantines"
--- a/packages/standins/src/wharf_standins/soak/store.py
+++ b/packages/standins/src/wharf_standins/soak/store.py
@@ -72,6 +72,9 @@
         kind, name = request.match_info["kind"], request.match_info.get("name")
         if request.method == "GET":
             return await self._read(kind, request.query)
+        if request.method == "DELETE":
+            await self.put(kind, name, None)
+            return web.json_response({})
         document = json.loads(await request.read())
         name = name or document["metadata"]["name"]
         if request.method == "POST" and (kind, name) in self._object_by_key:
--- a/packages/standins/tests/test_deadly_prompt_part.py
+++ b/packages/standins/tests/test_deadly_prompt_part.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import json
+import signal
 from itertools import cycle
 
 import pytest
 
 from wharf_adapter import names
 from wharf_coordination import Code
+from wharf_gateway.quarantine_keeper import MAX_WRITE_DELAY_SECONDS
 from wharf_standins.soak.crashing_upstream import CrashingUpstream
 from wharf_standins.soak.gateway_process import GatewayProcess
 from wharf_standins.soak.store import SoakStore
@@ -45,10 +47,7 @@
     ]
     for process in processes:
         await process.start()
-    async with asyncio.timeout(20.0):
-        for process in processes:
-            while (await _send(process, "ready", "warm:1,ready:1"))[0] != 200:
-                await asyncio.sleep(0.1)
+    await _wait_until_ready(processes)
     yield processes
     for process in processes:
         await process.kill()
@@ -57,6 +56,13 @@
     await store.stop()
 
 
+async def _wait_until_ready(processes):
+    async with asyncio.timeout(20.0):
+        for process in processes:
+            while (await _send(process, "ready", "warm:1,ready:1"))[0] != 200:
+                await asyncio.sleep(0.1)
+
+
 async def _send(gateway, request_id, prompt):
     """Return the status and the code of the response, or 0 if there is none."""
     host, _, port = gateway.address.rpartition(":")
@@ -114,3 +120,25 @@
     assert refused == [(503, Code.REQUEST_CONDEMNED)] * GATEWAY_COUNT
     assert sound == [(200, None)] * GATEWAY_COUNT
     assert sum(len(upstream.crashed_at) for upstream in upstreams) == crashes
+
+
+async def test_quarantine_outlives_a_restart_of_all_gateways(gateways, upstreams):
+    """What had been learnt was lost, so that engines crashed again (tainted-restarts,
+    seed 1: seven crashes).
+    """
+    await asyncio.sleep(1.0)
+    turns = cycle(gateways)
+    for number in range(4):
+        await _send(next(turns), f"deadly-{number}", _deadly_prompt(number))
+    await asyncio.sleep(MAX_WRITE_DELAY_SECONDS + DOWN_SECONDS)
+    crashes = sum(len(upstream.crashed_at) for upstream in upstreams)
+
+    await asyncio.gather(*(g.restart(signal.SIGKILL) for g in gateways))
+    await _wait_until_ready(gateways)
+    refused = [
+        await _send(gateway, f"late-{n}", _deadly_prompt(100 + n))
+        for n, gateway in enumerate(gateways)
+    ]
+
+    assert refused == [(503, Code.REQUEST_CONDEMNED)] * GATEWAY_COUNT
+    assert sum(len(upstream.crashed_at) for upstream in upstreams) == crashes
