Share a rate limit among the processes of a fleet, as a library part

Cause: a limit on all processes together had no part in the library: RetryBudgets divides by the number of gateways, and a bucket of one token in each of 68 gateways may send 68 requests in the same moment. Ruled out: a permit for each request from one process (a round trip, and a process that all depend on); shares by demand (each must know the others' demand, which is late when it jumps).

Change: rate_holders chooses by rendezvous two processes and one more for each request a second; RateShare is the bucket of one of them.

--- a/packages/coordination/src/wharf_coordination/__init__.py
+++ b/packages/coordination/src/wharf_coordination/__init__.py
@@ -36,6 +36,7 @@
 from wharf_coordination.queued_call import QueuedCall
 from wharf_coordination.ran import Ran
 from wharf_coordination.rate_limiter import RateLimiter
+from wharf_coordination.rate_share import RateShare, rate_holders
 from wharf_coordination.refusal import Refusal
 from wharf_coordination.rendezvous import ranked, subset
 from wharf_coordination.report_schedule import ReportSchedule
@@ -79,6 +80,7 @@
     "QuarantineEntry",
     "QueuedCall",
     "Ran",
+    "RateShare",
     "ReceiveWindow",
     "Refusal",
     "ReportSchedule",
@@ -95,6 +97,7 @@
     "limit_for_priority",
     "chunk_cost",
     "ranked",
+    "rate_holders",
     "request_fingerprint",
     "stage_fingerprint",
     "subset",
