Keep all gateways together within the rate that an upstream names

Cause: no part of the gateway read the header. Had each kept to it alone, all together would have sent several times as much, and a gateway without a recent answer, or one just started, would not have known.

Change: the adapter reads the header; the first gateway to learn of a limit or its end tells the others, those linked to all repeat it each second; each takes its share, or none. A limit ends with an answer that doesn't name it, or when none has come for 10 s or the time of five requests. Selection, retries, resumed streams and calls with pieces all go through it. A request waits for a share if it will still be on time, and is refused at once, before its steps, if it won't be. Ruled out: half of the named rate for safety (callers would lose what is allowed).

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -25,6 +25,7 @@
 from wharf_gateway.request_runner import RequestRunner
 from wharf_gateway.rollouts.rollout_manager import RolloutManager
 from wharf_gateway.routing.retry_budgets import RetryBudgets
+from wharf_gateway.routing.upstream_limits import UpstreamLimits
 from wharf_gateway.stages.piece_client import PieceClient
 from wharf_gateway.store.outage import Outage
 from wharf_gateway.store.store_client import StoreClient
@@ -102,6 +103,14 @@
             settings.name, self._pool, self.peers, self._clock, self.meter
         )
         self.peers.crashes = self.crash_guard
+        self._limits = UpstreamLimits(
+            settings.name,
+            self.fleet,
+            self.peers,
+            lambda: self._registry.entry_by_name,
+        )
+        self.peers.limits = self._limits
+        client.record_limit = self._limits.record_answer
         self._quarantine_keeper = QuarantineKeeper(
             settings.name, self._store, self.crash_guard, self.peers, time.time
         )
@@ -134,6 +143,7 @@
             self._rng,
             self.meter,
             self.crash_guard,
+            self._limits,
             settings.max_answer_bytes,
             self.pause_guard,
         )
@@ -254,6 +264,7 @@
             "preparers": self.preparation_router.dump(now),
             "rollouts": self.rollouts.dump(now),
             "quarantine": self.crash_guard.dump(now),
+            "limits": self._limits.dump(now),
             "store_feed": self.feed.dump(now),
             "peers": {
                 name: {
@@ -345,5 +356,6 @@
                 self.server.limits = self.fleet.configuration.limits
             self.preparation_router.advance(now)
             self.rollouts.advance(now)
+            self._limits.advance(now)
             self.crash_guard.advance(now)
             self._quarantine_keeper.advance(now)
--- a/packages/gateway/src/wharf_gateway/model/response_details.py
+++ b/packages/gateway/src/wharf_gateway/model/response_details.py
@@ -12,7 +12,8 @@
     `call_id` is the ID of the request that it answers, if given. `not_run` says that
     the upstream has not run the request and won't, `is_signed` that the upstream itself
     made the response. `idle_seconds` is the idle timeout of the connection; `running`
-    and `waiting` are the upstream's numbers of calls.
+    and `waiting` are the upstream's numbers of calls. `rate_limit` is the number of
+    requests a second that it takes from all gateways together.
     """
 
     call_id: str | None
@@ -21,3 +22,4 @@
     idle_seconds: float | None
     running: int | None = None
     waiting: int | None = None
+    rate_limit: float | None = None
--- a/packages/gateway/src/wharf_gateway/peers/messages.py
+++ b/packages/gateway/src/wharf_gateway/peers/messages.py
@@ -19,6 +19,8 @@
     "CrashNotice",
     "Free",
     "Greeting",
+    "LimitItem",
+    "LimitNotice",
     "LoadNotice",
     "MAX_SUSPECTS",
     "Message",
@@ -209,6 +211,27 @@
     kind: Literal["answered"] = "answered"
 
 
+@dataclass(frozen=True, slots=True)
+class LimitItem:
+    """Requests a second that an upstream takes, or None if it names no limit any more.
+
+    `seconds_ago` is the age of the answer that said so.
+    """
+
+    upstream: str
+    started_ms: int
+    rate: float | None
+    seconds_ago: float
+
+
+@dataclass(frozen=True, slots=True)
+class LimitNotice:
+    """Tell limits that upstreams have named, or their ends."""
+
+    items: tuple[LimitItem, ...]
+    kind: Literal["limit"] = "limit"
+
+
 Message = TypeAdapter(
     Annotated[
         Greeting
@@ -223,7 +246,8 @@
         | StoreNews
         | CrashNotice
         | QuarantineNotice
-        | AnsweredNotice,
+        | AnsweredNotice
+        | LimitNotice,
         Field(discriminator="kind"),
     ]
 )
--- a/packages/gateway/src/wharf_gateway/peers/peer_link.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_link.py
@@ -13,6 +13,7 @@
     CrashNotice,
     Free,
     Greeting,
+    LimitNotice,
     LoadNotice,
     Prepare,
     Prepared,
@@ -41,8 +42,8 @@
 
     `preparers` has the method `preparer(pool)`; `rollouts` has `handle_share_notice`
     and `add_sample`; `feed` has `handle_news` and `handle_notice`; `crashes` has a
-    `handle_` method for each notice about crashes. `is_outgoing` says whether this
-    gateway opened the connection.
+    `handle_` method for each notice about crashes; `limits` has `handle_notice`.
+    `is_outgoing` says whether this gateway opened the connection.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         *,
         feed=None,
         crashes=None,
+        limits=None,
         is_outgoing=False,
     ):
         self._socket = socket
@@ -61,6 +63,7 @@
         self._rollouts = rollouts
         self._feed = feed
         self._crashes = crashes
+        self._limits = limits
         self._clock = clock
         self._numbers = count()
         self._future_by_number = {}
@@ -213,6 +216,8 @@
                 self._crashes.handle_crash(message, self._clock())
             case QuarantineNotice():
                 self._crashes.handle_quarantine(message, self, self._clock())
+            case LimitNotice():
+                self._limits.handle_notice(message, self._clock())
             case AnsweredNotice():
                 self._crashes.handle_answered(message, self._clock())
 
--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -58,6 +58,7 @@
         self.rollouts = None
         self.feed = None
         self.crashes = None
+        self.limits = None
         self._dial_task_by_name = {}
         self._state_by_name = {}
         self.link_by_name = {}
@@ -163,6 +164,7 @@
             self._clock,
             feed=self.feed,
             crashes=self.crashes,
+            limits=self.limits,
             is_outgoing=is_outgoing,
         )
         greeting = Greeting(self._settings.name, self._settings.data_centre)
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -40,6 +40,10 @@
 CANCELLED_FAILURE_SECONDS = 0.5
 # Usual time of an engine up to its first event, kept free after the preparation.
 ENGINE_SECONDS = 0.25
+# A request that will be late anyway waits no longer for an upstream at its limit.
+MAX_LATE_WAIT_SECONDS = 0.5
+# After which a caller may retry if only other gateways may send to the upstreams.
+ELSEWHERE_RETRY_SECONDS = 0.5
 # A request whose upstream was lost as it began to answer waits for what other gateways
 # know of it before it is sent to the next one.
 SUSPECT_DELAY_SECONDS = 0.1
@@ -60,6 +64,7 @@
         rng,
         meter,
         crash_guard,
+        limits,
         max_event_bytes=1 << 20,
         pause_guard=None,
     ):
@@ -73,6 +78,7 @@
         self._choice = UpstreamSelector(fleet, rollouts, rng)
         self._meter = meter
         self._crash_guard = crash_guard
+        self._limits = limits
         self._max_event_bytes = max_event_bytes
         self._pause_guard = pause_guard
 
@@ -154,8 +160,12 @@
         refusal = self._crash_guard.refusal(context, self._clock())
         if refusal is not None:
             return refusal
-        splitter = EventSplitter()
         answer = GatewayResponse.not_run(Code.NO_UPSTREAM, "no upstream available")
+        if not self._is_within(
+            context, self._choice.limit_wait(context, self._clock())
+        ):
+            return self._limit_refusal(context, answer)
+        splitter = EventSplitter()
         attempts = 0
         while context.sends < MAX_SENDS and attempts < context.route.max_attempts:
             if context.route.steps and context.inputs is None:
@@ -166,7 +176,9 @@
             await self._wait_sure()
             state = self._choice.select(context, self._clock())
             if state is None:
-                return answer
+                state = await self._wait_for_limit(context)
+            if state is None:
+                return answer if context.sends else self._limit_refusal(context, answer)
             service = state.upstream.service
             refusal = self._crash_guard.refusal_at(context, service, self._clock())
             if refusal is not None:
@@ -198,6 +210,46 @@
                 await asyncio.sleep(SUSPECT_DELAY_SECONDS)
         return answer
 
+    async def _wait_for_limit(self, context):
+        """Wait for an upstream that is at the limit it names.
+
+        Return its state, or None if that takes too long or limits aren't the cause.
+        """
+        now = self._clock()
+        seconds = self._choice.limit_wait(context, now)
+        if seconds <= 0 or not self._is_within(context, seconds):
+            return None
+        state, seconds = self._choice.reserve(context, now)
+        self._meter.observe("wharf_limit_wait_seconds", seconds)
+        await asyncio.sleep(seconds)
+        if self._choice.is_usable(state, self._clock()):
+            return state
+        return self._choice.select(context, self._clock())
+
+    def _is_within(self, context, seconds):
+        """Return whether a request sent after `seconds` is answered on time.
+
+        One that is late already takes what no other request has reserved.
+        """
+        if seconds <= 0:
+            return True
+        ends_at = self._clock() + seconds + ENGINE_SECONDS
+        if ends_at > context.deadline:
+            return False
+        return ends_at <= context.soft_deadline or seconds <= MAX_LATE_WAIT_SECONDS
+
+    def _limit_refusal(self, context, answer):
+        """Return the refusal for limits that upstreams name, or else `answer`."""
+        seconds = self._choice.limit_wait(context, self._clock())
+        if seconds <= 0:
+            return answer
+        self._meter.count("wharf_limit_refusals")
+        return GatewayResponse.not_run(
+            Code.UPSTREAM_FULL,
+            "all upstreams are at the limits they name",
+            seconds if seconds < float("inf") else ELSEWHERE_RETRY_SECONDS,
+        )
+
     async def _wait_sure(self):
         if self._pause_guard is not None:
             await self._pause_guard.wait_sure(self._clock)
@@ -223,7 +275,7 @@
                 head = await connection.head()
             reply = self._dialect.read_response(head)
             context.response_began = True
-            self._note_reply(state, reply, connection)
+            self._note_reply(state, reply, connection, started)
             if reply.not_run:
                 context.may_have_run = ran_before
             result = await self._relay(
@@ -296,8 +348,11 @@
 
         connection.send(head, bytes(inbound.body), is_matching)
 
-    def _note_reply(self, state, reply, connection):
+    def _note_reply(self, state, reply, connection, started):
         connection.idle_timeout = reply.idle_seconds
+        self._limits.record_answer(
+            state.upstream.id, reply.rate_limit, started, self._clock()
+        )
         if reply.running is not None:
             state.record_load(reply.running, reply.waiting, self._clock())
 
--- a/packages/gateway/src/wharf_gateway/routing/upstream_selector.py
+++ b/packages/gateway/src/wharf_gateway/routing/upstream_selector.py
@@ -37,12 +37,46 @@
             canary_states = self._fleet.canary_states(service)
             state = self._select_limited(canary_states, context, service, now)
         states = self._fleet.states(service)
-        return state or self._select_limited(states, context, service, now)
+        state = state or self._select_limited(states, context, service, now)
+        if state is not None:
+            state.reserve_send(now)
+        return state
 
     def _select_limited(self, states, context, service, now):
-        states = self._limit_cold(eligible(states, context.tried, now), service, now)
+        states = self._within_limits(eligible(states, context.tried, now), now)
+        states = self._limit_cold(states, service, now)
         return self._choose(states, context, service, now)
 
+    def limit_wait(self, context, now):
+        """Return the seconds until an upstream takes the request within its limit.
+
+        Return 0 if one does now, or if limits aren't what keeps the request waiting.
+        """
+        states = self._limited_states(context, now)
+        return min((state.limit_wait(now) for state in states), default=0.0)
+
+    def reserve(self, context, now):
+        """Reserve the next request of an upstream's limit.
+
+        Return the upstream's state and the seconds until the request may be sent.
+        """
+        states = self._limited_states(context, now)
+        state = min(states, key=lambda state: state.limit_wait(now))
+        return state, state.reserve_send(now)
+
+    def is_usable(self, state, now):
+        """Return whether a reserved upstream still takes requests."""
+        states = self._fleet.states(state.upstream.service)
+        return state in states and not state.in_backoff(now)
+
+    def _limited_states(self, context, now):
+        service = self._pick_service(context.route)
+        return eligible(self._fleet.states(service), context.tried, now)
+
+    @staticmethod
+    def _within_limits(states, now):
+        return [state for state in states if state.limit_wait(now) <= 0]
+
     def _choose(self, states, context, service, now):
         """Return the best of `states`, and keep suspects apart from other requests.
 
--- a/packages/gateway/src/wharf_gateway/routing/upstream_state.py
+++ b/packages/gateway/src/wharf_gateway/routing/upstream_state.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from wharf_gateway.model.upstream import Upstream
+from wharf_gateway.routing.upstream_limit import UpstreamLimit
 
 __all__ = ["UpstreamState"]
 
@@ -27,7 +28,8 @@
     at least 1. `failure_rate` is the moving mean of failures. No requests are sent
     before `backoff_until`; the next backoff lasts `backoff_seconds`. `cold_tokens`
     limits the rate of requests while the upstream is cold. `suspects` is the number of
-    calls in flight that have lost an upstream before.
+    calls in flight that have lost an upstream before. `limit` is set once the upstream
+    has named one.
     """
 
     upstream: Upstream
@@ -42,6 +44,7 @@
     reported_at: float = float("-inf")
     cold_tokens: float = 1.0
     cold_filled_at: float = field(default=0.0)
+    limit: UpstreamLimit | None = None
 
     def in_backoff(self, now):
         """Return whether no requests are sent because of a recent failure."""
@@ -96,6 +99,18 @@
         self.backoff_until = now + self.backoff_seconds
         self.backoff_seconds = min(self.backoff_seconds * 2, MAX_BACKOFF_SECONDS)
 
+    def limit_wait(self, now):
+        """Return the seconds until this gateway may send within the named limit."""
+        if self.limit is None or self.limit.rate is None:
+            return 0.0
+        return self.limit.share.wait(now)
+
+    def reserve_send(self, now):
+        """Use up a request of the limit; return the seconds until it may be sent."""
+        if self.limit is None or self.limit.rate is None:
+            return 0.0
+        return self.limit.share.reserve(now)
+
     def take_cold_token(self, rate, now):
         """Take a token if one is available; `rate` tokens are added per second."""
         elapsed = now - self.cold_filled_at
--- a/packages/gateway/src/wharf_gateway/stages/batcher.py
+++ b/packages/gateway/src/wharf_gateway/stages/batcher.py
@@ -129,9 +129,9 @@
 
     def _is_free(self, state, batching, now):
         name = state.upstream.id
-        return self._calls_by_id.get(
-            name, 0
-        ) < batching.concurrency and now >= self._backoff_until_by_id.get(name, 0.0)
+        has_room = self._calls_by_id.get(name, 0) < batching.concurrency
+        is_rested = now >= self._backoff_until_by_id.get(name, 0.0)
+        return has_room and is_rested and state.limit_wait(now) <= 0
 
     def _start(self, state, batching, now):
         upstream = state.upstream
@@ -149,6 +149,7 @@
         if not batch:
             return
         self._set_preferred(batch, centre)
+        state.reserve_send(now)
         self._calls_by_id[upstream.id] = self._calls_by_id.get(upstream.id, 0) + 1
         self._usage.reserve(upstream.address, sum(job.result_bytes for job in batch))
         self._spawn(self._run(state, batch, batching, now))
--- a/packages/gateway/src/wharf_gateway/stages/piece_client.py
+++ b/packages/gateway/src/wharf_gateway/stages/piece_client.py
@@ -24,7 +24,8 @@
     Responses to these calls carry no request id. Each call that runs pieces therefore
     uses a connection of its own, so that a late second response can't be taken for
     that of another call. Calls that drop results share connections, as their
-    responses aren't used.
+    responses aren't used. `record_limit` is called with the limit that the answer to
+    a call with pieces names.
     """
 
     def __init__(self, dialect, pool, clock):
@@ -33,6 +34,7 @@
         self._clock = clock
         self._shared_pool = ConnectionPool(max_idle=1)
         self._tasks = set()
+        self.record_limit = lambda upstream_id, rate, sent_at, now: None
 
     async def run(self, upstream, batch, timeout, now):
         """Return the results of a batch of jobs.
@@ -40,7 +42,10 @@
         Raises `HttpCallError` if there is no response within `timeout` seconds.
         """
         path, body = self._dialect.piece_call([_with_time(job, now) for job in batch])
-        status, answer = await self._post(upstream, path, body, timeout)
+        head, answer = await self._post(upstream, path, body, timeout)
+        rate = self._dialect.read_response(head).rate_limit
+        self.record_limit(upstream.id, rate, now, self._clock())
+        status = head.status
         if status != 200:
             return Err("full" if status in (421, 429, 503) else f"status {status}")
         return self._dialect.read_pieces(answer, len(batch))
@@ -84,7 +89,7 @@
         None means that it sent no report or none with that number.
         """
         try:
-            status, answer = await self._exchange(
+            head, answer = await self._exchange(
                 self._shared_pool,
                 upstream.address,
                 self._dialect.report_path,
@@ -97,7 +102,7 @@
         except HttpCallError as error:
             log.info("no_report", upstream=upstream.id, reason=str(error))
             return None
-        return self._dialect.read_free_bytes(answer) if status == 200 else None
+        return self._dialect.read_free_bytes(answer) if head.status == 200 else None
 
     async def _post(self, upstream, path, body, seconds):
         fields = self._dialect.expect_fields(upstream.id)
@@ -115,7 +120,7 @@
                 head = request_head(method, path, address, fields, len(body))
                 connection.send(head, body, lambda headers: True)
                 reply = await connection.head()
-                return reply.status, await connection.body()
+                return reply, await connection.body()
         except TimeoutError as error:
             raise HttpCallError(f"no answer within {seconds:.2f} s") from error
         finally:
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -7,6 +7,7 @@
 import pytest
 
 from wharf_coordination.code import Code
+from wharf_coordination.rate_share import RateShare
 from wharf_gateway.crash_guard import CrashGuard
 from wharf_gateway.fleet import Fleet
 from wharf_gateway.http.connection_pool import ConnectionPool
@@ -25,6 +26,8 @@
 from wharf_gateway.request_runner import RequestRunner
 from wharf_gateway.rollouts.rollout_manager import RolloutManager
 from wharf_gateway.routing.retry_budgets import RetryBudgets
+from wharf_gateway.routing.upstream_limit import UpstreamLimit
+from wharf_gateway.routing.upstream_limits import UpstreamLimits
 from wharf_gateway.telemetry.meter import Meter
 
 SIGNED = b"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nok"
@@ -158,6 +161,7 @@
             Random(1),
             meter,
             guard,
+            UpstreamLimits("g", upstreams.fleet, Alone(), lambda: {}),
         )
         caller = Caller()
         await runner.run(context, caller)
@@ -348,6 +352,49 @@
     assert not second.needs_probe
 
 
+def _limit_all(upstreams, rate):
+    now = asyncio.get_running_loop().time()
+    for state in upstreams.fleet.state_by_id.values():
+        state.limit = UpstreamLimit(rate, now, RateShare(rate, now))
+
+
+async def test_request_waits_for_an_upstream_at_its_limit(upstreams, ask):
+    await upstreams.add(SIGNED)
+    _limit_all(upstreams, 5.0)
+    began = asyncio.get_running_loop().time()
+
+    assert (await ask("safe")).status == 200
+    assert asyncio.get_running_loop().time() - began > 0.15
+
+
+async def test_request_is_refused_at_once_if_all_upstreams_stay_at_their_limits(
+    upstreams, ask
+):
+    await upstreams.add(SIGNED)
+    _limit_all(upstreams, 0.2)
+    began = asyncio.get_running_loop().time()
+
+    caller = await ask("safe", seconds=2.0)
+
+    assert asyncio.get_running_loop().time() - began < 0.1
+    assert json.loads(caller.body) == {
+        "code": Code.UPSTREAM_FULL,
+        "error": "upstream_full",
+        "ran": "no",
+    }
+    assert 4.0 < float(caller.headers.get("Retry-After")) <= 5.0
+    assert upstreams.seen == []
+
+
+async def test_upstream_below_its_limit_is_preferred_to_waiting(upstreams, ask):
+    await upstreams.add(SIGNED)
+    await upstreams.add(SIGNED)
+    _limit_all(upstreams, 0.2)
+    upstreams.fleet.state_by_id["u1"].limit = None
+
+    assert (await ask("safe")).status == 200
+
+
 async def test_hanging_upstream_gets_a_failure_share(upstreams, ask):
     await upstreams.add(silent=True)
 
--- a/packages/standins/src/wharf_standins/soak/upstream.py
+++ b/packages/standins/src/wharf_standins/soak/upstream.py
@@ -14,12 +14,16 @@
 
 
 class SoakUpstream:
-    """Answer on loopback; call `record_run(upstream, request_id)` as a run begins."""
+    """Answer on loopback; call `record_run(upstream, request_id)` as a run begins.
+
+    `rate_limit`, if set, is named in the answers, in requests a second.
+    """
 
     def __init__(self, name, record_run):
         self.name = name
         self._record_run = record_run
         self._server = None
+        self.rate_limit = None
 
     async def start(self):
         """Listen on loopback and return the port."""
@@ -49,6 +53,8 @@
         self._record_run(self, request_id)
         await asyncio.sleep(WORK_SECONDS)
         head = f"HTTP/1.1 200 OK\r\n{names.ATTEMPT_ID}: {request_id}\r\n{SIGNATURE}\r\n"
+        if self.rate_limit is not None:
+            head += f"{names.LIMIT}: {self.rate_limit}\r\n"
         if " /stream/" not in request_line:
             data = response_body(request_id)
             writer.write(f"{head}Content-Length: {len(data)}\r\n\r\n".encode() + data)
--- /dev/null
+++ b/packages/standins/tests/test_named_limit.py
@@ -0,0 +1,109 @@
+"""Gateways together keep within the rate that an upstream names in its answers."""
+
+import asyncio
+from random import Random
+
+import pytest
+
+from wharf_standins.soak.client import SoakClient
+from wharf_standins.soak.gateway_process import GatewayProcess
+from wharf_standins.soak.request import RequestKind, SoakRequest
+from wharf_standins.soak.store import SoakStore
+from wharf_standins.soak.upstream import SoakUpstream
+from wharf_standins.soak.wire import configuration, upstream_entry
+
+GATEWAY_COUNT = 3
+CLIENTS_PER_GATEWAY = 3
+LIMIT = 1.0
+CONTACT_SECONDS = 3.0  # the operators allow this time for the limit to be known
+WINDOW_SECONDS = 4.0
+MOST_IN_WINDOW = 1.5 * WINDOW_SECONDS * LIMIT + 5
+
+
+@pytest.fixture
+async def runs():
+    """Return the times of runs by upstream, which are two."""
+    return {"upstream-0": [], "upstream-1": []}
+
+
+@pytest.fixture
+async def upstreams(runs):
+    clock = asyncio.get_running_loop().time
+
+    def record_run(upstream, request_id):
+        runs[upstream.name].append(clock())
+
+    found = [SoakUpstream(name, record_run) for name in runs]
+    yield found
+    for upstream in found:
+        upstream.stop()
+
+
+@pytest.fixture
+async def gateways(tmp_path, upstreams):
+    store = SoakStore()
+    await store.start()
+    await store.put("config", "main", configuration(1))
+    for upstream in upstreams:
+        entry = upstream_entry(f"127.0.0.1:{await upstream.start()}")
+        await store.put("servers", upstream.name, entry)
+    processes = [
+        GatewayProcess(f"gateway-{number}", tmp_path, store.port)
+        for number in range(GATEWAY_COUNT)
+    ]
+    for process in processes:
+        await process.start()
+    yield processes
+    for process in processes:
+        await process.kill()
+    await store.stop()
+
+
+def _client(gateway, requests):
+    clock = asyncio.get_running_loop().time
+
+    def new_request(kind, gateway_name):
+        requests.append(
+            SoakRequest(f"{len(requests):016x}", kind, gateway_name, clock())
+        )
+        return requests[-1]
+
+    return SoakClient(gateway, Random(1), new_request, lambda since: True, clock)
+
+
+async def test_limit_that_an_upstream_names_holds_for_all_gateways_together(
+    gateways, upstreams, runs
+):
+    """No gateway read the limit; a restart of one would have doubled it (capped)."""
+    clock, requests = asyncio.get_running_loop().time, []
+    async with asyncio.timeout(20.0):
+        for gateway in gateways:
+            client = _client(gateway, requests)
+            while (await client.send(RequestKind.SAFE)).status != 200:
+                await asyncio.sleep(0.1)
+    upstreams[0].rate_limit = LIMIT
+    requests.clear()
+    tasks = [
+        asyncio.create_task(_client(gateway, requests).run())
+        for gateway in gateways
+        for _ in range(CLIENTS_PER_GATEWAY)
+    ]
+    await asyncio.sleep(CONTACT_SECONDS)
+    since = clock()
+    await asyncio.sleep(WINDOW_SECONDS + 2.0)
+    upstreams[0].rate_limit = None
+    limited_until = clock()
+    await asyncio.sleep(CONTACT_SECONDS)
+    free_since = clock()
+    await asyncio.sleep(WINDOW_SECONDS)
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+    limited = [at for at in runs["upstream-0"] if since <= at < limited_until]
+    most = max(sum(t <= u < t + WINDOW_SECONDS for u in limited) for t in limited)
+    assert 2 <= most <= MOST_IN_WINDOW
+    free = [at for at in runs["upstream-0"] if at >= free_since]
+    assert len(free) > 2 * MOST_IN_WINDOW
+    finished = [request for request in requests if request.status is not None]
+    assert {request.status for request in finished} == {200}
