--- a/packages/coordination/src/wharf_coordination/quarantine/quarantine.py
+++ b/packages/coordination/src/wharf_coordination/quarantine/quarantine.py
@@ -39,6 +39,7 @@
     max_entries: int = MAX_ENTRIES
     _entry_by_feature: dict[str, QuarantineEntry] = field(default_factory=dict)
     _holder_by_feature: dict[str, str] = field(default_factory=dict)
+    _lifted_end_by_feature: dict[str, float] = field(default_factory=dict)
 
     def begin(self, attribution, now) -> QuarantineEntry | None:
         """Quarantine a feature; return the entry, or None if it already is."""
@@ -64,9 +65,14 @@
         return [entry for entry in entries if entry is not None]
 
     def adopt(self, entry) -> bool:
-        """Apply another host's entry; return whether it differs from the known one."""
-        known = self._entry_by_feature.get(entry.attribution.feature)
-        if known is not None and entry.ends_at <= known.ends_at + CLOCK_SLACK_SECONDS:
+        """Apply another host's entry; return whether it differs from the known one.
+
+        A late copy of an entry that was lifted here is not applied.
+        """
+        feature = entry.attribution.feature
+        known = self._entry_by_feature.get(feature)
+        known_end = known.ends_at if known else self._lifted_end_by_feature.get(feature)
+        if known_end is not None and entry.ends_at <= known_end + CLOCK_SLACK_SECONDS:
             return False
         self._put(entry)
         return True
@@ -74,7 +80,13 @@
     def lift(self, feature) -> QuarantineEntry | None:
         """End a quarantine or a probation; return its entry, or None."""
         self._holder_by_feature.pop(feature, None)
-        return self._entry_by_feature.pop(feature, None)
+        entry = self._entry_by_feature.pop(feature, None)
+        if entry is not None:
+            self._lifted_end_by_feature[feature] = entry.ends_at
+            if len(self._lifted_end_by_feature) > self.max_entries:
+                oldest = next(iter(self._lifted_end_by_feature))
+                del self._lifted_end_by_feature[oldest]
+        return entry
 
     def blocking_feature(self, features, now, holder=None) -> str | None:
         """Return the first feature for which a request may not run now, or None.
@@ -118,6 +130,7 @@
     def _put(self, entry):
         feature = entry.attribution.feature
         self._entry_by_feature.pop(feature, None)
+        self._lifted_end_by_feature.pop(feature, None)
         self._entry_by_feature[feature] = entry
         if len(self._entry_by_feature) > self.max_entries:
             self.lift(next(iter(self._entry_by_feature)))
--- a/packages/coordination/tests/test_quarantine.py
+++ b/packages/coordination/tests/test_quarantine.py
@@ -91,6 +91,14 @@
     assert quarantine.blocking_feature(FEATURES, 1.0) is None
 
 
+def test_late_copy_of_a_lifted_entry_does_not_bring_it_back(quarantine):
+    entry = quarantine.begin(DEADLY, now=0.0)
+    quarantine.lift("deadly")
+
+    assert not quarantine.adopt(entry)
+    assert quarantine.adopt(replace(entry, ends_at=entry.ends_at + 60.0))
+
+
 def test_feature_that_crashes_nothing_more_is_forgotten(quarantine):
     quarantine.begin(DEADLY, now=0.0)
 
--- a/packages/gateway/src/wharf_gateway/crash_guard.py
+++ b/packages/gateway/src/wharf_gateway/crash_guard.py
@@ -177,6 +177,11 @@
         if not self._attribution.is_disproved(entry.attribution):
             self._adopt(entry, now)
 
+    def lift(self, feature, now):
+        """End a quarantine by order of an operator."""
+        if self._quarantine.lift(feature) is not None:
+            log.info("quarantine_deleted", feature=feature)
+
     def _adopt(self, entry, now):
         if self._quarantine.adopt(entry):
             self._log_entry(entry, now)
--- a/packages/gateway/src/wharf_gateway/quarantine_keeper.py
+++ b/packages/gateway/src/wharf_gateway/quarantine_keeper.py
@@ -28,8 +28,9 @@
 class QuarantineKeeper:
     """Make the store's quarantines those of the gateways, and the other way round.
 
-    `guard` has `entries(now)` and `adopt(entry, now)`. Only gateways that are linked to
-    all others write. What could not be written is tried again.
+    `guard` has `entries(now)`, `adopt(entry, now)` and `lift(feature, now)`. Only
+    gateways that are linked to all others write. What could not be written is tried
+    again. Deleting an object ends its quarantine, so that operators can do so.
     """
 
     def __init__(self, name, store, guard, peers, unix_clock):
@@ -52,6 +53,7 @@
         for stored in objects:
             self._document_by_feature.pop(stored.name, None)
             if stored.is_deleted:
+                self._guard.lift(stored.name, now)
                 continue
             try:
                 document = QuarantineDocuments.validate_python(stored.spec)
--- a/packages/gateway/tests/test_quarantine_keeper.py
+++ b/packages/gateway/tests/test_quarantine_keeper.py
@@ -63,6 +63,9 @@
     def adopt(self, entry, now):
         self.entry_by_feature.setdefault(entry.attribution.feature, entry)
 
+    def lift(self, feature, now):
+        self.entry_by_feature.pop(feature, None)
+
 
 class Peers:
     is_candidate = True
@@ -131,6 +134,20 @@
     assert store.spec_by_name == {}
 
 
+async def test_deletion_by_an_operator_ends_the_quarantine_at_all(store, add_keeper):
+    keepers = [add_keeper(f"g{number}") for number in range(3)]
+    for keeper in keepers:
+        keeper.guard.adopt(ENTRY, 100.0)
+    await _advance(store, 2.0)
+    store.calls.clear()
+
+    await store.delete("quarantines", "deadly")
+    await _advance(store, 5.0)
+
+    assert store.calls == [("delete", "deadly")]
+    assert [keeper.guard.entries(store.now) for keeper in keepers] == [[], [], []]
+
+
 async def test_longer_quarantine_replaces_the_stored_one(store, add_keeper):
     keeper = add_keeper("g0")
     keeper.guard.adopt(ENTRY, 100.0)
