--- a/packages/standins/src/wharf_standins/soak/gateway_process.py
+++ b/packages/standins/src/wharf_standins/soak/gateway_process.py
@@ -60,6 +60,10 @@
         await self.start()
         self._is_restarting = False
 
+    def output(self, size=4000):
+        """Return the last `size` characters that the process has logged."""
+        return self._log_path.read_text(errors="replace")[-size:]
+
     async def kill(self):
         """Kill the process, even if it is paused."""
         if self._process is not None and self._process.returncode is None:
--- a/packages/standins/tests/test_deadly_prompt_part.py
+++ b/packages/standins/tests/test_deadly_prompt_part.py
@@ -57,10 +57,13 @@
 
 
 async def _wait_until_ready(processes):
-    async with asyncio.timeout(20.0):
-        for process in processes:
-            while (await _send(process, "ready", "warm:1,ready:1"))[0] != 200:
-                await asyncio.sleep(0.1)
+    for process in processes:
+        try:
+            async with asyncio.timeout(20.0):
+                while (await _send(process, "ready", "warm:1,ready:1"))[0] != 200:
+                    await asyncio.sleep(0.1)
+        except TimeoutError:
+            pytest.fail(f"{process.name} serves nothing:\n{process.output()}")
 
 
 async def _send(gateway, request_id, prompt):
--- a/packages/standins/tests/test_named_limit.py
+++ b/packages/standins/tests/test_named_limit.py
@@ -76,11 +76,14 @@
 ):
     """No gateway read the limit; a restart of one would have doubled it (capped)."""
     clock, requests = asyncio.get_running_loop().time, []
-    async with asyncio.timeout(20.0):
-        for gateway in gateways:
-            client = _client(gateway, requests)
-            while (await client.send(RequestKind.SAFE)).status != 200:
-                await asyncio.sleep(0.1)
+    for gateway in gateways:
+        client = _client(gateway, requests)
+        try:
+            async with asyncio.timeout(20.0):
+                while (await client.send(RequestKind.SAFE)).status != 200:
+                    await asyncio.sleep(0.1)
+        except TimeoutError:
+            pytest.fail(f"{gateway.name} serves nothing:\n{gateway.output()}")
     upstreams[0].rate_limit = LIMIT
     requests.clear()
     tasks = [
