Give a new version enough calls to be judged where there are few in all

Cause: the first shares of the plan are 1%, at 15 calls a second one call in seven seconds; the steps demand at least one. Ruled out: fewer calls demanded (one call shows nothing).

Change: the new version gets half a call a second at least, or a tenth of all calls if that is less.

--- a/packages/coordination/src/wharf_coordination/rollout/driver.py
+++ b/packages/coordination/src/wharf_coordination/rollout/driver.py
@@ -33,7 +33,7 @@
             return TakeBack(view.vetoed)
         calls = self.calls_before_step
         rate = evidence.call_rate(now)
-        expected = rate * view.plan.exposure_seconds(self.step)
+        expected = rate * view.plan.exposure_seconds(self.step, rate)
         match self.judge.verdict(evidence, self.step, calls, now, expected):
             case Bad(reason):
                 return TakeBack(reason)
--- a/packages/coordination/src/wharf_coordination/rollout/participant.py
+++ b/packages/coordination/src/wharf_coordination/rollout/participant.py
@@ -51,11 +51,15 @@
         """Replace the record with a newer one of the same rollout."""
         self.view = self.view.update(rollout, now)
 
+    def share(self, now):
+        """Return the new version's share of the requests, 0 to 1."""
+        return self.view.share(now, self.evidence.call_rate(now))
+
     def version_for(self, request_id, now):
         """Return the version for a request, which is the same for equal ids."""
         rollout = self.rollout
         key = f"{rollout.id}/{request_id}".encode()
-        if xxhash.xxh64_intdigest(key) < self.view.share(now) * HASH_RANGE:
+        if xxhash.xxh64_intdigest(key) < self.share(now) * HASH_RANGE:
             return rollout.new_version
         return rollout.old_version
 
--- a/packages/coordination/src/wharf_coordination/rollout/rollout_view.py
+++ b/packages/coordination/src/wharf_coordination/rollout/rollout_view.py
@@ -1,6 +1,7 @@
 """View of a rollout by one process, with a deadline on its own clock."""
 
 from dataclasses import dataclass, field, replace
+from math import inf
 
 from wharf_coordination.deadline import Deadline
 from wharf_coordination.rollout.rollout import Rollout
@@ -52,8 +53,8 @@
         """Return the seconds since the rollout began."""
         return now - self.began_at
 
-    def share(self, now):
-        """Return the new version's share of the pool's traffic."""
+    def share(self, now, rate=inf):
+        """Return the new version's share of the pool's `rate` calls a second."""
         match self.rollout.outcome:
             case RolloutOutcome.FINISHED:
                 return 1.0
@@ -61,4 +62,4 @@
                 return 0.0
         if self.vetoed or self.deadline.is_past(now):
             return 0.0
-        return self.plan.share(self.rollout.step, self.elapsed(now))
+        return self.plan.share(self.rollout.step, self.elapsed(now), rate)
--- a/packages/coordination/src/wharf_coordination/rollout/share_plan.py
+++ b/packages/coordination/src/wharf_coordination/rollout/share_plan.py
@@ -1,6 +1,7 @@
 """Shares of traffic that a new version gets in the steps of a rollout."""
 
 from dataclasses import dataclass
+from math import inf
 
 __all__ = ["SharePlan"]
 
@@ -10,6 +11,9 @@
 PULSES_PER_ROLLOUT = 8
 MIN_PULSE_PERIOD_SECONDS = 1.0
 DEADLINE_MARGIN_FRACTION = 0.08
+# A version must get some calls to be judged by, also where there are few in all.
+MIN_CALLS_PER_SECOND = 0.5
+MAX_SHARE_FOR_MIN_CALLS = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,7 +24,8 @@
     that a version that only fails after a while affects little traffic. In step
     PULSED_STEP, short pulses send it most of the traffic, to test it under the load
     that it will have after the rollout. The last step leaves some traffic on the old
-    version for the comparison.
+    version for the comparison. At low rates of calls, in calls a second, the shares are
+    larger, so that the new version gets half a call a second or a tenth of them.
     """
 
     duration: float
@@ -46,13 +51,19 @@
         """Return the seconds from one pulse to the next."""
         return max(MIN_PULSE_PERIOD_SECONDS, self.duration / PULSES_PER_ROLLOUT)
 
-    def share(self, step, elapsed):
+    def share(self, step, elapsed, rate=inf):
         """Return the new version's share `elapsed` seconds after the start."""
         if step == PULSED_STEP and self._is_pulse(elapsed):
             return PULSE_SHARE
-        return self.shares[min(step, self.last_step)]
+        return self._steady_share(step, rate)
 
-    def exposure_seconds(self, step):
+    def _steady_share(self, step, rate):
+        share = self.shares[min(step, self.last_step)]
+        if rate <= 0:
+            return share
+        return max(share, min(MIN_CALLS_PER_SECOND / rate, MAX_SHARE_FOR_MIN_CALLS))
+
+    def exposure_seconds(self, step, rate=inf):
         """Return the minimum time of `step`, weighted by the new version's mean share.
 
         >>> round(SharePlan(duration=100.0).exposure_seconds(2), 1)
@@ -60,7 +71,7 @@
         """
         ends = (*self.begin_fractions[1:], self.finish_fraction)
         number = min(step, self.last_step)
-        share = self.shares[number]
+        share = self._steady_share(number, rate)
         if step == PULSED_STEP:
             share += (PULSE_SHARE - share) * PULSE_FRACTION
         return (ends[number] - self.begin_fractions[number]) * self.duration * share
--- a/packages/coordination/tests/test_rollout.py
+++ b/packages/coordination/tests/test_rollout.py
@@ -74,6 +74,16 @@
             assert mean / (tick + 1) <= 0.05
 
 
+@pytest.mark.parametrize(
+    ("rate", "share"), [(1000.0, 0.01), (20.0, 0.025), (10.0, 0.05), (2.0, 0.1)]
+)
+def test_new_version_gets_half_a_call_a_second_at_least(rate, share):
+    """At 15 calls a second a rollout of 15 s got two calls in its first half, and good
+    versions were taken back for want of evidence (cored-cyfrif, hasty).
+    """
+    assert SharePlan(16.0).share(0, 0.0, rate) == pytest.approx(share)
+
+
 def test_equal_request_ids_get_equal_versions(participant, rollout):
     twin = Participant.join(rollout, now=50.0, wall_now=1000.0)
     ids = [str(number) for number in range(500)]
--- a/packages/daemon/src/wharf_daemon/entry/rollout_table.py
+++ b/packages/daemon/src/wharf_daemon/entry/rollout_table.py
@@ -55,7 +55,7 @@
                 "id": participant.rollout.id,
                 "outcome": participant.rollout.outcome,
                 "step": participant.rollout.step,
-                "share": participant.view.share(now),
+                "share": participant.share(now),
                 "seconds_left": participant.view.deadline.left(now),
                 "vetoed": participant.view.vetoed,
                 "new_calls": participant.evidence.total_new,
--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_driver.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_driver.py
@@ -70,7 +70,7 @@
                 return 0.0
             case RolloutOutcome.FINISHED:
                 return 1.0
-        return 1.0 if self.drained_at is not None else self.participant.view.share(now)
+        return 1.0 if self.drained_at is not None else self.participant.share(now)
 
     def advance(self, now):
         """Evaluate the samples when due; go on to the next share or to the end."""
