Don't compare the times of cold upstreams with those of warm ones

What operators saw: the demo took the good version 3 back after 4 to 8 s for latency on all routes.

Cause: the new version's upstreams are cold for their first ten calls each and answer three times slower; a pulse, which sends most of the traffic there for a moment, makes a dozen such calls in the first seconds. Earlier trials had three cold calls an upstream, which are too few to show it. Ruled out: pauses of the machine (the demo failed on an idle one, and calls of one moment already count once).

Change: sidecars report that their upstream is cold, gateways know it from its entry; such calls count as calls and as failures, but not their times. From the third share on, calls on warm upstreams are needed, so that a slow version can't pass as a cold one.

--- a/packages/coordination/src/wharf_coordination/candidate.py
+++ b/packages/coordination/src/wharf_coordination/candidate.py
@@ -10,7 +10,8 @@
     """One upstream that could run a call now.
 
     `in_flight` estimates the upstream's calls from all entries, `limit` is its last
-    reported concurrency limit, and `service_time` the reported mean in seconds.
+    reported concurrency limit, and `service_time` the reported mean in seconds. A
+    cold upstream has started lately and is slow for that reason.
     """
 
     upstream: str
@@ -19,6 +20,7 @@
     in_flight: int
     limit: int
     service_time: float
+    is_cold: bool = False
 
     @property
     def has_capacity(self):
--- a/packages/coordination/src/wharf_coordination/rollout/evidence.py
+++ b/packages/coordination/src/wharf_coordination/rollout/evidence.py
@@ -45,6 +45,7 @@
     new_version: str
     window: float
     total_new: int = 0
+    warm_new: int = 0
     total: int = 0
     first_sample_at: float | None = None
     _old_by_cell: dict[Cell, deque[Sample]] = field(
@@ -71,6 +72,7 @@
             self._new_by_cell[cell].append(sample)
             self._new_total_by_route[sample.route] += 1
             self.total_new += 1
+            self.warm_new += not sample.is_cold
 
     def cells(self) -> list[Cell]:
         """Return the cells that have samples of both versions."""
--- a/packages/coordination/src/wharf_coordination/rollout/judge.py
+++ b/packages/coordination/src/wharf_coordination/rollout/judge.py
@@ -81,6 +81,9 @@
             return Undecided(f"{calls} of {needed} calls in this step")
         if step == 0:
             return Good()
+        needs_warm = step > 1 and evidence.warm_new < min(needed, MIN_NEW_CALLS)
+        if needs_warm:
+            return Undecided(f"{evidence.warm_new} calls on warm upstreams")
         pairs_by_cell = {cell: evidence.kept(cell) for cell in evidence.cells()}
         groups = _groups(pairs_by_cell)
         suspected = self._first_failing(groups, self.suspicion) or self._first_slow(
--- a/packages/coordination/src/wharf_coordination/rollout/momentary.py
+++ b/packages/coordination/src/wharf_coordination/rollout/momentary.py
@@ -42,13 +42,15 @@
 def seconds_of(pairs, tolerance):
     """Return the times of both versions' answered calls, the new ones over tolerance.
 
+    Calls to cold upstreams are left out, as their time says nothing of the version.
+
     >>> seconds_of([([], [])], 1.5)
     [([], [])]
     """
     return [
         (
-            [sample.elapsed for sample in old if not sample.failed],
-            [sample.elapsed / tolerance for sample in new if not sample.failed],
+            [s.elapsed for s in old if not s.failed and not s.is_cold],
+            [s.elapsed / tolerance for s in new if not s.failed and not s.is_cold],
         )
         for old, new in pairs
     ]
--- a/packages/coordination/src/wharf_coordination/rollout/sample.py
+++ b/packages/coordination/src/wharf_coordination/rollout/sample.py
@@ -11,7 +11,8 @@
 class Sample:
     """Outcome of an attempt; `in_flight` is its upstream's load at the start.
 
-    `elapsed` and `ended_at` are in seconds.
+    `elapsed` and `ended_at` are in seconds. `is_cold` says that the upstream had
+    started lately and was still slow for that reason.
     """
 
     route: Route
@@ -20,3 +21,4 @@
     failed: bool
     elapsed: float
     ended_at: float
+    is_cold: bool = False
--- a/packages/coordination/tests/test_rollout.py
+++ b/packages/coordination/tests/test_rollout.py
@@ -177,6 +177,42 @@
     assert participant.evaluate(now) is None
 
 
+def add_cold(participant, count, now, *, failed=False, elapsed=0.3):
+    route = Route("report", "generate")
+    for _ in range(count):
+        participant.add(Sample(route, "2", 3, failed, elapsed, now, is_cold=True))
+
+
+def test_slow_answers_of_cold_upstreams_are_no_evidence(participant):
+    """A good version was vetoed for its cold start, when most traffic went to it for a
+    moment (demo: latency on all routes after 6 s).
+    """
+    add_samples(participant, "1", 60, now=5.0)
+    add_cold(participant, 12, now=5.0)
+
+    assert participant.evaluate(5.0) is None
+
+
+def test_failures_of_cold_upstreams_are_evidence(participant):
+    add_samples(participant, "1", 60, now=5.0)
+    add_cold(participant, 12, now=5.0, failed=True)
+
+    assert participant.evaluate(5.0) is not None
+
+
+def test_version_whose_upstreams_all_were_cold_does_not_go_on(participant, rollout):
+    """Whether it is slow would not be known when it gets most of the traffic."""
+    second = rollout.advance(1, (), 0).unwrap().advance(2, (), 0).unwrap()
+    participant.update(second, 55.0)
+    add_samples(participant, "1", 200, now=59.0)
+    participant.decide(55.0)
+    add_cold(participant, 100, now=59.0)
+    assert participant.decide(60.0) == Wait()
+
+    add_samples(participant, "2", 50, now=59.5)
+    assert participant.decide(60.0) == Advance(3)
+
+
 def test_failures_of_both_versions_are_no_evidence(participant):
     for version in ("1", "2"):
         add_samples(participant, version, 50, 1.0, failed=True)
--- a/packages/daemon/src/wharf_daemon/entry/link_set.py
+++ b/packages/daemon/src/wharf_daemon/entry/link_set.py
@@ -125,6 +125,7 @@
             in_flight=view.in_flight,
             limit=limit_for_priority(priority, view.limit),
             service_time=link.load.service_time,
+            is_cold=link.load.cold,
         )
 
     def _linked_names(self, folder):
--- a/packages/daemon/src/wharf_daemon/entry/rollout_table.py
+++ b/packages/daemon/src/wharf_daemon/entry/rollout_table.py
@@ -44,6 +44,7 @@
             failed=outcome.code is not Code.OK,
             elapsed=outcome.elapsed,
             ended_at=outcome.ended_at,
+            is_cold=outcome.candidate.is_cold,
         )
         participant.add(sample)
 
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -154,6 +154,7 @@
             leaving=self.leaving,
             version="",
             revision=self.feed.document.revision,
+            cold=self.limiter.is_cold,
         )
 
     def admit(self, call, link) -> Result[None, Refusal]:
--- a/packages/gateway/src/wharf_gateway/peers/messages.py
+++ b/packages/gateway/src/wharf_gateway/peers/messages.py
@@ -140,7 +140,8 @@
     """Report the outcome of one attempt to the gateway that drives the rollout.
 
     `in_flight` was the number of calls at the upstream when the attempt began,
-    `seconds` the time up to the first part of the response.
+    `seconds` the time up to the first part of the response. The upstream was `cold` if
+    it had started lately.
     """
 
     service: str
@@ -149,6 +150,7 @@
     in_flight: int
     failed: bool
     seconds: float
+    cold: bool = False
     kind: Literal["sample"] = "sample"
 
 
--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_driver.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_driver.py
@@ -60,6 +60,7 @@
                 message.failed,
                 message.seconds,
                 now,
+                message.cold,
             )
         )
 
--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
@@ -71,7 +71,13 @@
             return
         link = self._owner_of(DRIVER_POOL, now)
         sample = RolloutSample(
-            upstream.service, upstream.version, route_name, in_flight, failed, seconds
+            upstream.service,
+            upstream.version,
+            route_name,
+            in_flight,
+            failed,
+            seconds,
+            upstream.cold_until > now - seconds,
         )
         if link is None:
             self.add_sample(sample, now)
--- a/packages/standins/src/wharf_standins/rollout_trial/environment.py
+++ b/packages/standins/src/wharf_standins/rollout_trial/environment.py
@@ -51,6 +51,7 @@
     "pauses": Environment(pauses_per_second=0.5),
     "heavy-tails": Environment(sigma=1.0),
     "cold-upstreams": Environment(cold_calls=3),
+    "cold-starts": Environment(cold_calls=10),
     "bursts": Environment(burst_factor=3.0),
     "everything": Environment(
         pauses_per_second=0.5, sigma=1.0, cold_calls=3, burst_factor=2.0
--- a/packages/wire/src/wharf_wire/load.py
+++ b/packages/wire/src/wharf_wire/load.py
@@ -11,7 +11,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Load:
-    """Report calls in flight, their limit and whether the upstream is leaving.
+    """Report calls in flight, their limit and whether the upstream is leaving or cold.
 
     `service_time` is a moving average in seconds.
     """
@@ -22,4 +22,5 @@
     leaving: bool
     version: Name
     revision: Count
+    cold: bool = False
     kind: Literal["load"] = "load"
