Run a request alone whose pieces were lost twice with their upstream

What callers could see: a piece that crashes its step upstream took all other pieces of its call with it, up to 42 of other requests, three times; then they all failed.

Cause: pieces of a lost call went back to the queue and into the next call together. Ruled out: calls of their own after the first loss (an ordinary crash would then cost a call of 200 ms for each request).

Change: after two lost calls a request's pieces share none with others.

Evidence: the new test failed before, with all pieces lost.

Open: the request itself isn't remembered; its repeats crash three upstreams each.

--- a/packages/gateway/src/wharf_gateway/stages/batcher.py
+++ b/packages/gateway/src/wharf_gateway/stages/batcher.py
@@ -212,11 +212,12 @@
         expected = planned * state.pace
         self._busy_until_by_id[upstream.id] = started + expected
         state.in_flight += 1
+        is_lost = False
         try:
             timeout = expected * CALL_TIMEOUT_FACTOR
             answer = await self._client.run(upstream, batch, timeout, started)
         except HttpCallError as error:
-            answer = Err(str(error))
+            answer, is_lost = Err(str(error)), error.was_sent
             state.record_unreachable(self._clock())
             state.record_pace((self._clock() - started) / planned)
         except Exception:  # an internal error must not leave requests waiting
@@ -237,6 +238,8 @@
                 )
                 self._deliver(upstream, batch, results, batching, now)
             case Err(reason):
+                for job in batch:
+                    job.lost_calls += is_lost
                 log.info(
                     "pieces_failed",
                     upstream=upstream.id,
--- a/packages/gateway/src/wharf_gateway/stages/piece_job.py
+++ b/packages/gateway/src/wharf_gateway/stages/piece_job.py
@@ -8,6 +8,10 @@
 
 __all__ = ["PieceJob"]
 
+# After one lost call a retry in the usual company costs no extra call, and it is mostly
+# answered: upstreams crash for other reasons than a piece.
+SUSPECT_LOST_CALLS = 2
+
 
 @dataclass(slots=True, eq=False)
 class PieceJob:
@@ -17,7 +21,8 @@
     be on time, `hard_deadline` that after which its result is useless. A lower
     `priority` is more urgent. `seconds` is the expected time that the piece adds to
     a call. `on_result(result)` is called once. `group` is shared with the other
-    pieces of the step.
+    pieces of the step. `lost_calls` counts calls with the piece that ended without an
+    answer.
     """
 
     piece: Piece
@@ -29,8 +34,14 @@
     on_result: Any
     group: PieceGroup = field(default_factory=PieceGroup)
     attempts: int = 0
+    lost_calls: int = 0
     is_done: bool = field(default=False)
 
+    @property
+    def is_suspect(self):
+        """Return whether the piece may be what ended its calls."""
+        return self.lost_calls >= SUSPECT_LOST_CALLS
+
     def finish(self, result):
         """Report the result, unless the job is done already."""
         if not self.is_done:
--- a/packages/gateway/src/wharf_gateway/stages/piece_queue.py
+++ b/packages/gateway/src/wharf_gateway/stages/piece_queue.py
@@ -44,6 +44,8 @@
                 break
             needed = sum(job.result_bytes for job in group)
             first = group[0]
+            if batch and not _may_share_call(group, batch):
+                continue
             if first.result_bytes > largest:
                 continue
             if first.result_bytes > free or not (
@@ -84,6 +86,17 @@
         return late
 
 
+def _may_share_call(group, batch):
+    """Return whether a step's pieces may join a batch.
+
+    A request whose calls were lost repeatedly may be the cause, and would take all
+    others of the call with it once more.
+    """
+    if group[0].piece.call_id == batch[0].piece.call_id:
+        return True
+    return not any(job.is_suspect for job in (*group, *batch))
+
+
 def _rank(job, call_seconds, now):
     is_late = now + call_seconds + job.seconds > job.soft_deadline
     limit = job.hard_deadline if is_late else job.soft_deadline
--- a/packages/gateway/tests/test_batcher.py
+++ b/packages/gateway/tests/test_batcher.py
@@ -1,12 +1,14 @@
-"""Calls with pieces keep within the limits that upstreams name."""
+"""Calls with pieces: crashes that a piece causes, and limits that upstreams name."""
 
 import asyncio
+from functools import partial
 
 import pytest
 from result import Ok
 
 from wharf_coordination.rate_share import RateShare
 from wharf_gateway.fleet import Fleet
+from wharf_gateway.http.http_call_error import HttpCallError
 from wharf_gateway.model.caller_limits import CallerLimits
 from wharf_gateway.model.fleet_configuration import FleetConfiguration
 from wharf_gateway.model.piece_result import PieceResult
@@ -40,6 +42,43 @@
     return fleet
 
 
+class CrashingClient:
+    """A client whose calls with the piece "deadly" are lost."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def run(self, upstream, batch, timeout, now):
+        names = [job.piece.call_id for job in batch]
+        self.calls.append(names)
+        if "deadly" in names:
+            raise HttpCallError("connection lost")
+        return Ok([PieceResult(f"{upstream.address}/{name}") for name in names])
+
+
+async def test_piece_that_crashes_its_upstreams_fails_alone(fleet, make_job):
+    """All pieces of its calls were lost with it three times, and failed."""
+    for number in (2, 3):
+        upstream = Upstream(f"u{number}", "s", f"a:{number}", "dc", "v", 1, False, 1)
+        fleet.add(upstream)
+    now, client, results = [100.0], CrashingClient(), {}
+    batcher = Batcher(fleet, client, "s", Pool.named("everywhere"), lambda: now[0])
+    jobs = [make_job(name, 200.0, hard_deadline=300.0) for name in ("a", "deadly", "b")]
+    for job in jobs:
+        job.on_result = partial(results.__setitem__, job.piece.call_id)
+
+    batcher.submit(jobs, now[0])
+    for _ in range(100):
+        await asyncio.sleep(0)
+        now[0] += 0.2
+        batcher.advance(now[0])
+
+    lost = [names for names in client.calls if "deadly" in names]
+    assert len(lost) == 3
+    assert results["deadly"].handle is None
+    assert results["a"].handle and results["b"].handle
+
+
 async def test_upstream_at_its_limit_gets_no_call(fleet, make_job):
     now = [100.0]
     client = Client(lambda: now[0])
