Remember answered requests by fingerprint at all times

Cause: a gateway recorded fingerprints only once it knew of a crash. In a fleet where it is linked to few others it may not, and can't object when equal requests, such as reads without a body, are blamed for two crashes: they would be refused for 30 s.

Change: fingerprints of answered requests are always recorded, in a table of their own, so that they don't displace the features.

--- a/packages/coordination/src/wharf_coordination/quarantine/crash_attribution.py
+++ b/packages/coordination/src/wharf_coordination/quarantine/crash_attribution.py
@@ -47,7 +47,8 @@
     first; for a fingerprint its repeats suffice. A feature of requests that were
     answered before takes four crashes. A crash explained by one feature doesn't count
     against others; of equal ones, the most specific is found. At most `max_crashes`
-    crashes and `max_features` answered features are kept, the newest ones.
+    crashes, `max_features` answered features and as many answered fingerprints are
+    kept, the newest ones.
 
     >>> from wharf_coordination.quarantine import CrashSuspect
     >>> attribution = CrashAttribution()
@@ -62,6 +63,7 @@
     max_features: int = MAX_FEATURES
     _crashes: list[Crash] = field(default_factory=list)
     _answered_at_by_feature: dict[str, float] = field(default_factory=dict)
+    _answered_at_by_fingerprint: dict[str, float] = field(default_factory=dict)
 
     def record_crash(self, upstream, at, suspects, now) -> list[Attribution]:
         """Record requests that were running at a crash; return what is found by it.
@@ -79,23 +81,25 @@
         }
         return [found for found in self._attributions() if found.feature in involved]
 
-    def record_answered(self, features, at):
+    def record_answered(self, features, at, fingerprint=None):
         """Record that a request with `features` was answered at the time `at`."""
-        answered = self._answered_at_by_feature
-        for feature in features:
-            previous = answered.pop(feature, at)
-            answered[feature] = max(previous, at)
-        while len(answered) > self.max_features:
-            del answered[next(iter(answered))]
+        self._record_answered(self._answered_at_by_feature, features, at)
+        if fingerprint is not None:
+            # Most fingerprints come once, and would displace the features.
+            table = self._answered_at_by_fingerprint
+            self._record_answered(table, (fingerprint,), at)
+
+    def _record_answered(self, table, names, at):
+        for name in names:
+            table[name] = max(table.pop(name, at), at)
+        while len(table) > self.max_features:
+            del table[next(iter(table))]
 
     def answered_at(self, feature) -> float | None:
         """Return when a request with `feature` was last answered, None if never."""
-        return self._answered_at_by_feature.get(feature)
-
-    @property
-    def has_crashes(self):
-        """Return whether any crash is on record."""
-        return bool(self._crashes)
+        tables = (self._answered_at_by_feature, self._answered_at_by_fingerprint)
+        times = [table[feature] for table in tables if feature in table]
+        return max(times, default=None)
 
     def is_disproved(self, attribution) -> bool:
         """Return whether answers known here contradict an attribution of another.
@@ -123,7 +127,7 @@
             found[feature] = Attribution(feature, crashes, first_at)
 
     def _is_conclusive(self, feature, evidence):
-        is_familiar = feature in self._answered_at_by_feature
+        is_familiar = self.answered_at(feature) is not None
         needed = FAMILIAR_CRASHES if is_familiar else CONCLUSIVE_CRASHES
         is_fingerprint = feature in evidence.fingerprints
         has_requests = is_fingerprint or len(evidence.fingerprints) > 1
@@ -136,7 +140,7 @@
             for suspect in _unexplained(crash.prime_suspects, found):
                 features = (*suspect.features, suspect.fingerprint)
                 for position, feature in enumerate(features):
-                    answered_at = self._answered_at_by_feature.get(feature)
+                    answered_at = self.answered_at(feature)
                     if answered_at is not None and answered_at >= crash.at:
                         continue
                     evidence = evidence_by_feature.setdefault(
--- a/packages/gateway/src/wharf_gateway/crash_guard.py
+++ b/packages/gateway/src/wharf_gateway/crash_guard.py
@@ -22,7 +22,7 @@
     QuarantineItem,
     QuarantineNotice,
 )
-from wharf_gateway.request_features import all_features, prompt_features
+from wharf_gateway.request_features import all_features
 
 __all__ = ["CrashGuard"]
 
@@ -108,12 +108,8 @@
 
     def record_answered(self, context, service, now):
         """Record that an upstream began to answer a request and didn't crash."""
-        if self._attribution.has_crashes or self._quarantine:
-            features = all_features(service, context)
-        else:
-            # Fingerprints are only needed to clear repeats of a suspect.
-            features = prompt_features(service, context.details)
-        self._attribution.record_answered(features, now)
+        features = all_features(service, context)
+        self._attribution.record_answered(features[:-1], now, features[-1])
         for feature in features:
             if self._lift_if_disproved(feature, now):
                 self._post_answered(feature, now)
--- a/packages/gateway/tests/test_crash_guard.py
+++ b/packages/gateway/tests/test_crash_guard.py
@@ -163,6 +163,16 @@
     assert group.refusals(ask("r3", "common")) == [None] * 6
 
 
+async def test_equal_requests_that_another_gateway_answered_are_not_blocked(group, ask):
+    """It had not heard of the crash, so that it had not remembered its answers."""
+    await group.crash("g3", "u1", ask("same", "part"))
+    group.guard_by_name["g5"].record_answered(ask("same", "part"), "s", group.now)
+    group.now += 1.0
+    await group.crash("g4", "u2", ask("same", "part"))
+
+    assert group.refusals(ask("same", "part")) == [None] * 6
+
+
 async def test_answer_on_probation_lifts_the_quarantine_at_all(group, ask):
     await group.crash("g3", "u1", ask("r1", "part"))
     await group.crash("g4", "u2", ask("r2", "part"))
