Fuzz what arrives at a gateway's border, and bound the numbers in messages

Found by the first run of the new tests: numbers of peers and of the store were taken as they came. A quarantine of centuries, an end that is not a number, or a crash count below one would have been believed and repeated to all.

Cause: ages, lengths and rates were plain floats in the models at the border.

Open: the sidecar and the entry aren't fuzzed, nor callers' connections.

--- a/Makefile
+++ b/Makefile
@@ -6,9 +6,10 @@
 
 .PHONY: demo test lint setup
 .PHONY: bench bench-claims bench-overhead histories propagation slopes soak
-.PHONY: trial-judge trial-rollouts
+.PHONY: trial-judge trial-rollouts fuzz
 
 SEEDS ?= 1-50
+FUZZ_SEED ?= 1
 
 bench: setup
 	$(BIN)/python -m wharf_standins bench
@@ -32,6 +33,10 @@
 soak: setup
 	$(BIN)/python -m wharf_standins soak --seeds $(SEEDS)
 
+fuzz: setup
+	$(BIN)/python -m pytest packages/gateway/tests/test_fuzz_border.py \
+	    --hypothesis-profile=fuzz --hypothesis-seed=$(FUZZ_SEED)
+
 slopes: setup
 	$(BIN)/python -m wharf_standins slopes
 
--- a/packages/coordination/src/wharf_coordination/quarantine/__init__.py
+++ b/packages/coordination/src/wharf_coordination/quarantine/__init__.py
@@ -9,7 +9,7 @@
 from wharf_coordination.quarantine.crash import Crash
 from wharf_coordination.quarantine.crash_attribution import CrashAttribution
 from wharf_coordination.quarantine.crash_suspect import CrashSuspect
-from wharf_coordination.quarantine.quarantine import Quarantine
+from wharf_coordination.quarantine.quarantine import LONGEST_SECONDS, Quarantine
 from wharf_coordination.quarantine.quarantine_entry import QuarantineEntry
 
 __all__ = [
@@ -17,6 +17,7 @@
     "Crash",
     "CrashAttribution",
     "CrashSuspect",
+    "LONGEST_SECONDS",
     "Quarantine",
     "QuarantineEntry",
 ]
--- a/packages/coordination/src/wharf_coordination/quarantine/quarantine.py
+++ b/packages/coordination/src/wharf_coordination/quarantine/quarantine.py
@@ -7,7 +7,7 @@
 from wharf_coordination.quarantine.attribution import Attribution
 from wharf_coordination.quarantine.quarantine_entry import QuarantineEntry
 
-__all__ = ["Quarantine"]
+__all__ = ["LONGEST_SECONDS", "Quarantine"]
 
 FIRST_SECONDS = 30.0
 LONGEST_SECONDS = 600.0
--- a/packages/gateway/src/wharf_gateway/crash_guard.py
+++ b/packages/gateway/src/wharf_gateway/crash_guard.py
@@ -16,6 +16,7 @@
 )
 from wharf_gateway.gateway_response import GatewayResponse
 from wharf_gateway.peers.messages import (
+    MAX_AGE_SECONDS,
     MAX_SUSPECTS,
     AnsweredNotice,
     CrashNotice,
@@ -151,7 +152,7 @@
             feature = entry.attribution.feature
             if self._attribution.is_disproved(entry.attribution):
                 answered_at = self._attribution.answered_at(feature)
-                link.post(AnsweredNotice(feature, now - answered_at))
+                link.post(AnsweredNotice(feature, _age(answered_at, now)))
             else:
                 self._adopt(entry, now)
 
@@ -222,7 +223,7 @@
             began=sum(suspect.began for suspect in loss.suspects),
         )
         suspects = tuple(loss.suspects)
-        self._peers.post_all(CrashNotice(name, now - loss.at, suspects))
+        self._peers.post_all(CrashNotice(name, _age(loss.at, now), suspects))
         self._record_crash(name, loss.at, suspects, now)
 
     def _record_crash(self, name, at, suspects, now):
@@ -249,7 +250,7 @@
         return True
 
     def _post_answered(self, feature, now):
-        seconds_ago = now - self._attribution.answered_at(feature)
+        seconds_ago = _age(self._attribution.answered_at(feature), now)
         self._peers.post_all(AnsweredNotice(feature, seconds_ago))
 
     def _interrupt(self, now):
@@ -270,13 +271,18 @@
         )
 
 
+def _age(at, now):
+    """Return the seconds since `at`, within what messages can say."""
+    return min(max(0.0, now - at), MAX_AGE_SECONDS)
+
+
 def _item(entry, now):
     attribution = entry.attribution
     return QuarantineItem(
         attribution.feature,
         attribution.crashes,
-        now - attribution.first_at,
-        entry.ends_at - now,
+        _age(attribution.first_at, now),
+        max(entry.ends_at - now, -MAX_AGE_SECONDS),
         entry.seconds,
     )
 
--- a/packages/gateway/src/wharf_gateway/peers/messages.py
+++ b/packages/gateway/src/wharf_gateway/peers/messages.py
@@ -10,7 +10,7 @@
 from pydantic import Field, TypeAdapter
 from pydantic.dataclasses import dataclass
 
-from wharf_coordination.quarantine.crash_suspect import CrashSuspect
+from wharf_coordination.quarantine import LONGEST_SECONDS, CrashSuspect
 from wharf_gateway.model.step import Step
 
 __all__ = [
@@ -35,6 +35,8 @@
 ]
 
 MAX_SUSPECTS = 64
+MAX_AGE_SECONDS = 86_400.0
+Age = Annotated[float, Field(ge=0, le=MAX_AGE_SECONDS)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -177,7 +179,7 @@
     """
 
     upstream: str
-    seconds_ago: float
+    seconds_ago: Age
     suspects: tuple[CrashSuspect, ...] = Field(max_length=MAX_SUSPECTS)
     kind: Literal["crash"] = "crash"
 
@@ -190,10 +192,10 @@
     """
 
     feature: str
-    crashes: int
-    first_seconds_ago: float
-    seconds_left: float
-    seconds: float
+    crashes: Annotated[int, Field(ge=1)]
+    first_seconds_ago: Age
+    seconds_left: Annotated[float, Field(ge=-MAX_AGE_SECONDS, le=LONGEST_SECONDS)]
+    seconds: Annotated[float, Field(gt=0, le=LONGEST_SECONDS)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -209,7 +211,7 @@
     """Tell that a request with a feature was answered, against its quarantine."""
 
     feature: str
-    seconds_ago: float
+    seconds_ago: Age
     kind: Literal["answered"] = "answered"
 
 
@@ -222,8 +224,8 @@
 
     upstream: str
     started_ms: int
-    rate: float | None
-    seconds_ago: float
+    rate: Annotated[float, Field(ge=0, allow_inf_nan=False)] | None
+    seconds_ago: Age
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/wharf_gateway/quarantine_document.py
+++ b/packages/gateway/src/wharf_gateway/quarantine_document.py
@@ -5,19 +5,25 @@
 from pydantic import Field, TypeAdapter
 from pydantic.dataclasses import dataclass
 
-from wharf_coordination.quarantine import Attribution, QuarantineEntry
+from wharf_coordination.quarantine import (
+    LONGEST_SECONDS,
+    Attribution,
+    QuarantineEntry,
+)
 
 __all__ = ["QuarantineDocument", "QuarantineDocuments"]
 
+UnixSeconds = Annotated[float, Field(ge=0, allow_inf_nan=False)]
+
 
 @dataclass(frozen=True, slots=True)
 class QuarantineDocument:
     """A quarantine's reason, end and length; times are Unix times, in seconds."""
 
     crashes: Annotated[int, Field(ge=1)]
-    first_at: float
-    ends_at: float
-    seconds: Annotated[float, Field(gt=0)]
+    first_at: UnixSeconds
+    ends_at: UnixSeconds
+    seconds: Annotated[float, Field(gt=0, le=LONGEST_SECONDS)]
 
     @classmethod
     def from_entry(cls, entry, now, unix_now):
--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -3,12 +3,18 @@
 import asyncio
 
 import pytest
+from hypothesis import settings
 
 from wharf_gateway.model.batching import Batching
 from wharf_gateway.model.piece import Piece
 from wharf_gateway.stages.piece_group import PieceGroup
 from wharf_gateway.stages.piece_job import PieceJob
 
+# CI plays the same examples every time; `make fuzz` chooses the profile "fuzz".
+settings.register_profile("ci", derandomize=True, deadline=None, max_examples=150)
+settings.register_profile("fuzz", deadline=None, max_examples=3_000)
+settings.load_profile("ci")
+
 
 @pytest.fixture
 def batching():
