Let two gateways repeat quarantines and limits, some at a time

Cause: all gateways that are linked to all others, 16 of 340, repeated everything known each second. Worked out for 100 quarantines of about 150 bytes: 16 x 15 KB a second at each gateway, eight times what control may take in all (30 KB/s).

Change: two of them do, chosen by rendezvous among those that hear each other, with 64 quarantines or 128 limits in a notice, by turns.

Evidence: tests of the turns and of a repeater that is gone; the figure is worked out, not measured.

--- a/packages/gateway/src/wharf_gateway/crash_guard.py
+++ b/packages/gateway/src/wharf_gateway/crash_guard.py
@@ -33,6 +33,7 @@
 GATHER_SECONDS = 0.02
 # A gateway that has just linked to a candidate learns of all quarantines this soon.
 NOTICE_INTERVAL_SECONDS = 1.0
+MAX_REPEATED = 64  # quarantines in one notice
 
 
 @dataclass(slots=True)
@@ -49,8 +50,8 @@
     Each gateway tells the others which of its requests an upstream left without an
     answer when it crashed. Any gateway that concludes from this that a feature is the
     cause quarantines it everywhere; one that knows of an answer to such a request
-    objects, which lifts the quarantine. The gateways that are linked to all others
-    repeat what is in quarantine, for those that were away.
+    objects, which lifts the quarantine. Two of the gateways that are linked to all
+    others repeat what is in quarantine, for those that were away.
     """
 
     def __init__(self, name, pool, peers, clock, meter):
@@ -64,6 +65,7 @@
         self._scope_by_context = {}
         self._tasks = set()
         self._noticed_at = float("-inf")
+        self._repeated = 0
         meter.gauge("wharf_quarantined", lambda: {(): len(self._quarantine)})
 
     # Decisions on requests.
@@ -135,8 +137,14 @@
             return
         self._noticed_at = now
         entries = self._quarantine.entries(now)
-        if entries and self._peers.is_candidate:
-            self._post(entries, now)
+        if entries and self._peers.is_repeater(now):
+            self._post(self._next_page(entries), now)
+
+    def _next_page(self, entries):
+        """Return the next of the entries that are repeated by turns."""
+        begin = self._repeated if self._repeated < len(entries) else 0
+        self._repeated = begin + MAX_REPEATED
+        return entries[begin : self._repeated]
 
     # Messages of other gateways.
 
--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -8,6 +8,7 @@
 from websockets.exceptions import WebSocketException
 
 from wharf_coordination.backoff import Backoff
+from wharf_coordination.rendezvous import ranked
 from wharf_gateway.peers.candidates import candidates
 from wharf_gateway.peers.codec import MAX_FRAME_BYTES, encode
 from wharf_gateway.peers.messages import Greeting, LoadNotice
@@ -24,6 +25,7 @@
 STANDBY_INTERVALS = 2
 IDLE_INTERVALS = 4
 IDLE_VALID_SECONDS = 1.0
+REPEATERS = 2
 RECONNECT_BACKOFF = Backoff(first=0.1, longest=2.0)
 FALLBACK_DIAL_SECONDS = 1.0  # the other side usually connects within some 50 ms
 # Pings of the websockets library; as for all connections, a link is closed after three
@@ -125,6 +127,17 @@
         """Return whether this gateway has links to all others."""
         return self._settings.name in self.candidates
 
+    def is_repeater(self, now):
+        """Return whether this gateway repeats what all should know.
+
+        Two of those that are linked to all do so, as long as they hear each other.
+        """
+        if not self.is_candidate:
+            return False
+        names = {name for name in self.responsive(now) if name in self.candidates}
+        names.add(self._settings.name)
+        return self._settings.name in ranked("repeaters", names)[:REPEATERS]
+
     def post_all(self, message, most=None):
         """Send a message to all peers, unless it exceeds `most` bytes."""
         frame = encode(message)
--- a/packages/gateway/src/wharf_gateway/routing/upstream_limits.py
+++ b/packages/gateway/src/wharf_gateway/routing/upstream_limits.py
@@ -15,6 +15,7 @@
 VALID_SECONDS = 10.0
 VALID_REQUESTS = 5
 NOTICE_INTERVAL_SECONDS = 1.0
+MAX_REPEATED = 128  # limits in one notice
 # Others are told at once of a limit that differs by more than this factor.
 NEWS_FACTOR = 1.2
 # Pieces of steps are sent by one gateway, or by two while one takes over.
@@ -27,7 +28,7 @@
 
     The gateways that share an upstream's limit are chosen by rendezvous among the
     registered ones, so that all choose the same. One that learns of a limit, or of its
-    end, tells the others; those that are linked to all repeat what they know each
+    end, tells the others; two that are linked to all repeat what they know each
     second. `names()` returns the names of the registered gateways.
     """
 
@@ -37,6 +38,7 @@
         self._peers = peers
         self._names = names
         self._noticed_at = float("-inf")
+        self._repeated = 0
 
     def record_answer(self, upstream_id, rate, sent_at, now):
         """Record what the answer to a request that was sent at `sent_at` named.
@@ -77,8 +79,14 @@
             self._expire(state, now)
             self._set_share(state, now)
         limited = [state for state in limited if state.limit.rate is not None]
-        if limited and self._peers.is_candidate:
-            self._post(limited, now)
+        if limited and self._peers.is_repeater(now):
+            self._post(self._next_page(limited), now)
+
+    def _next_page(self, states):
+        """Return the next of the limits that are repeated by turns."""
+        begin = self._repeated if self._repeated < len(states) else 0
+        self._repeated = begin + MAX_REPEATED
+        return states[begin : self._repeated]
 
     def dump(self, now):
         """Return the limits in force, for operators."""
--- a/packages/gateway/tests/test_crash_guard.py
+++ b/packages/gateway/tests/test_crash_guard.py
@@ -51,6 +51,9 @@
     def is_candidate(self):
         return self._name in self._candidates
 
+    def is_repeater(self, now):
+        return self.is_candidate
+
     def post_all(self, message):
         for name in self._guard_by_name:
             is_linked = self.is_candidate or name in self._candidates
@@ -226,6 +229,25 @@
         await asyncio.wait_for(task, 1.0)
 
 
+async def test_many_quarantines_are_repeated_by_turns(group, ask):
+    """All of them at once would be more than a gateway may spend on control."""
+    guard = group.guard_by_name["g0"]
+    for number in range(100):
+        upstream = f"u{number}"
+        await group.crash("g0", upstream, ask(f"r{number}", "part"))
+        await group.crash("g0", f"{upstream}-again", ask(f"r{number}", "part"))
+    peers = group.peers_by_name["g0"]
+    total, sizes = len(guard.entries(group.now)), []
+    for _ in range(3):
+        group.now += 1.1
+        peers.sent.clear()
+        guard.advance(group.now)
+        sizes.append(len(peers.sent[0].items))
+
+    assert max(sizes) <= 64
+    assert sum(sizes[:2]) >= min(total, 100)
+
+
 async def test_messages_stay_few(group, ask):
     """Only gateways with a request on the crashed upstream report, once each."""
     for number in range(5):
--- a/packages/gateway/tests/test_fuzz_border.py
+++ b/packages/gateway/tests/test_fuzz_border.py
@@ -191,6 +191,9 @@
 
     is_candidate = True
 
+    def is_repeater(self, now):
+        return True
+
     def post_all(self, message):
         encode(message)
 
--- a/packages/gateway/tests/test_peer_set.py
+++ b/packages/gateway/tests/test_peer_set.py
@@ -71,6 +71,19 @@
     await _wait_until(lambda: _is_linked(peer_sets))
 
 
+async def test_one_of_the_linked_gateways_repeats_if_the_other_is_gone(peer_sets):
+    now = asyncio.get_running_loop().time()
+    for name, peer_set in peer_sets.items():
+        other = "b" if name == "a" else "a"
+        peer_set.update_peers({other: _entry(peer_sets[other])})
+    await _wait_until(lambda: _is_linked(peer_sets))
+    assert [peer_set.is_repeater(now) for peer_set in peer_sets.values()] == [True] * 2
+
+    peer_sets["a"].candidates = frozenset(("a", "b", "c", "d"))
+    later = asyncio.get_running_loop().time() + 60.0
+    assert peer_sets["a"].is_repeater(later)
+
+
 async def test_both_gateways_keep_the_same_link_if_both_connect(peer_sets):
     peer_sets["b"].update_peers({"a": _entry(peer_sets["a"])})
     await asyncio.sleep(1.0)
--- a/packages/gateway/tests/test_upstream_limits.py
+++ b/packages/gateway/tests/test_upstream_limits.py
@@ -25,6 +25,9 @@
     def is_candidate(self):
         return self._name in ("g0", "g1")
 
+    def is_repeater(self, now):
+        return self.is_candidate
+
     def post_all(self, message):
         received = decode(encode(message)).unwrap()
         for name, limits in self._group.limits_by_name.items():
