Trace a refusal for crashes of others back to them

Cause: a refused request's line named a digest in its detail only, and wharfctl explain showed events within seconds of the request: the crashes may have been a minute before, at other gateways.

Change: not_served has the feature, attempt_lost the features of a request without an answer; explain adds the events on the feature, of any time and process.

--- a/packages/control/src/wharf_control/log_event.py
+++ b/packages/control/src/wharf_control/log_event.py
@@ -33,6 +33,12 @@
             named.add(fields.get("id"))
         return named - {None}
 
+    @property
+    def features(self):
+        """Return the features of requests that the event names."""
+        fields = self.model_extra
+        return {fields.get("feature"), *fields.get("features", ())} - {None}
+
     @property
     def details(self) -> dict[str, Any]:
         """Return the event-specific fields, in the order of the log line."""
--- a/packages/control/src/wharf_control/timeline.py
+++ b/packages/control/src/wharf_control/timeline.py
@@ -32,7 +32,8 @@
 
     With `around` above 0, context events are added that were logged from `around`
     seconds before its first event until as long after its last: state events of the
-    processes that logged it, and events on the upstreams that its events name.
+    processes that logged it, and events on the upstreams that its events name. Events
+    on the features for which it was refused are added from any time and process.
     """
     own = [
         TimelineItem(log.process, event, names_request=True)
@@ -41,9 +42,28 @@
         if event.concerns(request)
     ]
     items = own + (_context(logs, own, timedelta(seconds=around)) if around else [])
+    if around:
+        items += _feature_context(logs, items)
     return sorted(items, key=lambda item: item.event.timestamp)
 
 
+def _feature_context(logs, items):
+    """Return the events on features for which a request was refused."""
+    refusals = [item for item in items if item.event.event == "not_served"]
+    features = set().union(*(item.event.features for item in refusals))
+    last = max((item.event.timestamp for item in items), default=None)
+    known = {id(item.event) for item in items}
+    return [
+        TimelineItem(log.process, event, names_request=False)
+        for log in logs
+        for event in log.events
+        if event.features & features
+        and event.timestamp <= last
+        and id(event) not in known
+        and event.event != "not_served"
+    ]
+
+
 def _context(logs, own, around):
     if not own:
         return []
--- a/packages/control/tests/test_explain.py
+++ b/packages/control/tests/test_explain.py
@@ -67,6 +67,22 @@
     assert "sends=0" in lines[2]
 
 
+def test_refusal_for_crashes_shows_them_whenever_they_were(write, capsys):
+    at_other = (
+        _line(1.0, "attempt_lost", request="r7", upstream="u1", features=["f1", "f2"]),
+        _line(1.1, "attempt_lost", request="r8", upstream="u1", features=["f3"]),
+        _line(1.2, "quarantine", feature="f1", crashes=2),
+    )
+    refused = (_line(55.0, "not_served", request="r9", status=503, feature="f1"),)
+
+    explain("r9", *write(edge1=refused, edge2=at_other), around=1.0)
+
+    out = capsys.readouterr().out
+    assert "~quarantine feature=f1 crashes=2" in out
+    assert "~attempt_lost" in out
+    assert "f3" not in out
+
+
 def test_context_shows_events_of_the_named_upstream_and_the_process(write, capsys):
     code = explain("r2", *write(edge1=BROKEN_STREAM), around=0.5)
 
--- a/packages/gateway/src/wharf_gateway/crash_guard.py
+++ b/packages/gateway/src/wharf_gateway/crash_guard.py
@@ -212,10 +212,13 @@
     def _refusal(self, context, feature, now):
         retry_after = self._quarantine.seconds_left(feature, now)
         self._meter.count("wharf_quarantine_refusals")
-        detail = f"requests with {feature} crash upstreams"
+        detail = "such requests crash upstreams"
         if context.may_have_run:
-            return GatewayResponse(502, Code.REQUEST_CONDEMNED, detail)
-        return GatewayResponse.not_run(Code.REQUEST_CONDEMNED, detail, retry_after)
+            code = Code.REQUEST_CONDEMNED
+            return GatewayResponse(502, code, detail, feature=feature)
+        return GatewayResponse.not_run(
+            Code.REQUEST_CONDEMNED, detail, retry_after, feature
+        )
 
     async def _report(self, name, upstream):
         """Tell all gateways of a crash once the upstream is known to be gone."""
--- a/packages/gateway/src/wharf_gateway/gateway_response.py
+++ b/packages/gateway/src/wharf_gateway/gateway_response.py
@@ -13,18 +13,19 @@
 class GatewayResponse:
     """Status, result code, and the seconds after which a refused caller may retry.
 
-    `detail` is for logs only.
+    `detail` is for logs only, as is the `feature` for which a request is in quarantine.
     """
 
     status: int
     code: Code
     detail: str = ""
     retry_after: float | None = None
+    feature: str | None = None
 
     @classmethod
-    def not_run(cls, code, detail="", retry_after=0.5):
+    def not_run(cls, code, detail="", retry_after=0.5, feature=None):
         """Return the refusal of a request that has not run and will not run."""
-        return cls(503, code, detail, retry_after)
+        return cls(503, code, detail, retry_after, feature)
 
     @property
     def headers(self):
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -12,6 +12,7 @@
 from wharf_gateway.gateway_response import GatewayResponse
 from wharf_gateway.http.http_call_error import AnswerTooLargeError, HttpCallError
 from wharf_gateway.model.route_kind import RouteKind
+from wharf_gateway.request_features import all_features
 from wharf_gateway.routing.upstream_selector import UpstreamSelector
 from wharf_gateway.stages.preparation import Preparation
 from wharf_gateway.stages.preparation_failure import PreparationFailure
@@ -455,6 +456,7 @@
             began=context.response_began,
             served=context.response_latency is not None,
             prompt=[part.id for part in context.details.prompt],
+            features=_lost_features(context, state, error),
         )
         if not error.was_sent:
             answer = GatewayResponse.not_run(Code.NO_UPSTREAM, str(error))
@@ -495,6 +497,7 @@
     def _log_not_served(self, context, answer):
         now = self._clock()
         seconds = self._measure(context, answer.status, answer.code.label, now)
+        feature = getattr(answer, "feature", None)
         log.info(
             "not_served",
             request=context.details.id,
@@ -507,9 +510,16 @@
             sends=context.sends,
             tried=sorted(context.tried),
             may_have_run=context.may_have_run,
+            **({"feature": feature} if feature else {}),
         )
 
 
+def _lost_features(context, state, error):
+    if not error.was_sent or context.response_latency is not None:
+        return []
+    return list(all_features(state.upstream.service, context))
+
+
 def _allowed_pause(route):
     """Return the seconds without an event after which a stream counts as stalled.
 
