Don't wait for the limit of a cold upstream

What callers could see: nothing; a cold upstream could get more requests than it bears.

Cause: requests that waited for an upstream's named limit went there without using up its cold rate, which only immediate selection looks at.

Change: cold upstreams aren't waited for.

Evidence: the new test failed before (the request ran).

--- a/packages/gateway/src/wharf_gateway/routing/upstream_selector.py
+++ b/packages/gateway/src/wharf_gateway/routing/upstream_selector.py
@@ -66,12 +66,18 @@
 
     def is_usable(self, state, now):
         """Return whether a reserved upstream still takes requests."""
-        states = self._fleet.states(state.upstream.service)
+        service = state.upstream.service
+        states = self._warm(self._fleet.states(service), service, now)
         return state in states and not state.in_backoff(now)
 
     def _limited_states(self, context, now):
+        """Return the upstreams whose limits a request may wait for.
+
+        Cold ones are left out, since their own rate applies as well.
+        """
         service = self._pick_service(context.route)
-        return eligible(self._fleet.states(service), context.tried, now)
+        states = self._warm(self._fleet.states(service), service, now)
+        return eligible(states, context.tried, now)
 
     @staticmethod
     def _within_limits(states, now):
@@ -97,13 +103,18 @@
 
         Each gateway uses an equal part of the service's rate of requests.
         """
+        warm = self._warm(states, service, now)
+        if warm or not states:
+            return warm
+        rate = self._service(service).cold_rate / self._fleet.gateway_count
+        return [s for s in states if s.take_cold_token(rate, now)]
+
+    def _warm(self, states, service, now):
+        """Return the upstreams to which no cold rate applies."""
         settings = self._service(service)
         if settings is None or settings.cold_rate <= 0:
             return states
-        rate = settings.cold_rate / self._fleet.gateway_count
-        warm = [s for s in states if s.upstream.cold_until <= now]
-        cold = [s for s in states if s.upstream.cold_until > now]
-        return warm or [s for s in cold if s.take_cold_token(rate, now)]
+        return [state for state in states if state.upstream.cold_until <= now]
 
     def _service(self, name):
         return self._fleet.configuration.service_by_name.get(name)
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -134,7 +135,7 @@
 
 @pytest.fixture
 def ask(upstreams):
-    async def run(kind, *, attempts=2, resumable=False, seconds=2.0):
+    async def run(kind, *, attempts=2, resumable=False, seconds=2.0, cold_rate=0.0):
         loop = asyncio.get_running_loop()
         route = Route(
             *("r", "h", "/", RouteKind(kind), seconds, 1.0, 0),
@@ -142,7 +143,7 @@
             attempts,
             is_resumable=resumable,
         )
-        service = Service("s", "/", 10, 0.0, 0.0)
+        service = Service("s", "/", 10, 0.0, cold_rate)
         upstreams.fleet.configuration = FleetConfiguration(
             1, (route,), {"s": service}, {}, CallerLimits(), False
         )
@@ -389,6 +390,18 @@
     assert upstreams.seen == []
 
 
+async def test_cold_upstream_at_its_limit_is_not_waited_for(upstreams, ask):
+    """Its cold rate would have been exceeded by the requests that waited."""
+    await upstreams.add(SIGNED)
+    _limit_all(upstreams, 5.0)
+    state = upstreams.fleet.state_by_id["u0"]
+    now = asyncio.get_running_loop().time()
+    state.upstream = replace(state.upstream, cold_until=now + 60.0)
+
+    assert (await ask("safe", cold_rate=0.01)).status == 503
+    assert upstreams.seen == []
+
+
 async def test_upstream_below_its_limit_is_preferred_to_waiting(upstreams, ask):
     await upstreams.add(SIGNED)
     await upstreams.add(SIGNED)
