Answer a request that asks for another protocol, and fuzz callers' bytes

What callers saw: one that offers another protocol (Connection: upgrade, as some HTTP clients do by default) had its connection closed without an answer, after its request had been passed on and may have run.

Cause: the parser raises HttpParserUpgrade, which is no HttpParserError, after such a request; the exception left the protocol's callback, and the event loop closed the connection. Found by a test while fuzzing callers' bytes, which is new: requests in any pieces, cut off, mutated, and arbitrary bytes.

Change: the request is answered as any other and is the last of its connection, since the parser can't go on after it.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 
 fuzz: setup
 	$(BIN)/python -m pytest packages/gateway/tests/test_fuzz_border.py \
+	    packages/gateway/tests/test_fuzz_callers.py \
 	    --hypothesis-profile=fuzz --hypothesis-seed=$(FUZZ_SEED)
 
 slopes: setup
--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -36,6 +36,7 @@
         self._target = b""
         self._head_bytes = 0
         self._is_rejected = False
+        self._is_ended = False
         self._is_writable = asyncio.Event()
         self._is_writable.set()
 
@@ -73,12 +74,16 @@
 
     def data_received(self, data):
         """Parse received data; reject invalid requests and too large headers."""
-        if self._is_rejected:
+        if self._is_rejected or self._is_ended:
             return
         if self._reading is None:
             self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            # The request is answered as any other. The parser can't go on after it, so
+            # that it is the connection's last.
+            self._is_ended = True
         except httptools.HttpParserError:
             self._reject(400)
             return
@@ -191,12 +196,15 @@
         self._task = self._loop.create_task(self._answer(request))
 
     async def _answer(self, request):
-        responder = Responder(self, request.keep_alive, self._site)
+        is_last = self._is_ended and not self._waiting
+        responder = Responder(self, request.keep_alive and not is_last, self._site)
         await self._site.handle(request, responder)
         self._task = None
         if not request.is_read or not responder.keep_alive or self._is_rejected:
             self._transport.close()
         elif self._waiting:
             self._answer_next()
+        elif self._is_ended:
+            self._transport.close()
         else:
             self._await_request(self._site.limits.idle_timeout)
