Refuse a suspect at once when it has no attempt left, and count refusals once

Cause: the pause before a suspect's next attempt came after its last one too, which delayed its final answer by 0.1 s; the check of waiting preparations counted as refusals. Found in the reading of the diff; the response of an upstream now has the fields that logs ask of each answer, in place of a lookup by name.

Evidence: the tests of the guard and the runner pass.

--- a/packages/gateway/src/wharf_gateway/crash_guard.py
+++ b/packages/gateway/src/wharf_gateway/crash_guard.py
@@ -75,10 +75,8 @@
 
         Return None if it may run.
         """
-        blocks = [self._block(context, t.service, now) for t in context.route.targets]
-        if not blocks or None in blocks:
-            return None
-        return self._refusal(context, blocks[0], now)
+        feature = self._block_everywhere(context, now)
+        return None if feature is None else self._refusal(context, feature, now)
 
     def refusal_at(self, context, service, now):
         """Return the refusal of a request that may not run at `service`, or None."""
@@ -203,6 +201,12 @@
             for entry in self._quarantine.entries(now)
         }
 
+    def _block_everywhere(self, context, now):
+        """Return the feature for which a request may run at none of its services."""
+        services = [target.service for target in context.route.targets]
+        blocks = [self._block(context, service, now) for service in services]
+        return None if None in blocks else next(iter(blocks), None)
+
     def _block(self, context, service, now):
         if not self._quarantine:
             return None
@@ -266,7 +270,7 @@
 
     def _interrupt(self, now):
         for context, scope in list(self._scope_by_context.items()):
-            if self.refusal(context, now) is not None:
+            if self._block_everywhere(context, now) is not None:
                 scope.reschedule(now)
 
     def _post(self, entries, now):
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -169,6 +169,8 @@
         splitter = EventSplitter()
         attempts = 0
         while context.sends < MAX_SENDS and attempts < context.route.max_attempts:
+            if context.is_suspect:
+                await asyncio.sleep(SUSPECT_DELAY_SECONDS)
             if context.route.steps and context.inputs is None:
                 refusal = await self._prepare(context)
                 if refusal is not None:
@@ -207,8 +209,6 @@
                 detail=answer.detail,
                 may_have_run=context.may_have_run,
             )
-            if context.is_suspect:
-                await asyncio.sleep(SUSPECT_DELAY_SECONDS)
         return answer
 
     async def _wait_for_limit(self, context):
@@ -497,7 +497,6 @@
     def _log_not_served(self, context, answer):
         now = self._clock()
         seconds = self._measure(context, answer.status, answer.code.label, now)
-        feature = getattr(answer, "feature", None)
         log.info(
             "not_served",
             request=context.details.id,
@@ -510,7 +509,7 @@
             sends=context.sends,
             tried=sorted(context.tried),
             may_have_run=context.may_have_run,
-            **({"feature": feature} if feature else {}),
+            feature=answer.feature,
         )
 
 
--- a/packages/gateway/src/wharf_gateway/upstream_failure.py
+++ b/packages/gateway/src/wharf_gateway/upstream_failure.py
@@ -10,10 +10,14 @@
 
 @dataclass(frozen=True, slots=True)
 class UpstreamFailure:
-    """An upstream's error response, forwarded unless a further attempt succeeds."""
+    """An upstream's error response, forwarded unless a further attempt succeeds.
+
+    The other fields are those of a `GatewayResponse`, for logs.
+    """
 
     status: int
     headers: Headers
     body: bytes
     code: Code = Code.UPSTREAM_FAILED
     detail: str = "the upstream failed"
+    feature: str | None = None
