--- a/packages/standins/tests/conftest.py
+++ b/packages/standins/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Fixtures: a peer that sends and receives raw messages of the link protocol."""
+"""Fixtures: a peer that speaks the link protocol, and gateways in processes."""
 
 from contextlib import asynccontextmanager
 
@@ -6,6 +6,9 @@
 from websockets.asyncio.client import connect
 
 from wharf_coordination import Priority
+from wharf_standins.soak.gateway_process import GatewayProcess
+from wharf_standins.soak.store import SoakStore
+from wharf_standins.soak.wire import upstream_entry
 from wharf_wire import Call, Hello, decode, encode
 
 ENTRY_HELLO = Hello("entry-x", "dc-1", 0)
@@ -64,3 +67,33 @@
         return Call(attempt=attempt, **(defaults | fields))
 
     return make
+
+
+@pytest.fixture
+def run_gateways(tmp_path):
+    """Return a context manager that runs gateways before upstreams of its own."""
+
+    @asynccontextmanager
+    async def run(count, configuration, upstreams):
+        store = SoakStore()
+        await store.start()
+        await store.put("config", "main", configuration)
+        for upstream in upstreams:
+            entry = upstream_entry(f"127.0.0.1:{await upstream.start()}")
+            await store.put("servers", upstream.name, entry)
+        processes = [
+            GatewayProcess(f"gateway-{number}", tmp_path, store.port)
+            for number in range(count)
+        ]
+        try:
+            for process in processes:
+                await process.start()
+            yield processes
+        finally:
+            for process in processes:
+                await process.kill()
+            for upstream in upstreams:
+                upstream.stop()
+            await store.stop()
+
+    return run
--- a/packages/standins/tests/test_deadly_prompt_part.py
+++ b/packages/standins/tests/test_deadly_prompt_part.py
@@ -11,9 +11,7 @@
 from wharf_coordination import Code
 from wharf_gateway.quarantine_keeper import MAX_WRITE_DELAY_SECONDS
 from wharf_standins.soak.crashing_upstream import CrashingUpstream
-from wharf_standins.soak.gateway_process import GatewayProcess
-from wharf_standins.soak.store import SoakStore
-from wharf_standins.soak.wire import HOST, configuration, upstream_entry
+from wharf_standins.soak.wire import HOST, configuration
 
 DEADLY_PART = "dead"
 UPSTREAM_COUNT = 5
@@ -31,29 +29,13 @@
 
 
 @pytest.fixture
-async def gateways(tmp_path, upstreams):
-    store = SoakStore()
-    await store.start()
+async def gateways(run_gateways, upstreams):
     document = configuration(1)
     for route in document["routes"]:
         route["isResumable"] = route["name"] == "stream"
-    await store.put("config", "main", document)
-    for upstream in upstreams:
-        entry = upstream_entry(f"127.0.0.1:{await upstream.start()}")
-        await store.put("servers", upstream.name, entry)
-    processes = [
-        GatewayProcess(f"gateway-{number}", tmp_path, store.port)
-        for number in range(GATEWAY_COUNT)
-    ]
-    for process in processes:
-        await process.start()
-    await _wait_until_ready(processes)
-    yield processes
-    for process in processes:
-        await process.kill()
-    for upstream in upstreams:
-        upstream.stop()
-    await store.stop()
+    async with run_gateways(GATEWAY_COUNT, document, upstreams) as processes:
+        await _wait_until_ready(processes)
+        yield processes
 
 
 async def _wait_until_ready(processes):
--- a/packages/standins/tests/test_named_limit.py
+++ b/packages/standins/tests/test_named_limit.py
@@ -6,11 +6,9 @@
 import pytest
 
 from wharf_standins.soak.client import SoakClient
-from wharf_standins.soak.gateway_process import GatewayProcess
 from wharf_standins.soak.request import RequestKind, SoakRequest
-from wharf_standins.soak.store import SoakStore
 from wharf_standins.soak.upstream import SoakUpstream
-from wharf_standins.soak.wire import configuration, upstream_entry
+from wharf_standins.soak.wire import configuration
 
 GATEWAY_COUNT = 3
 CLIENTS_PER_GATEWAY = 3
@@ -21,42 +19,23 @@
 
 
 @pytest.fixture
-async def runs():
+def runs():
     """Return the times of runs by upstream, which are two."""
     return {"upstream-0": [], "upstream-1": []}
 
 
 @pytest.fixture
-async def upstreams(runs):
-    clock = asyncio.get_running_loop().time
-
+def upstreams(runs):
     def record_run(upstream, request_id):
-        runs[upstream.name].append(clock())
+        runs[upstream.name].append(asyncio.get_running_loop().time())
 
-    found = [SoakUpstream(name, record_run) for name in runs]
-    yield found
-    for upstream in found:
-        upstream.stop()
+    return [SoakUpstream(name, record_run) for name in runs]
 
 
 @pytest.fixture
-async def gateways(tmp_path, upstreams):
-    store = SoakStore()
-    await store.start()
-    await store.put("config", "main", configuration(1))
-    for upstream in upstreams:
-        entry = upstream_entry(f"127.0.0.1:{await upstream.start()}")
-        await store.put("servers", upstream.name, entry)
-    processes = [
-        GatewayProcess(f"gateway-{number}", tmp_path, store.port)
-        for number in range(GATEWAY_COUNT)
-    ]
-    for process in processes:
-        await process.start()
-    yield processes
-    for process in processes:
-        await process.kill()
-    await store.stop()
+async def gateways(run_gateways, upstreams):
+    async with run_gateways(GATEWAY_COUNT, configuration(1), upstreams) as processes:
+        yield processes
 
 
 def _client(gateway, requests):
