Limit an upstream that the gateways use in the test of named limits

The test was wrong in one run of eight: it limited upstream-0, but a gateway keeps to the upstream that answered it first, and all three may have begun with the other. Then nothing was there to measure ('max() arg is an empty sequence').

--- a/packages/standins/tests/test_named_limit.py
+++ b/packages/standins/tests/test_named_limit.py
@@ -63,7 +63,9 @@
                     await asyncio.sleep(0.1)
         except TimeoutError:
             pytest.fail(f"{gateway.name} serves nothing:\n{gateway.output()}")
-    upstreams[0].rate_limit = LIMIT
+    # A gateway keeps to the upstream that answered it first.
+    upstream = max(upstreams, key=lambda upstream: len(runs[upstream.name]))
+    upstream.rate_limit = LIMIT
     requests.clear()
     tasks = [
         asyncio.create_task(_client(gateway, requests).run())
@@ -73,7 +75,7 @@
     await asyncio.sleep(CONTACT_SECONDS)
     since = clock()
     await asyncio.sleep(WINDOW_SECONDS + 2.0)
-    upstreams[0].rate_limit = None
+    upstream.rate_limit = None
     limited_until = clock()
     await asyncio.sleep(CONTACT_SECONDS)
     free_since = clock()
@@ -82,10 +84,10 @@
         task.cancel()
     await asyncio.gather(*tasks, return_exceptions=True)
 
-    limited = [at for at in runs["upstream-0"] if since <= at < limited_until]
+    limited = [at for at in runs[upstream.name] if since <= at < limited_until]
     most = max(sum(t <= u < t + WINDOW_SECONDS for u in limited) for t in limited)
     assert 2 <= most <= MOST_IN_WINDOW
-    free = [at for at in runs["upstream-0"] if at >= free_since]
+    free = [at for at in runs[upstream.name] if at >= free_since]
     assert len(free) > 2 * MOST_IN_WINDOW
     finished = [request for request in requests if request.status is not None]
     assert {request.status for request in finished} == {200}
