--- a/packages/standins/src/wharf_standins/soak/crashing_upstream.py
+++ b/packages/standins/src/wharf_standins/soak/crashing_upstream.py
@@ -16,13 +16,11 @@
     """Answer streams; crash on those whose prompt has `deadly_part`.
 
     A crash closes all connections after the head of the answer, and nothing listens for
-    `down_seconds`. `runs` has the prompts of all requests that it began to answer,
-    `crashed_at` the loop's times of its crashes.
+    `down_seconds`. `crashed_at` has the loop's times of its crashes.
     """
 
     def __init__(self, name, deadly_part, down_seconds):
         self.name = name
-        self.runs = []
         self.crashed_at = []
         self._deadly_part = deadly_part
         self._down_seconds = down_seconds
@@ -59,7 +57,6 @@
         request_id = fields[names.ATTEMPT_ID.lower()]
         prompt = fields[names.PROMPT.lower()]
         await asyncio.sleep(READ_SECONDS)
-        self.runs.append(prompt)
         writer.write(
             f"HTTP/1.1 200 OK\r\n{names.ATTEMPT_ID}: {request_id}\r\n"
             f"{names.SIGNATURE}: 1\r\nTransfer-Encoding: chunked\r\n\r\n".encode()
