Take the differing delays of hosts from rendezvous hashing

The quarantine and its keeper each hashed 'feature, name' to a fraction, as rendezvous does for its scores: fraction(key, name) there serves both. The values are the same.

--- a/packages/coordination/src/wharf_coordination/quarantine/quarantine.py
+++ b/packages/coordination/src/wharf_coordination/quarantine/quarantine.py
@@ -2,10 +2,9 @@
 
 from dataclasses import dataclass, field
 
-import xxhash
-
 from wharf_coordination.quarantine.attribution import Attribution
 from wharf_coordination.quarantine.quarantine_entry import QuarantineEntry
+from wharf_coordination.rendezvous import fraction
 
 __all__ = ["LONGEST_SECONDS", "Quarantine"]
 
@@ -13,7 +12,6 @@
 LONGEST_SECONDS = 600.0
 PROBATION_SECONDS = 600.0  # after which a feature that crashed nothing is forgotten
 MAX_ENTRIES = 1000
-HASH_RANGE = 2**64
 CLOCK_SLACK_SECONDS = 0.5  # delay of a notice, by which copies of an entry differ
 
 
@@ -137,9 +135,8 @@
 
     def _end(self, entry):
         """Return the end of a quarantine on this host."""
-        name = f"{entry.attribution.feature}\0{self.host}".encode()
-        delay = xxhash.xxh3_64_intdigest(name) / HASH_RANGE * entry.seconds
-        return entry.ends_at + delay
+        part = fraction(entry.attribution.feature, self.host)
+        return entry.ends_at + part * entry.seconds
 
     def _is_blocked(self, feature, now, holder):
         entry = self._entry_by_feature.get(feature)
--- a/packages/coordination/src/wharf_coordination/rendezvous.py
+++ b/packages/coordination/src/wharf_coordination/rendezvous.py
@@ -2,7 +2,9 @@
 
 import xxhash
 
-__all__ = ["ranked", "subset"]
+__all__ = ["fraction", "ranked", "subset"]
+
+HASH_RANGE = 2**64
 
 
 def ranked(key, names):
@@ -22,5 +24,10 @@
     return set(names if len(names) <= size else ranked(key, names)[:size])
 
 
+def fraction(key, name):
+    """Return a number from 0 to 1 that differs between names, the same everywhere."""
+    return _score(key, name) / HASH_RANGE
+
+
 def _score(key, name):
     return xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode())
--- a/packages/gateway/src/wharf_gateway/quarantine_keeper.py
+++ b/packages/gateway/src/wharf_gateway/quarantine_keeper.py
@@ -4,10 +4,10 @@
 from dataclasses import asdict
 
 import structlog
-import xxhash
 from pydantic import ValidationError
 from result import Err, Ok
 
+from wharf_coordination.rendezvous import fraction
 from wharf_gateway.quarantine_document import QuarantineDocument, QuarantineDocuments
 from wharf_gateway.store.store_kind import StoreKind
 
@@ -22,7 +22,6 @@
 MAX_WRITE_DELAY_SECONDS = 1.0
 # Ends that differ by less are equal; hosts' clocks differ by more than messages take.
 MAX_END_DIFFERENCE_SECONDS = 5.0
-HASH_RANGE = 2**64
 
 
 class QuarantineKeeper:
@@ -80,7 +79,8 @@
         for feature in set(self._due_by_feature) - differing:
             del self._due_by_feature[feature]
         for feature in differing:
-            due = self._due_by_feature.setdefault(feature, now + self._delay(feature))
+            delay = fraction(feature, self._name) * MAX_WRITE_DELAY_SECONDS
+            due = self._due_by_feature.setdefault(feature, now + delay)
             if now >= due:
                 self._due_by_feature[feature] = now + 2 * MAX_WRITE_DELAY_SECONDS
                 self._write(feature, entry_by_feature.get(feature), now)
@@ -92,11 +92,6 @@
         ends_at = document.ends_at + now - self._unix_clock()
         return abs(ends_at - entry.ends_at) < MAX_END_DIFFERENCE_SECONDS
 
-    def _delay(self, feature):
-        name = f"{feature}\0{self._name}".encode()
-        fraction = xxhash.xxh3_64_intdigest(name) / HASH_RANGE
-        return fraction * MAX_WRITE_DELAY_SECONDS
-
     def _write(self, feature, entry, now):
         document = None
         if entry is not None:
