--- a/packages/gateway/src/wharf_gateway/crash_guard.py
+++ b/packages/gateway/src/wharf_gateway/crash_guard.py
@@ -23,6 +23,7 @@
     QuarantineItem,
     QuarantineNotice,
 )
+from wharf_gateway.peers.turns import Turns
 from wharf_gateway.request_features import all_features
 
 __all__ = ["CrashGuard"]
@@ -64,8 +65,7 @@
         self._loss_by_upstream = {}
         self._scope_by_context = {}
         self._tasks = set()
-        self._noticed_at = float("-inf")
-        self._repeated = 0
+        self._turns = Turns(NOTICE_INTERVAL_SECONDS, MAX_REPEATED)
         meter.gauge("wharf_quarantined", lambda: {(): len(self._quarantine)})
 
     # Decisions on requests.
@@ -131,18 +131,11 @@
 
     def advance(self, now):
         """Repeat to all gateways what is in quarantine, if they are linked to this."""
-        if now - self._noticed_at < NOTICE_INTERVAL_SECONDS:
+        if not self._turns.is_due(now):
             return
-        self._noticed_at = now
         entries = self._quarantine.entries(now)
         if entries and self._peers.is_repeater(now):
-            self._post(self._next_page(entries), now)
-
-    def _next_page(self, entries):
-        """Return the next of the entries that are repeated by turns."""
-        begin = self._repeated if self._repeated < len(entries) else 0
-        self._repeated = begin + MAX_REPEATED
-        return entries[begin : self._repeated]
+            self._post(self._turns.next_page(entries), now)
 
     # Messages of other gateways.
 
--- a/packages/gateway/src/wharf_gateway/routing/upstream_limits.py
+++ b/packages/gateway/src/wharf_gateway/routing/upstream_limits.py
@@ -4,6 +4,7 @@
 
 from wharf_coordination.rate_share import RateShare, rate_holders
 from wharf_gateway.peers.messages import LimitItem, LimitNotice
+from wharf_gateway.peers.turns import Turns
 from wharf_gateway.routing.upstream_limit import UpstreamLimit
 
 __all__ = ["UpstreamLimits"]
@@ -37,8 +38,7 @@
         self._fleet = fleet
         self._peers = peers
         self._names = names
-        self._noticed_at = float("-inf")
-        self._repeated = 0
+        self._turns = Turns(NOTICE_INTERVAL_SECONDS, MAX_REPEATED)
 
     def record_answer(self, upstream_id, rate, sent_at, now):
         """Record what the answer to a request that was sent at `sent_at` named.
@@ -71,22 +71,15 @@
 
     def advance(self, now):
         """End limits that nobody has named for long, and repeat the others."""
-        if now - self._noticed_at < NOTICE_INTERVAL_SECONDS:
+        if not self._turns.is_due(now):
             return
-        self._noticed_at = now
         limited = [s for s in self._fleet.state_by_id.values() if s.limit is not None]
         for state in limited:
             self._expire(state, now)
             self._set_share(state, now)
         limited = [state for state in limited if state.limit.rate is not None]
         if limited and self._peers.is_repeater(now):
-            self._post(self._next_page(limited), now)
-
-    def _next_page(self, states):
-        """Return the next of the limits that are repeated by turns."""
-        begin = self._repeated if self._repeated < len(states) else 0
-        self._repeated = begin + MAX_REPEATED
-        return states[begin : self._repeated]
+            self._post(self._turns.next_page(limited), now)
 
     def dump(self, now):
         """Return the limits in force, for operators."""
