Bound by its exit what a stopping gateway admits and waits for

Cause: admission asked for 2.5 s before the exit, whatever the request needs. A request with steps that was admitted 0.3 to 2.5 s after SIGTERM waited for its preparation, or had its steps blocked, until the process was gone; nothing ended waits before the exit. Ruled out by the logs: an idle or limit time-out, an error in the request's task, a lost link to the preparer (the connection closes in the moment of "stopped", with "busy" above 0).

Change: Shutdown bounds each wait by the exit. Admission compares what the route's requests usually take with what is left; what waits is refused (503, not run) while an upstream could still answer; what runs is told 504 just before the exit, and a stream is reset.

The new tests can't pass on the code before: there a request that waits for its steps is answered only at its own deadline.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -25,7 +25,9 @@
 from wharf_gateway.request_runner import RequestRunner
 from wharf_gateway.rollouts.rollout_manager import RolloutManager
 from wharf_gateway.routing.retry_budgets import RetryBudgets
+from wharf_gateway.routing.route_times import RouteTimes
 from wharf_gateway.routing.upstream_limits import UpstreamLimits
+from wharf_gateway.shutdown import Shutdown
 from wharf_gateway.stages.piece_client import PieceClient
 from wharf_gateway.store.outage import Outage
 from wharf_gateway.store.store_client import StoreClient
@@ -43,6 +45,8 @@
 # each second and acts on the second failed probe.
 UNREADY_SECONDS = 2.5
 EXIT_MARGIN_SECONDS = 0.7  # part of `stop_seconds` reserved for the exit itself
+# Time to answer the requests that are still there, before the process exits.
+ANSWER_MARGIN_SECONDS = 0.2
 TICK_SECONDS = 0.1  # between checks for expired state
 
 # A page of the store holds about a megabyte of objects, written as JSON.
@@ -126,7 +130,11 @@
         )
         self.peers.feed = self.feed
         self.pause_guard = PauseGuard(self._clock(), self._ask_again, self._is_current)
-        self._admission = RequestAdmission(self.fleet, self._dialect, self._clock)
+        self._shutdown = Shutdown()
+        self._route_times = RouteTimes()
+        self._admission = RequestAdmission(
+            self.fleet, self._dialect, self._clock, self._shutdown, self._route_times
+        )
         budgets = RetryBudgets(
             settings.retry_share,
             settings.retry_reserve,
@@ -144,6 +152,8 @@
             self.meter,
             self.crash_guard,
             self._limits,
+            self._shutdown,
+            self._route_times,
             settings.max_answer_bytes,
             self.pause_guard,
         )
@@ -207,7 +217,7 @@
         self.server.closing = True
         log.info("stopping", busy=self.server.busy_count)
         ends_at = began + self.settings.stop_seconds - EXIT_MARGIN_SECONDS
-        self._admission.ends_at = ends_at
+        self._shutdown.begin(ends_at - ANSWER_MARGIN_SECONDS)
         await asyncio.sleep(min(UNREADY_SECONDS, self.settings.stop_seconds / 2))
         # A caller that can't connect retries elsewhere at once, and more often than
         # one whose request is refused.
@@ -344,6 +354,11 @@
     def _is_current(self):
         return all(watcher.revision is not None for watcher in self._watchers)
 
+    def _apply_configuration(self, configuration):
+        if self.server.limits is not configuration.limits:
+            self.server.limits = configuration.limits
+            self._route_times.retain({route.name for route in configuration.routes})
+
     async def _tick(self):
         while True:
             await asyncio.sleep(TICK_SECONDS)
@@ -353,7 +368,7 @@
             self.fleet.remove_expired(now)
             self.fleet.decay_paces(TICK_SECONDS)
             if self.fleet.configuration:
-                self.server.limits = self.fleet.configuration.limits
+                self._apply_configuration(self.fleet.configuration)
             self.preparation_router.advance(now)
             self.rollouts.advance(now)
             self._limits.advance(now)
--- a/packages/gateway/src/wharf_gateway/gateway_response.py
+++ b/packages/gateway/src/wharf_gateway/gateway_response.py
@@ -8,6 +8,9 @@
 
 __all__ = ["GatewayResponse"]
 
+# After which a caller that a stopping process refuses may retry at another gateway.
+STOPPING_RETRY_SECONDS = 0.1
+
 
 @dataclass(frozen=True, slots=True)
 class GatewayResponse:
@@ -27,6 +30,11 @@
         """Return the refusal of a request that has not run and will not run."""
         return cls(503, code, detail, retry_after, feature)
 
+    @classmethod
+    def stopping(cls):
+        """Return the refusal of a request that the stopping process can't finish."""
+        return cls.not_run(Code.ENTRY_STOPPING, "stopping", STOPPING_RETRY_SECONDS)
+
     @property
     def headers(self):
         """Return the header fields of the response."""
--- a/packages/gateway/src/wharf_gateway/request_admission.py
+++ b/packages/gateway/src/wharf_gateway/request_admission.py
@@ -10,24 +10,24 @@
 
 __all__ = ["RequestAdmission"]
 
-# A stopping process refuses requests that arrive less than this before it exits, since
-# it may not finish them; most requests are answered sooner.
+# A stopping process refuses requests that arrive less than this before it exits, also
+# if those of their route are usually answered sooner.
 FINISH_SECONDS = 2.5
-# After which a caller that a stopping process refuses may retry at another gateway.
-STOPPING_RETRY_SECONDS = 0.1
 
 
 class RequestAdmission:
     """Decide by the current configuration whether a request is admitted.
 
-    `ends_at` is the loop's time by which a stopping process exits.
+    A process that stops, as `shutdown` says, admits what it usually finishes in the
+    time that is left; `route_times` has how long the requests of each route take.
     """
 
-    def __init__(self, fleet, dialect, clock):
+    def __init__(self, fleet, dialect, clock, shutdown, route_times):
         self._fleet = fleet
         self._dialect = dialect
         self._clock = clock
-        self.ends_at = float("inf")
+        self._shutdown = shutdown
+        self._route_times = route_times
 
     async def admit(self, request):
         """Wait for the body; return the request's context, or a refusal."""
@@ -36,12 +36,6 @@
             return Err(
                 GatewayResponse.not_run(Code.NOT_CONFIGURED, "no configuration yet")
             )
-        if self._clock() + FINISH_SECONDS > self.ends_at:
-            return Err(
-                GatewayResponse.not_run(
-                    Code.ENTRY_STOPPING, "stopping", STOPPING_RETRY_SECONDS
-                )
-            )
         host = request.headers.get("host", "")
         route = configuration.find_route(host, request.path)
         if route is None:
@@ -57,11 +51,14 @@
         customer = configuration.customer_by_key.get(details.key or "")
         if configuration.has_customers and customer is None and not route.is_public:
             return Err(GatewayResponse(401, Code.UNKNOWN_CUSTOMER, "unknown key"))
+        needed = max(FINISH_SECONDS, self._route_times.request_seconds(route.name))
+        if self._shutdown.lacks(needed, self._clock()):
+            return Err(GatewayResponse.stopping())
         seconds = route.timeout
         if details.seconds is not None:
             seconds = min(seconds, details.seconds)
         deadline = request.received_at + seconds
-        fault = await self._read_body(request, deadline)
+        fault = await self._read_body(request, deadline, needed)
         if fault is not None:
             return Err(fault)
         return Ok(
@@ -77,12 +74,18 @@
             )
         )
 
-    async def _read_body(self, request, deadline):
-        """Wait for the body; return a refusal if it is late or too large."""
+    async def _read_body(self, request, deadline, needed):
+        """Wait for the body; return a refusal if it is late or too large.
+
+        A stopping process waits while `needed` seconds are left.
+        """
         try:
-            async with asyncio.timeout_at(deadline):
-                await request.body_complete.wait()
+            async with asyncio.timeout_at(deadline) as scope:
+                with self._shutdown.bounding(scope, needed):
+                    await request.body_complete.wait()
         except TimeoutError:
+            if self._clock() < deadline:
+                return GatewayResponse.stopping()
             return GatewayResponse(
                 408, Code.DEADLINE_PASSED, "body not received before the deadline"
             )
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -66,6 +66,8 @@
         meter,
         crash_guard,
         limits,
+        shutdown,
+        route_times,
         max_event_bytes=1 << 20,
         pause_guard=None,
     ):
@@ -80,16 +82,20 @@
         self._meter = meter
         self._crash_guard = crash_guard
         self._limits = limits
+        self._shutdown = shutdown
+        self._route_times = route_times
         self._max_event_bytes = max_event_bytes
         self._pause_guard = pause_guard
 
     async def run(self, context, responder):
-        """Answer the request within its deadline."""
+        """Answer the request within its deadline and before the process exits."""
         try:
-            async with asyncio.timeout_at(context.deadline):
-                answer = await self._run(context, responder)
+            async with asyncio.timeout_at(context.deadline) as scope:
+                with self._shutdown.bounding(scope, 0.0):
+                    answer = await self._run(context, responder)
         except TimeoutError:
-            answer = _deadline_response(context)
+            is_stopped = self._clock() < context.deadline
+            answer = (_stopped_response if is_stopped else _deadline_response)(context)
         if answer is None:
             return
         self._log_not_served(context, answer)
@@ -134,6 +140,8 @@
             reason=answer.unwrap_err().reason if answer.is_err() else None,
         )
         match answer:
+            case Err(_) if self._is_too_late_to_send(context):
+                return GatewayResponse.stopping()
             case Err(refusal):
                 return GatewayResponse.not_run(
                     Code.UPSTREAM_FULL, f"steps: {refusal.reason}", refusal.retry_after
@@ -144,15 +152,28 @@
 
     async def _run_preparation(self, preparation, context):
         """Return the preparation's answer; stop once the request may not run."""
+        needed = self._upstream_seconds(context)
         try:
             async with asyncio.timeout(None) as scope:
-                with self._crash_guard.interrupting(context, scope):
+                with (
+                    self._crash_guard.interrupting(context, scope),
+                    self._shutdown.bounding(scope, needed),
+                ):
                     return await self._preparation_router.run(preparation, context)
         except TimeoutError:
             if not scope.expired():
                 raise
+            if self._is_too_late_to_send(context):
+                return Err(PreparationFailure("stopping"))
             return Err(PreparationFailure("the request is in quarantine"))
 
+    def _upstream_seconds(self, context):
+        return self._route_times.upstream_seconds(context.route.name)
+
+    def _is_too_late_to_send(self, context):
+        """Return whether the process stops before an upstream would have answered."""
+        return self._shutdown.lacks(self._upstream_seconds(context), self._clock())
+
     async def _send_until_answered(self, context, responder):
         """Send the request until it is answered.
 
@@ -169,6 +190,8 @@
         splitter = EventSplitter()
         attempts = 0
         while context.sends < MAX_SENDS and attempts < context.route.max_attempts:
+            if self._is_too_late_to_send(context):
+                return answer if context.sends else GatewayResponse.stopping()
             if context.is_suspect:
                 await asyncio.sleep(SUSPECT_DELAY_SECONDS)
             if context.route.steps and context.inputs is None:
@@ -235,7 +258,7 @@
         if seconds <= 0:
             return True
         ends_at = self._clock() + seconds + ENGINE_SECONDS
-        if ends_at > context.deadline:
+        if ends_at > min(context.deadline, self._shutdown.ends_at):
             return False
         return ends_at <= context.soft_deadline or seconds <= MAX_LATE_WAIT_SECONDS
 
@@ -483,6 +506,7 @@
         seconds = self._measure(context, status, "ok", now)
         kind = context.route.kind.value
         self._meter.observe("wharf_upstream_seconds", now - started, kind)
+        self._route_times.record(context.route.name, seconds, now - started)
         log.info(
             "answered",
             request=context.details.id,
@@ -530,6 +554,14 @@
     return max(GIVE_UP_SECONDS, 4 * route.target_latency, 8 * route.max_event_gap)
 
 
+def _stopped_response(context):
+    if context.may_have_run:
+        return GatewayResponse(
+            504, Code.ENTRY_STOPPING, "no response before the process stops"
+        )
+    return GatewayResponse.stopping()
+
+
 def _deadline_response(context):
     if context.may_have_run:
         return GatewayResponse(
--- a/packages/gateway/tests/test_request_admission.py
+++ b/packages/gateway/tests/test_request_admission.py
@@ -9,6 +9,8 @@
 from wharf_gateway.http.headers import Headers
 from wharf_gateway.http.inbound_request import InboundRequest
 from wharf_gateway.request_admission import RequestAdmission
+from wharf_gateway.routing.route_times import RouteTimes
+from wharf_gateway.shutdown import Shutdown
 from wharf_gateway.store.stored_object import StoredObject
 
 SPEC = {
@@ -38,8 +40,19 @@
 
 
 @pytest.fixture
-async def admission(fleet):
-    return RequestAdmission(fleet, Dialect(), asyncio.get_running_loop().time)
+def shutdown():
+    return Shutdown()
+
+
+@pytest.fixture
+def route_times():
+    return RouteTimes()
+
+
+@pytest.fixture
+async def admission(fleet, shutdown, route_times):
+    clock = asyncio.get_running_loop().time
+    return RequestAdmission(fleet, Dialect(), clock, shutdown, route_times)
 
 
 def _request(path="/closed/x", key="good", call_id="1", is_read=True):
@@ -92,7 +105,45 @@
     assert await _status(admission) == 401
 
 
-async def test_stopping_process_refuses_what_it_may_not_finish(admission):
-    admission.ends_at = asyncio.get_running_loop().time() + 1.0
+def _begin_stop(shutdown, seconds):
+    shutdown.begin(asyncio.get_running_loop().time() + seconds)
+
+
+async def test_stopping_process_refuses_what_it_may_not_finish(admission, shutdown):
+    _begin_stop(shutdown, 1.0)
+
+    assert await _status(admission) == 503
+
+
+# Guards against requests that are admitted although those of their route take longer
+# than the process has left: they were cut off at its exit.
+async def test_stopping_process_refuses_routes_that_take_longer_than_it_has_left(
+    admission, shutdown, route_times
+):
+    _begin_stop(shutdown, 5.0)
+    for _ in range(20):
+        route_times.record("closed", 6.0, 4.0)
+        route_times.record("open", 0.1, 0.1)
 
     assert await _status(admission) == 503
+    assert await _status(admission, path="/open/x") == 200
+
+
+async def test_stopping_process_still_names_bad_keys_and_paths(admission, shutdown):
+    _begin_stop(shutdown, 1.0)
+
+    assert await _status(admission, key="bad") == 401
+    assert await _status(admission, path="/nowhere/") == 404
+
+
+# Guards against a request whose body is still arriving when the process exits.
+async def test_stop_refuses_a_request_whose_body_does_not_arrive_in_time(
+    admission, shutdown, fleet
+):
+    longer = [route | {"timeoutMs": 20_000} for route in SPEC["routes"]]
+    spec = SPEC | {"version": 2, "routes": longer}
+    fleet.apply_configurations([StoredObject("main", 2, spec)], 0.0)
+    loop = asyncio.get_running_loop()
+    loop.call_later(0.05, shutdown.begin, loop.time() + 2.7)
+
+    assert await _status(admission, is_read=False) == 503
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -21,14 +21,17 @@
 from wharf_gateway.model.route import Route
 from wharf_gateway.model.route_kind import RouteKind
 from wharf_gateway.model.service import Service
+from wharf_gateway.model.step import Step
 from wharf_gateway.model.target import Target
 from wharf_gateway.model.upstream import Upstream
 from wharf_gateway.request_context import RequestContext
 from wharf_gateway.request_runner import RequestRunner
 from wharf_gateway.rollouts.rollout_manager import RolloutManager
 from wharf_gateway.routing.retry_budgets import RetryBudgets
+from wharf_gateway.routing.route_times import RouteTimes
 from wharf_gateway.routing.upstream_limit import UpstreamLimit
 from wharf_gateway.routing.upstream_limits import UpstreamLimits
+from wharf_gateway.shutdown import Shutdown
 from wharf_gateway.telemetry.meter import Meter
 
 SIGNED = b"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nok"
@@ -134,13 +137,28 @@
 
 
 @pytest.fixture
-def ask(upstreams):
-    async def run(kind, *, attempts=2, resumable=False, seconds=2.0, cold_rate=0.0):
+def shutdown():
+    return Shutdown()
+
+
+@pytest.fixture
+def ask(upstreams, shutdown):
+    async def run(
+        kind,
+        *,
+        attempts=2,
+        resumable=False,
+        seconds=2.0,
+        cold_rate=0.0,
+        steps=(),
+        router=None,
+    ):
         loop = asyncio.get_running_loop()
         route = Route(
             *("r", "h", "/", RouteKind(kind), seconds, 1.0, 0),
             (Target("s"),),
             attempts,
+            steps,
             is_resumable=resumable,
         )
         service = Service("s", "/", 10, 0.0, cold_rate)
@@ -158,7 +176,7 @@
             upstreams.fleet,
             PlainDialect(),
             pool,
-            None,
+            router,
             RolloutManager(upstreams.fleet, None, None, None, None, loop.time),
             RetryBudgets(0.2, 50, lambda: 1),
             loop.time,
@@ -166,6 +184,8 @@
             meter,
             guard,
             UpstreamLimits("g", upstreams.fleet, Alone(), lambda: {}),
+            shutdown,
+            RouteTimes(),
         )
         caller = Caller()
         await runner.run(context, caller)
@@ -440,3 +460,109 @@
     await upstreams.add(FULL)
 
     assert (await ask("stream", resumable=True, attempts=3)).status == 502
+
+
+class WaitingRouter:
+    """A preparation router whose preparations wait until they are cancelled."""
+
+    def __init__(self):
+        self.cancelled = 0
+
+    async def run(self, preparation, context):
+        try:
+            await asyncio.Event().wait()
+        finally:
+            self.cancelled += 1
+
+
+def _stop_in(shutdown, seconds, seconds_left):
+    """Begin a stop `seconds` from now, which ends `seconds_left` after that."""
+    loop = asyncio.get_running_loop()
+    ends_at = loop.time() + seconds + seconds_left
+    loop.call_later(seconds, shutdown.begin, ends_at)
+    return ends_at
+
+
+def _now():
+    return asyncio.get_running_loop().time()
+
+
+# Guards against a request whose steps wait until the process is gone: its connection
+# then closed without an answer.
+async def test_request_that_waits_for_its_steps_is_refused_before_a_stop_ends(
+    ask, upstreams, shutdown
+):
+    await upstreams.add(SIGNED)
+    router = WaitingRouter()
+    ends_at = _stop_in(shutdown, 0.05, 0.8)
+
+    caller = await ask("unsafe", steps=(Step("s", (), 1),), router=router)
+
+    assert (caller.status, caller.ending) == (503, "whole")
+    assert json.loads(caller.body)["code"] == Code.ENTRY_STOPPING
+    assert caller.headers.get("retry-after") == "0.10"
+    assert ends_at - 0.55 < _now() < ends_at - 0.4  # 0.5 s are left for an engine
+    assert router.cancelled == 1
+    assert upstreams.seen == []
+
+
+# Guards against steps that are run for a request that can't be sent any more.
+async def test_steps_do_not_start_when_an_upstream_could_not_answer_before_the_exit(
+    ask, upstreams, shutdown
+):
+    await upstreams.add(SIGNED)
+    shutdown.begin(_now() + 0.3)
+    router = WaitingRouter()
+
+    caller = await ask("stream", steps=(Step("s", (), 1),), router=router)
+
+    assert (caller.status, router.cancelled) == (503, 0)
+
+
+# Guards against cutting off what a sound upstream answers late in a stop.
+async def test_silence_of_an_upstream_does_not_end_a_request_early_in_a_stop(
+    ask, upstreams, shutdown
+):
+    await upstreams.add(SIGNED[:-2], *[b""] * 60, b"ok")
+    _stop_in(shutdown, 0.05, 1.5)
+
+    caller = await ask("unsafe")
+
+    assert (caller.status, caller.body) == (200, b"ok")
+
+
+# Guards against a connection that closes silently on a request that is still running
+# at its upstream when the process exits.
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+async def test_request_that_runs_until_the_exit_is_told_that_it_may_have_run(
+    ask, upstreams, shutdown, kind
+):
+    await upstreams.add(silent=True)
+    ends_at = _stop_in(shutdown, 0.05, 0.6)
+
+    caller = await ask(kind, attempts=1)
+
+    assert (caller.status, caller.ending) == (504, "whole")
+    body = json.loads(caller.body)
+    assert (body["code"], body["ran"]) == (Code.ENTRY_STOPPING, "unknown")
+    assert ends_at <= _now() < ends_at + 0.1
+
+
+# Guards against a stream that looks whole although the process exited in its midst.
+async def test_stream_that_lasts_until_the_exit_is_reset(ask, upstreams, shutdown):
+    await upstreams.add(STREAM, b"7\r\nid: 1\n\n\r\n", silent=True)
+    _stop_in(shutdown, 0.05, 0.4)
+
+    caller = await ask("stream", resumable=True, seconds=5.0)
+
+    assert (caller.body, caller.ending) == (b"id: 1\n\n", "broken")
+
+
+async def test_deadline_before_the_end_of_a_stop_still_holds(ask, upstreams, shutdown):
+    await upstreams.add(silent=True)
+    shutdown.begin(_now() + 5.0)
+
+    caller = await ask("unsafe", seconds=0.2)
+
+    assert caller.status == 504
+    assert json.loads(caller.body)["code"] == Code.DEADLINE_PASSED
