--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -126,7 +126,8 @@
             self._choice.expected_data_centre(context, self._clock()),
         )
         started = self._clock()
-        answer = await self._run_preparation(preparation, context)
+        needed = self._upstream_seconds(context)
+        answer = await self._run_preparation(preparation, context, needed)
         outcome = "prepared" if answer.is_ok() else "refused"
         self._meter.count("wharf_preparations", outcome)
         seconds = self._clock() - started
@@ -140,7 +141,7 @@
             reason=answer.unwrap_err().reason if answer.is_err() else None,
         )
         match answer:
-            case Err(_) if self._is_too_late_to_send(context):
+            case Err(_) if self._shutdown.lacks(needed, self._clock()):
                 return GatewayResponse.stopping()
             case Err(refusal):
                 return GatewayResponse.not_run(
@@ -150,9 +151,11 @@
                 context.inputs = inputs
                 return None
 
-    async def _run_preparation(self, preparation, context):
-        """Return the preparation's answer; stop once the request may not run."""
-        needed = self._upstream_seconds(context)
+    async def _run_preparation(self, preparation, context, needed):
+        """Return the preparation's answer; stop once the request may not run.
+
+        `needed` are the seconds that its upstream needs before the process exits.
+        """
         try:
             async with asyncio.timeout(None) as scope:
                 with (
@@ -163,7 +166,7 @@
         except TimeoutError:
             if not scope.expired():
                 raise
-            if self._is_too_late_to_send(context):
+            if self._shutdown.lacks(needed, self._clock()):
                 return Err(PreparationFailure("stopping"))
             return Err(PreparationFailure("the request is in quarantine"))
 
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -142,7 +142,12 @@
 
 
 @pytest.fixture
-def ask(upstreams, shutdown):
+def route_times():
+    return RouteTimes()
+
+
+@pytest.fixture
+def ask(upstreams, shutdown, route_times):
     async def run(
         kind,
         *,
@@ -185,7 +190,7 @@
             guard,
             UpstreamLimits("g", upstreams.fleet, Alone(), lambda: {}),
             shutdown,
-            RouteTimes(),
+            route_times,
         )
         caller = Caller()
         await runner.run(context, caller)
@@ -506,6 +511,20 @@
     assert upstreams.seen == []
 
 
+# Guards against a refusal with a foreign reason: others' answers lower what is expected
+# of an upstream while a request waits.
+async def test_refusal_at_a_stop_names_it_also_if_upstreams_become_faster_meanwhile(
+    ask, upstreams, shutdown, route_times
+):
+    await upstreams.add(SIGNED)
+    _stop_in(shutdown, 0.05, 0.8)
+    asyncio.get_running_loop().call_later(0.2, route_times.record, "r", 0.1, 0.01)
+
+    caller = await ask("unsafe", steps=(Step("s", (), 1),), router=WaitingRouter())
+
+    assert json.loads(caller.body)["code"] == Code.ENTRY_STOPPING
+
+
 # Guards against steps that are run for a request that can't be sent any more.
 async def test_steps_do_not_start_when_an_upstream_could_not_answer_before_the_exit(
     ask, upstreams, shutdown
