Hand waiting preparations over when their preparer stops

What runs goes on.

The first new test failed before by construction (nothing was returned), the second holds that nothing is lost if there is no other gateway.

--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -205,6 +205,10 @@
         log.info("peer_linked", peer=link.name, data_centre=link.data_centre)
         link.post(self._load_notice())
 
+    def announce(self):
+        """Send a load notice at once, ahead of what depends on it."""
+        self.post_all(self._load_notice())
+
     def _is_preferred(self, link):
         """Return whether the gateway whose name sorts first opened the link."""
         return link.is_outgoing == (self._settings.name < link.name)
--- a/packages/gateway/src/wharf_gateway/preparation_router.py
+++ b/packages/gateway/src/wharf_gateway/preparation_router.py
@@ -6,7 +6,10 @@
 from wharf_coordination.rendezvous import ranked
 from wharf_gateway.peers.messages import Free
 from wharf_gateway.stages.pool import Pool, pools_of
-from wharf_gateway.stages.preparation_failure import PreparationFailure
+from wharf_gateway.stages.preparation_failure import (
+    PREPARER_STOPS,
+    PreparationFailure,
+)
 from wharf_gateway.stages.preparer import Preparer
 
 __all__ = ["PreparationRouter"]
@@ -21,7 +24,7 @@
 REQUEST_BACKLOG_SECONDS = 0.04
 POOLS_CACHE_SECONDS = 0.1  # upstreams change within seconds
 # Reasons of failures after which the preparation is sent to another gateway.
-RETRYABLE_REASONS = ("link lost", "peer silent")
+RETRYABLE_REASONS = ("link lost", "peer silent", PREPARER_STOPS)
 
 
 class PreparationRouter:
@@ -165,6 +168,11 @@
         }
         return self.is_ready(), backlogs
 
+    def hand_over(self):
+        """Let other gateways prepare what waits here, as this one stops."""
+        for preparer in list(self.preparer_by_pool.values()):
+            preparer.hand_over()
+
     def advance(self, now):
         """Advance this gateway's preparers."""
         for preparer in list(self.preparer_by_pool.values()):
--- a/packages/gateway/src/wharf_gateway/stages/preparation_failure.py
+++ b/packages/gateway/src/wharf_gateway/stages/preparation_failure.py
@@ -2,7 +2,10 @@
 
 from dataclasses import dataclass
 
-__all__ = ["PreparationFailure"]
+__all__ = ["PREPARER_STOPS", "PreparationFailure"]
+
+# The reason if the preparer stops; another one may prepare the request.
+PREPARER_STOPS = "preparer stops"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/wharf_gateway/stages/preparation_scheduler.py
+++ b/packages/gateway/src/wharf_gateway/stages/preparation_scheduler.py
@@ -81,6 +81,11 @@
             self.running.remove(entry)
             self._running_pieces.subtract(entry.pieces_left)
 
+    def remove_waiting(self):
+        """Remove all waiting preparations and return them."""
+        removed, self.waiting = self.waiting, []
+        return removed
+
     def start(self, rate_by_service, now):
         """Move the preparations that can start to `running` and return them.
 
--- a/packages/gateway/src/wharf_gateway/stages/preparer.py
+++ b/packages/gateway/src/wharf_gateway/stages/preparer.py
@@ -8,7 +8,10 @@
 
 from wharf_gateway.stages.batcher import Batcher
 from wharf_gateway.stages.demand import Demand
-from wharf_gateway.stages.preparation_failure import PreparationFailure
+from wharf_gateway.stages.preparation_failure import (
+    PREPARER_STOPS,
+    PreparationFailure,
+)
 from wharf_gateway.stages.preparation_scheduler import (
     PreparationScheduler,
     ScheduleEntry,
@@ -105,6 +108,15 @@
         for service, freed in by_service.items():
             self.batcher(service).free(freed)
 
+    def hand_over(self):
+        """Return the preparations that wait to the gateways that asked for them.
+
+        They ask again elsewhere; those that run go on here.
+        """
+        for entry in self._scheduler.remove_waiting():
+            log.info("preparation_handed_over", request=entry.preparation.call_id)
+            self._resolve(entry, PreparationFailure(PREPARER_STOPS))
+
     def advance(self, now):
         """Start calls and preparations, and refuse preparations without a chance."""
         for batcher in self.batcher_by_service.values():
--- a/packages/gateway/tests/test_preparation_router.py
+++ b/packages/gateway/tests/test_preparation_router.py
@@ -1,29 +1,37 @@
 """Choice of the pool and of the preparing gateway."""
 
+import asyncio
 from dataclasses import dataclass, field
 
 import pytest
+from result import Ok
 
 from wharf_gateway.fleet import Fleet
 from wharf_gateway.model.batching import Batching
 from wharf_gateway.model.caller_limits import CallerLimits
 from wharf_gateway.model.fleet_configuration import FleetConfiguration
 from wharf_gateway.model.service import Service
+from wharf_gateway.model.step import Step
 from wharf_gateway.model.upstream import Upstream
 from wharf_gateway.peers.candidates import MAX_CANDIDATES, candidates
 from wharf_gateway.preparation_router import PreparationRouter
 from wharf_gateway.settings import GatewaySettings
 from wharf_gateway.stages.pool import Pool
+from wharf_gateway.stages.preparation import Preparation
 
 EVERYWHERE = Pool.named("everywhere")
 
 
 @dataclass
 class Link:
-    """A link to a live peer."""
+    """A link to a live peer, which prepares each request at once."""
 
     name: str
     data_centre: str = "dc-1"
+    is_closed: bool = False
+
+    async def prepare(self, preparation, pool):
+        return Ok([f"{self.name}/{preparation.call_id}"])
 
 
 @dataclass
@@ -138,3 +146,69 @@
     router.is_ready = lambda: False
 
     assert _owner_name(router) == "large-2"
+
+
+class BusyClient:
+    """A client whose calls to upstreams don't end."""
+
+    async def run(self, upstream, batch, timeout, now):
+        await asyncio.Event().wait()
+
+
+@dataclass
+class Context:
+    """The part of a request's context that a router writes."""
+
+    pool: str = ""
+    preparer_link: Link | None = None
+
+
+# Guards against requests that wait at a gateway that stops, behind what it still runs
+# and beside what the next preparer runs on the same upstreams.
+async def test_stopping_gateway_hands_its_waiting_preparations_over(make_router, fleet):
+    router = make_router("large-1", [], ["large-1", "large-2"], fleet)
+    router._client = BusyClient()
+    steps = (Step("encode", (), 1),)
+    preparations = [
+        Preparation(f"r{number}", steps, (6,), "k", 0, 30.0, 60.0, "")
+        for number in range(40)
+    ]
+    contexts = [Context() for _ in preparations]
+    tasks = [
+        asyncio.create_task(router.run(preparation, context))
+        for preparation, context in zip(preparations, contexts, strict=True)
+    ]
+    await asyncio.sleep(0)
+    preparer = router.preparer("everywhere")
+    running = preparer.dump(0.0)["running"]
+    assert 0 < running < len(tasks)
+
+    router.is_ready = lambda: False
+    router.peers.names = ["large-2"]
+    router.hand_over()
+    await asyncio.sleep(0.01)
+
+    done = [task.result() for task in tasks if task.done()]
+    assert len(done) == len(tasks) - running
+    assert all(answer.unwrap()[0].startswith("large-2/") for answer in done)
+    assert router.pending_count == running
+    for task in tasks:
+        task.cancel()
+
+
+async def test_without_another_gateway_waiting_preparations_stay(make_router, fleet):
+    router = make_router("large-1", [], ["large-1"], fleet)
+    router._client = BusyClient()
+    preparation = Preparation(
+        "r", (Step("encode", (), 1),), (6,), "k", 0, 30.0, 60.0, ""
+    )
+    tasks = [asyncio.create_task(router.run(preparation, Context())) for _ in range(40)]
+    await asyncio.sleep(0)
+
+    router.is_ready = lambda: False
+    router.hand_over()
+    await asyncio.sleep(0.01)
+
+    assert router.pending_count == len(tasks)
+    for task in tasks:
+        task.cancel()
