Keep a silent upstream until another one can take over

The same way an answer ended as 502 when the retry budget was spent, no other upstream was there, or the attempts were used up.

Cause: a pause was taken for the end before it was known whether anything could go on. Ruled out: the stop itself (the stream was cut 1.2 s before its gateway had to exit).

Change: a resumable stream is stalled after two seconds, or half of its caller's patience. It is cut only when another upstream is sound and untried, a retry is in the budget and its steps have been run again; until then bytes of the silent one count. A late head is treated alike.

--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -30,9 +30,13 @@
 # times its usual latency; one request in a hundred takes that long without a fault.
 ATTEMPT_TIMEOUT_FACTOR = 5.0
 MIN_ATTEMPT_TIMEOUT_SECONDS = 0.15
-# Engines send events every few dozen milliseconds, so that one which pauses for this
-# long is stuck. Callers give up after two seconds at the earliest.
-STALL_TIMEOUT_SECONDS = 1.0
+# A sound engine may fall silent for a second or so and go on. After this long another
+# one takes over if it can.
+STALL_TIMEOUT_SECONDS = 2.0
+# Until then, or until this share of the time after which the caller gives up.
+STALL_PATIENCE_SHARE = 0.5
+# How often a silent upstream is compared anew with the others while none can take over.
+TAKEOVER_CHECK_SECONDS = 0.5
 # Callers give up a stream after a pause of this long, or longer by their route's times.
 GIVE_UP_SECONDS = 2.0
 # A long prompt that is queued behind others takes up to a second.
@@ -298,8 +302,7 @@
             connection = await self._pool.acquire(upstream.address, started)
             self._send(context, state, connection, splitter, started)
             context.may_have_run = True
-            async with asyncio.timeout(self._attempt_timeout(context, state)):
-                head = await connection.head()
+            head = await self._head(context, state, connection)
             reply = self._dialect.read_response(head)
             context.response_began = True
             self._note_reply(state, reply, connection, started)
@@ -420,7 +423,7 @@
         self, context, state, responder, connection, head, splitter, started
     ):
         pace = EventPace(_allowed_pause(context.route), self._clock())
-        while data := await self._next_part(pace, connection):
+        while data := await self._next_part(context, pace, connection):
             received_at = self._clock()
             events = splitter.feed(data)
             if len(splitter.buffer) > self._max_event_bytes:
@@ -443,10 +446,66 @@
         self._log_answer(context, state, head.status, started)
         return AttemptResult()
 
-    async def _next_part(self, pace, connection):
-        """Return the next bytes; raise `TimeoutError` if the stream has stalled."""
-        async with asyncio.timeout_at(pace.stalled_at):
-            return await connection.next_part()
+    async def _head(self, context, state, connection):
+        """Return the response's head; raise `TimeoutError` to try another upstream."""
+        try:
+            async with asyncio.timeout(self._attempt_timeout(context, state)):
+                return await connection.head()
+        except TimeoutError:
+            if self._may_try_elsewhere(context):
+                raise
+        return await connection.head()
+
+    async def _next_part(self, context, pace, connection):
+        """Return the next bytes; raise `TimeoutError` if another upstream takes over.
+
+        While none can, a stalled stream is kept until its caller has given it up.
+        """
+        given_up_at = pace.last_at + _patience(context.route)
+        until = pace.stalled_at
+        while True:
+            try:
+                async with asyncio.timeout_at(until):
+                    return await connection.next_part()
+            except TimeoutError:
+                now = self._clock()
+                if now >= given_up_at:
+                    raise
+                if self._may_try_elsewhere(context):
+                    async with asyncio.timeout_at(given_up_at):
+                        return await self._part_or_takeover(context, connection)
+                until = min(now + TAKEOVER_CHECK_SECONDS, given_up_at)
+
+    async def _part_or_takeover(self, context, connection):
+        """Return the next bytes; raise `TimeoutError` once another could take over."""
+        is_prepared = context.inputs is not None or not context.route.steps
+        part = asyncio.ensure_future(connection.next_part())
+        refusal = asyncio.ensure_future(
+            asyncio.sleep(0) if is_prepared else self._prepare(context)
+        )
+        try:
+            await asyncio.wait((part, refusal), return_when=asyncio.FIRST_COMPLETED)
+            if not part.done() and refusal.result() is None:
+                raise TimeoutError
+            data = await part
+            if not is_prepared:
+                self._drop_inputs(context)
+            return data
+        finally:
+            part.cancel()
+            refusal.cancel()
+
+    def _may_try_elsewhere(self, context):
+        """Return whether another upstream may take over from one that is silent."""
+        route, now = context.route, self._clock()
+        return (
+            route.may_repeat
+            and max(context.sends, len(context.tried)) < MAX_SENDS
+            and len(context.tried) < route.max_attempts
+            and not self._is_too_late_to_send(context)
+            and self._choice.has_alternative(context, now)
+            and self._budgets.has_retry(route.targets[0].service)
+        )
 
     def _attempt_timeout(self, context, state):
         """Return the seconds after which another upstream is tried, or None."""
@@ -550,10 +609,20 @@
     """Return the seconds without an event after which a stream counts as stalled.
 
     One that may be resumed can go on at another upstream. Any other ends when its
-    caller has given it up, by the operators' rule.
+    caller has given it up.
+    """
+    patience = _patience(route)
+    if not route.is_resumable:
+        return patience
+    silence = min(STALL_TIMEOUT_SECONDS, STALL_PATIENCE_SHARE * patience)
+    return max(silence, 2 * route.max_event_gap)
+
+
+def _patience(route):
+    """Return the pause of a stream after which its caller gives up, in seconds.
+
+    This is the operators' rule.
     """
-    if route.is_resumable:
-        return max(STALL_TIMEOUT_SECONDS, 2 * route.max_event_gap)
     return max(GIVE_UP_SECONDS, 4 * route.target_latency, 8 * route.max_event_gap)
 
 
--- a/packages/gateway/src/wharf_gateway/routing/retry_budgets.py
+++ b/packages/gateway/src/wharf_gateway/routing/retry_budgets.py
@@ -31,6 +31,10 @@
         """Use one retry of `service`; return whether one was available."""
         return self._budget(service).spend()
 
+    def has_retry(self, service):
+        """Return whether a retry of `service` is available."""
+        return self._budget(service).tokens >= 1.0
+
     def _budget(self, service):
         reserve = self._reserve / (self._gateways() or DEFAULT_GATEWAY_COUNT)
         budget = self._budget_by_service.get(service)
--- a/packages/gateway/src/wharf_gateway/routing/upstream_selector.py
+++ b/packages/gateway/src/wharf_gateway/routing/upstream_selector.py
@@ -70,6 +70,11 @@
         states = self._warm(self._fleet.states(service), service, now)
         return state in states and not state.in_backoff(now)
 
+    def has_alternative(self, context, now):
+        """Return whether a sound upstream that wasn't tried takes the request now."""
+        states = self._within_limits(self._limited_states(context, now), now)
+        return any(not state.in_backoff(now) for state in states)
+
     def _limited_states(self, context, now):
         """Return the upstreams whose limits a request may wait for.
 
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -6,6 +6,7 @@
 from random import Random
 
 import pytest
+from result import Err, Ok
 
 from wharf_coordination.code import Code
 from wharf_coordination.rate_share import RateShare
@@ -32,6 +33,7 @@
 from wharf_gateway.routing.upstream_limit import UpstreamLimit
 from wharf_gateway.routing.upstream_limits import UpstreamLimits
 from wharf_gateway.shutdown import Shutdown
+from wharf_gateway.stages.preparation_failure import PreparationFailure
 from wharf_gateway.telemetry.meter import Meter
 
 SIGNED = b"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\nContent-Length: 2\r\n\r\nok"
@@ -585,3 +587,118 @@
 
     assert caller.status == 504
     assert json.loads(caller.body)["code"] == Code.DEADLINE_PASSED
+
+
+def _event(number):
+    return b"7\r\nid: %d\n\n\r\n" % number
+
+
+def _silence(seconds):
+    return [b""] * round(seconds / 0.01)
+
+
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+# Guards against cutting off a sound upstream that pauses for a second and goes on.
+async def test_silence_of_a_second_does_not_end_a_resumable_stream(upstreams, ask):
+    await upstreams.add(STREAM, _event(1), *_silence(1.3), _event(2), LAST_CHUNK)
+    await upstreams.add(STREAM, _event(3), LAST_CHUNK)
+
+    caller = await ask("stream", resumable=True, seconds=6.0)
+
+    assert (caller.body, caller.ending) == (b"id: 1\n\nid: 2\n\n", "whole")
+    assert len(upstreams.seen) == 1
+
+
+# Guards against ending a stream that no other upstream can go on with.
+async def test_silent_stream_is_kept_while_no_other_upstream_can_take_over(
+    upstreams, ask
+):
+    await upstreams.add(STREAM, _event(1), *_silence(2.6), _event(2), LAST_CHUNK)
+
+    caller = await ask("stream", resumable=True, seconds=6.0)
+
+    assert (caller.body, caller.ending) == (b"id: 1\n\nid: 2\n\n", "whole")
+
+
+class OnceRouter:
+    """A preparation router that prepares once and then refuses after a while."""
+
+    def __init__(self, outcomes):
+        self._outcomes = iter(outcomes)
+        self.freed = []
+
+    async def run(self, preparation, context):
+        seconds, answer = next(self._outcomes)
+        await asyncio.sleep(seconds)
+        return answer
+
+    def free(self, context, handles):
+        self.freed += handles
+
+
+STEPS = (Step("prepare", (), 1),)
+
+
+# Guards against ending a stream for another upstream before it is known whether the
+# steps that this one needs can be run again: the caller got half an answer.
+async def test_silent_stream_goes_on_if_its_steps_cannot_be_run_again(upstreams, ask):
+    await upstreams.add(STREAM, _event(1), *_silence(2.8), _event(2), LAST_CHUNK)
+    await upstreams.add(STREAM, _event(3), LAST_CHUNK)
+    router = OnceRouter([(0.0, Ok(["h1"])), (0.1, Err(PreparationFailure("no room")))])
+
+    caller = await ask(
+        "stream", resumable=True, seconds=6.0, steps=STEPS, router=router
+    )
+
+    assert (caller.body, caller.ending) == (b"id: 1\n\nid: 2\n\n", "whole")
+    assert len(upstreams.seen) == 1
+
+
+async def test_silent_stream_moves_on_once_its_steps_have_been_run_again(
+    upstreams, ask
+):
+    await upstreams.add(STREAM, _event(1), silent=True)
+    await upstreams.add(STREAM, _event(2), LAST_CHUNK)
+    router = OnceRouter([(0.0, Ok(["h1"])), (0.3, Ok(["h2"]))])
+
+    caller = await ask(
+        "stream", resumable=True, seconds=6.0, steps=STEPS, router=router
+    )
+
+    assert (caller.body, caller.ending) == (b"id: 1\n\nid: 2\n\n", "whole")
+    assert router.freed == ["h1", "h2"]
+
+
+# Guards against results that are left at their upstreams when a silent stream goes on
+# while its steps are being run again.
+async def test_results_are_freed_if_a_silent_stream_goes_on_after_all(upstreams, ask):
+    await upstreams.add(STREAM, _event(1), *_silence(2.2), _event(2), LAST_CHUNK)
+    await upstreams.add(STREAM, _event(3), LAST_CHUNK)
+    router = WaitingRouter()
+    first = OnceRouter([(0.0, Ok(["h1"]))])
+    routers = iter([first, router])
+
+    class Router:
+        async def run(self, preparation, context):
+            return await next(routers).run(preparation, context)
+
+        def free(self, context, handles):
+            first.free(context, handles)
+
+    caller = await ask(
+        "stream", resumable=True, seconds=6.0, steps=STEPS, router=Router()
+    )
+
+    assert (caller.body, caller.ending) == (b"id: 1\n\nid: 2\n\n", "whole")
+    assert (router.cancelled, first.freed) == (1, ["h1"])
+
+
+# Guards against giving up a slow upstream although there is no other one.
+async def test_slow_answer_is_awaited_if_no_other_upstream_can_be_asked(upstreams, ask):
+    await upstreams.add(*_silence(0.6), SIGNED)
+
+    caller = await ask("safe")
+
+    assert (caller.status, caller.body) == (200, b"ok")
