Report requests whose connection ends without an answer

The promise is now checked at one place, in CallerConnection: a request that was read whole is answered before its connection closes, unless the caller closed it first or the handler reset a stream that it had begun. Each other end is passed to the server, which passes it to the gateway: one line "unanswered" with the request's id, its seconds and a reason, and the counter wharf_unanswered_requests by reason. Gateway.stop() reports what is still open just before its tasks are cancelled, unsent answers too. http/ knows nothing of ids: the gateway reads it through its dialect.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -147,7 +147,9 @@
             settings.max_answer_bytes,
             self.pause_guard,
         )
-        self.server = HttpServer(settings.listen, CallerLimits(), self.handle)
+        self.server = HttpServer(
+            settings.listen, CallerLimits(), self.handle, self.record_unanswered
+        )
         self._ready_server = HttpServer(
             settings.ready_listen, CallerLimits(), self.handle_ready
         )
@@ -218,6 +220,7 @@
         ):
             await asyncio.sleep(TICK_SECONDS / 2)
             self.server.close_idle()
+        self.server.report_unanswered()
         log.info("stopped", busy=self.server.busy_count)
         for task in (*self._tasks, *self._watch_tasks):
             task.cancel()
@@ -305,6 +308,16 @@
             case Ok(context):
                 await self._runner.run(context, responder)
 
+    def record_unanswered(self, request, reason):
+        """Count a request whose connection ended without a response, and log it."""
+        self.meter.count("wharf_unanswered_requests", reason)
+        log.warning(
+            "unanswered",
+            request=request.headers.get(self._dialect.id_field),
+            reason=reason,
+            seconds=round(self._clock() - request.received_at, 3),
+        )
+
     def _watch(self, kind, on_listing, on_changes):
         return StoreWatcher(
             self._store,
--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -9,6 +9,7 @@
 from wharf_gateway.http.inbound_request import InboundRequest
 from wharf_gateway.http.responder import Responder
 from wharf_gateway.http.socket_options import detect_dead_peer
+from wharf_gateway.http.unanswered_reason import UnansweredReason
 
 __all__ = ["CallerConnection"]
 
@@ -19,6 +20,10 @@
 class CallerConnection(asyncio.Protocol):
     """Parse requests and pass them to `site.handle`, one at a time.
 
+    A request that was read whole is answered before the connection closes, unless the
+    caller closed it first or the handler reset a stream that it had begun. Any other
+    end is passed to `site.record_unanswered(request, reason)`.
+
     `site` has `limits`, a `CallerLimits`; the coroutine `handle(request, responder)`;
     `closing`, true while the server stops; and `connections`, the set of open ones.
     """
@@ -30,6 +35,8 @@
         self._parser = httptools.HttpRequestParser(self)
         self._waiting = deque()
         self._reading = None
+        self._request = None
+        self._responder = None
         self._task = None
         self._timer = None
         self._fields = []
@@ -37,6 +44,8 @@
         self._head_bytes = 0
         self._is_rejected = False
         self._is_ended = False
+        self._is_closed_here = False
+        self._is_reported = False
         self._is_writable = asyncio.Event()
         self._is_writable.set()
 
@@ -50,6 +59,12 @@
     def connection_lost(self, exc):
         """Cancel the handler of the current request."""
         self._site.connections.discard(self)
+        if self._is_closed_here:
+            self._report(UnansweredReason.WHILE_HANDLED, UnansweredReason.BEFORE_TURN)
+        elif not isinstance(exc, OSError | None):
+            # The event loop passes on what a callback of this class raised.
+            failed = UnansweredReason.CONNECTION_FAILED
+            self._report(failed, failed)
         self._cancel_timer()
         self._is_writable.set()
         self._is_rejected = True
@@ -102,12 +117,22 @@
 
     def close(self):
         """Close the connection after the write buffer is sent."""
-        self._transport.close()
+        if not self._transport.is_closing():
+            self._is_closed_here = True
+            self._transport.close()
 
     def abort(self):
         """Reset the connection, so that the caller sees an incomplete response."""
+        if not self._transport.is_closing():
+            self._is_closed_here = True
         self._transport.abort()
 
+    def report_unanswered(self):
+        """Report the requests without a complete response, as the process ends."""
+        if self._request and self._responder.is_over and self._is_sending:
+            self._record(self._request, UnansweredReason.NOT_SENT)
+        self._report(UnansweredReason.PROCESS_ENDED, UnansweredReason.PROCESS_ENDED)
+
     # Callbacks of the parser.
 
     def on_message_begin(self):
@@ -172,7 +197,7 @@
             Responder(self, keep_alive=False).answer(status)
             return
         self._task.cancel()
-        self._transport.close()
+        self.close()
 
     def _await_request(self, seconds):
         self._cancel_timer()
@@ -188,7 +213,7 @@
             self._is_rejected = True
             Responder(self, keep_alive=False).answer(408)
         else:
-            self._transport.close()
+            self.close()
 
     def _answer_next(self):
         request = self._waiting.popleft()
@@ -198,13 +223,38 @@
     async def _answer(self, request):
         is_last = self._is_ended and not self._waiting
         responder = Responder(self, request.keep_alive and not is_last, self._site)
-        await self._site.handle(request, responder)
+        self._request, self._responder = request, responder
+        try:
+            await self._site.handle(request, responder)
+        except Exception:
+            self._record(request, UnansweredReason.HANDLER_FAILED)
+            raise
         self._task = None
         if not request.is_read or not responder.keep_alive or self._is_rejected:
-            self._transport.close()
+            self.close()
         elif self._waiting:
             self._answer_next()
         elif self._is_ended:
-            self._transport.close()
+            self.close()
         else:
             self._await_request(self._site.limits.idle_timeout)
+
+    @property
+    def _is_sending(self):
+        return self._transport.get_write_buffer_size() > 0
+
+    def _report(self, current_reason, waiting_reason):
+        """Record the requests that were read whole and have no complete response."""
+        if self._is_reported:
+            return
+        self._is_reported = True
+        if self._request and self._request.is_read and not self._responder.is_over:
+            self._record(self._request, current_reason)
+        for request in self._waiting:
+            if request.is_read:
+                self._record(request, waiting_reason)
+
+    def _record(self, request, reason):
+        if not request.is_recorded:
+            request.is_recorded = True
+            self._site.record_unanswered(request, reason)
--- a/packages/gateway/src/wharf_gateway/http/inbound_request.py
+++ b/packages/gateway/src/wharf_gateway/http/inbound_request.py
@@ -14,7 +14,8 @@
 
     `received_at` is the event loop's time, in seconds, at the end of the head.
     `body_complete` is set once the body has arrived or is `too_large`; `is_read` is
-    true once the whole request has been read from the connection.
+    true once the whole request has been read from the connection; `is_recorded` once it
+    counts as unanswered.
     """
 
     method: str
@@ -26,6 +27,7 @@
     body_complete: asyncio.Event = field(default_factory=asyncio.Event)
     too_large: bool = False
     is_read: bool = False
+    is_recorded: bool = False
 
     @property
     def path(self):
--- a/packages/gateway/src/wharf_gateway/http/responder.py
+++ b/packages/gateway/src/wharf_gateway/http/responder.py
@@ -7,19 +7,24 @@
 
 
 class Responder:
-    """Write the response to one request, at once or as a chunked stream."""
+    """Write the response to one request, at once or as a chunked stream.
+
+    `is_over` says that the response is complete, or was begun and then reset.
+    """
 
     def __init__(self, connection, keep_alive, site=None):
         self._connection = connection
         self._site = site
         self.keep_alive = keep_alive
         self.is_started = False
+        self.is_over = False
         self.status = None
 
     def answer(self, status, headers=None, body=b""):
         """Write a complete response."""
         headers = headers or Headers()
         self._write_head(status, headers.plus(("Content-Length", str(len(body)))), body)
+        self.is_over = True
         if not self.keep_alive:
             self._connection.close()
 
@@ -35,12 +40,14 @@
     def end(self):
         """Write the end of a chunked response."""
         self._connection.write(b"0\r\n\r\n")
+        self.is_over = True
         if not self.keep_alive:
             self._connection.close()
 
     def abort(self):
         """Reset the connection, so that the caller sees an incomplete response."""
         self.keep_alive = False
+        self.is_over = self.is_started
         self._connection.abort()
 
     def _write_head(self, status, headers, body=b""):
--- a/packages/gateway/src/wharf_gateway/http_server.py
+++ b/packages/gateway/src/wharf_gateway/http_server.py
@@ -13,12 +13,15 @@
     """Accept connections and pass their requests to `handle(request, responder)`.
 
     `closing` makes each connection close after its current response.
+    `on_unanswered(request, reason)` is called for each request that was read whole and
+    whose connection ends without a response, for an `UnansweredReason`.
     """
 
-    def __init__(self, address, limits, handle):
+    def __init__(self, address, limits, handle, on_unanswered=None):
         self._address = address
         self.limits = limits
         self.handle = handle
+        self._on_unanswered = on_unanswered
         self.closing = False
         self.connections = set()
         self._server = None
@@ -45,6 +48,16 @@
             if connection.is_idle:
                 connection.close()
 
+    def record_unanswered(self, request, reason):
+        """Pass on a request whose connection ends without a response."""
+        if self._on_unanswered:
+            self._on_unanswered(request, reason)
+
+    def report_unanswered(self):
+        """Record all requests without a complete response, as the process ends."""
+        for connection in self.connections:
+            connection.report_unanswered()
+
     @property
     def busy_count(self):
         """Return the number of connections with a request in progress."""
--- a/packages/gateway/src/wharf_gateway/telemetry/exposition.py
+++ b/packages/gateway/src/wharf_gateway/telemetry/exposition.py
@@ -11,6 +11,7 @@
     "wharf_request_seconds": ["kind"],
     "wharf_upstream_seconds": ["kind"],
     "wharf_attempts": ["outcome"],
+    "wharf_unanswered_requests": ["reason"],
     "wharf_preparations": ["outcome"],
     "wharf_preparation_seconds": ["outcome"],
     "wharf_upstreams": ["state"],
--- a/packages/gateway/tests/test_fuzz_callers.py
+++ b/packages/gateway/tests/test_fuzz_callers.py
@@ -41,6 +41,9 @@
 
     abort = close
 
+    def get_write_buffer_size(self):
+        return 0
+
     def pause_reading(self):
         pass
 
@@ -56,6 +59,10 @@
     def __init__(self):
         self.connections = set()
         self.seen = []
+        self.unanswered = []
+
+    def record_unanswered(self, request, reason):
+        self.unanswered.append((request.target, reason))
 
     async def handle(self, request, responder):
         await request.body_complete.wait()
--- /dev/null
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -0,0 +1,183 @@
+"""Whole requests are answered before their connection closes, or are reported."""
+
+import asyncio
+
+import pytest
+import structlog
+
+from wharf_gateway.gateway import Gateway
+from wharf_gateway.http.headers import Headers
+from wharf_gateway.http.inbound_request import InboundRequest
+from wharf_gateway.http.unanswered_reason import UnansweredReason
+from wharf_gateway.http_server import HttpServer
+from wharf_gateway.model.caller_limits import CallerLimits
+from wharf_gateway.settings import GatewaySettings
+
+LIMITS = CallerLimits(500, 100, header_timeout=0.2, idle_timeout=0.3)
+EVENT = b"id: 1\ndata: x\n\n"
+
+
+class Site:
+    """A server whose handler does what the request's path says."""
+
+    def __init__(self):
+        self.unanswered = []
+        self.go_on = asyncio.Event()
+        self.server = HttpServer("127.0.0.1:0", LIMITS, self.handle, self.record)
+
+    def record(self, request, reason):
+        self.unanswered.append((request.path, reason))
+
+    async def handle(self, request, responder):
+        await request.body_complete.wait()
+        match request.path:
+            case "/wait":
+                await self.go_on.wait()
+            case "/fail":
+                raise ValueError("fails on purpose")
+            case "/broken-stream":
+                responder.begin(200, Headers())
+                await responder.send(EVENT)
+                responder.abort()
+                return
+            case "/stream":
+                responder.begin(200, Headers())
+                await responder.send(EVENT)
+                await self.go_on.wait()
+                responder.end()
+                return
+        responder.answer(200, Headers(), request.path.encode())
+
+
+@pytest.fixture
+async def site():
+    site = Site()
+    await site.server.start()
+    yield site
+    site.server.stop_accepting()
+
+
+@pytest.fixture
+async def call(site):
+    """Open a connection, send bytes, and return the connection's streams."""
+    writers = []
+
+    async def start(data):
+        reader, writer = await asyncio.open_connection("127.0.0.1", site.server.port)
+        writers.append(writer)
+        writer.write(data)
+        await asyncio.sleep(0.02)
+        return reader, writer
+
+    yield start
+    site.go_on.set()
+    for writer in writers:
+        writer.close()
+    await asyncio.sleep(0.02)
+
+
+@pytest.fixture
+async def gateway():
+    settings = GatewaySettings(
+        name="edge-1",
+        data_centre="a",
+        host="127.0.0.1",
+        listen="127.0.0.1:0",
+        ready_listen="127.0.0.1:0",
+        peer_port=1,
+        store="127.0.0.1:1",
+    )
+    return Gateway(settings)
+
+
+def get(path):
+    return f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode()
+
+
+async def test_requests_that_are_open_when_the_process_ends_are_reported(site, call):
+    # Guards against connections that close with the process and leave no trace.
+    await call(get("/wait") + get("/next"))
+    await call(get("/answered"))
+
+    site.server.report_unanswered()
+
+    ended = UnansweredReason.PROCESS_ENDED
+    assert site.unanswered == [("/wait", ended), ("/next", ended)]
+
+
+async def test_request_is_reported_once(site, call):
+    await call(get("/wait"))
+
+    site.server.report_unanswered()
+    for connection in list(site.server.connections):
+        connection.close()
+    await asyncio.sleep(0.02)
+
+    assert len(site.unanswered) == 1
+
+
+async def test_requests_whose_connection_this_side_closes_are_reported(site, call):
+    await call(get("/wait") + get("/next"))
+
+    for connection in list(site.server.connections):
+        connection.close()
+    await asyncio.sleep(0.02)
+
+    assert site.unanswered == [
+        ("/wait", UnansweredReason.WHILE_HANDLED),
+        ("/next", UnansweredReason.BEFORE_TURN),
+    ]
+
+
+@pytest.mark.filterwarnings("ignore::pytest.PytestUnraisableExceptionWarning")
+async def test_request_whose_handler_fails_is_reported(site, call):
+    await call(get("/fail"))
+
+    assert site.unanswered[:1] == [("/fail", UnansweredReason.HANDLER_FAILED)]
+
+
+async def test_caller_that_leaves_first_is_not_reported(site, call):
+    _, writer = await call(get("/wait") + get("/next"))
+    writer.close()
+    await asyncio.sleep(0.02)
+
+    assert not site.server.connections
+    assert site.unanswered == []
+
+
+async def test_caller_that_resets_its_connection_is_not_reported(site, call):
+    _, writer = await call(get("/wait"))
+    writer.transport.abort()
+    await asyncio.sleep(0.02)
+
+    assert not site.server.connections
+    assert site.unanswered == []
+
+
+async def test_stream_that_was_begun_and_reset_is_not_reported(site, call):
+    reader, _ = await call(get("/broken-stream"))
+    assert not (await reader.read()).endswith(b"0\r\n\r\n")
+
+    assert site.unanswered == []
+
+
+async def test_request_that_was_not_read_whole_is_not_reported(site, call):
+    await call(b"POST /wait HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc")
+
+    site.server.report_unanswered()
+
+    assert site.unanswered == []
+
+
+async def test_gateway_logs_and_counts_an_unanswered_request(gateway):
+    headers = Headers((("Vanillawharf-Attempt-Id", "r1"),))
+    request = InboundRequest("GET", "/", headers, asyncio.get_running_loop().time())
+
+    with structlog.testing.capture_logs() as lines:
+        gateway.record_unanswered(request, UnansweredReason.PROCESS_ENDED)
+
+    assert [(x["event"], x["request"], x["reason"]) for x in lines] == [
+        ("unanswered", "r1", "process_ended")
+    ]
+    counts = gateway.meter.count_by_name["wharf_unanswered_requests"]
+    assert counts == {("process_ended",): 1}
