Answer a request whose handler fails

Callers saw no answer at all when the handler of their request ended by an unexpected exception, and the connection stayed open and busy for ever: the task's end was never noticed, so that requests behind it waited too and a stopping gateway waited for it until its end. The same for a handler that is cancelled from inside, by a future that someone else cancelled, and for one that returns without an answer.

CallerConnection now passes the failure to the server, which answers 500; the gateway's answer has the code "internal", is counted in wharf_requests and logged as request_failed with the request's id and the traceback. A stream that was begun is reset and counted as unanswered (handler_failed). The connection goes on with the next request.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -9,8 +9,10 @@
 import structlog
 from result import Err, Ok
 
+from wharf_coordination.code import Code
 from wharf_gateway.crash_guard import CrashGuard
 from wharf_gateway.fleet import Fleet
+from wharf_gateway.gateway_response import GatewayResponse
 from wharf_gateway.http.answer_limits import AnswerLimits
 from wharf_gateway.http.connection_pool import ConnectionPool
 from wharf_gateway.http.headers import Headers
@@ -148,7 +150,11 @@
             self.pause_guard,
         )
         self.server = HttpServer(
-            settings.listen, CallerLimits(), self.handle, self.record_unanswered
+            settings.listen,
+            CallerLimits(),
+            self.handle,
+            self.record_unanswered,
+            self.answer_failure,
         )
         self._ready_server = HttpServer(
             settings.ready_listen, CallerLimits(), self.handle_ready
@@ -318,6 +324,18 @@
             seconds=round(self._clock() - request.received_at, 3),
         )
 
+    def answer_failure(self, request, responder, error):
+        """Answer a request whose handler raised `error`, count it and log it."""
+        answer = GatewayResponse(500, Code.INTERNAL)
+        self.meter.count("wharf_requests", "none", answer.status, answer.code.label)
+        log.error(
+            "request_failed",
+            request=request.headers.get(self._dialect.id_field),
+            exc_info=error,
+        )
+        if not responder.is_started:
+            responder.answer(answer.status, answer.headers, answer.body)
+
     def _watch(self, kind, on_listing, on_changes):
         return StoreWatcher(
             self._store,
--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -22,7 +22,8 @@
 
     A request that was read whole is answered before the connection closes, unless the
     caller closed it first or the handler reset a stream that it had begun. Any other
-    end is passed to `site.record_unanswered(request, reason)`.
+    end is passed to `site.record_unanswered(request, reason)`. A handler that fails is
+    passed to `site.answer_failure(request, responder, error)`.
 
     `site` has `limits`, a `CallerLimits`; the coroutine `handle(request, responder)`;
     `closing`, true while the server stops; and `connections`, the set of open ones.
@@ -224,11 +225,7 @@
         is_last = self._is_ended and not self._waiting
         responder = Responder(self, request.keep_alive and not is_last, self._site)
         self._request, self._responder = request, responder
-        try:
-            await self._site.handle(request, responder)
-        except Exception:
-            self._record(request, UnansweredReason.HANDLER_FAILED)
-            raise
+        await self._run_handler(request, responder)
         self._task = None
         if not request.is_read or not responder.keep_alive or self._is_rejected:
             self.close()
@@ -239,6 +236,27 @@
         else:
             self._await_request(self._site.limits.idle_timeout)
 
+    async def _run_handler(self, request, responder):
+        """Run the handler, and answer in its place if it fails."""
+        try:
+            await self._site.handle(request, responder)
+            if not responder.is_over and not self._transport.is_closing():
+                raise RuntimeError("the handler ended without a response")
+        except asyncio.CancelledError as error:
+            # A future that was cancelled elsewhere raises this too.
+            if asyncio.current_task().cancelling():
+                raise
+            self._site.answer_failure(request, responder, error)
+        except Exception as error:
+            self._site.answer_failure(request, responder, error)
+        if responder.is_over or self._transport.is_closing():
+            return
+        if responder.is_started:
+            self._record(request, UnansweredReason.HANDLER_FAILED)
+            responder.abort()
+        else:
+            responder.answer(500)
+
     @property
     def _is_sending(self):
         return self._transport.get_write_buffer_size() > 0
--- a/packages/gateway/src/wharf_gateway/http_server.py
+++ b/packages/gateway/src/wharf_gateway/http_server.py
@@ -2,10 +2,14 @@
 
 import asyncio
 
+import structlog
+
 from wharf_gateway.http.caller_connection import CallerConnection
 
 __all__ = ["HttpServer"]
 
+log = structlog.get_logger(__name__)
+
 BACKLOG = 512  # of connections to be accepted; bursts open many at once
 
 
@@ -14,14 +18,17 @@
 
     `closing` makes each connection close after its current response.
     `on_unanswered(request, reason)` is called for each request that was read whole and
-    whose connection ends without a response, for an `UnansweredReason`.
+    whose connection ends without a response, for an `UnansweredReason`;
+    `on_failure(request, responder, error)` answers a request whose handler raised
+    `error`, unless a response was begun.
     """
 
-    def __init__(self, address, limits, handle, on_unanswered=None):
+    def __init__(self, address, limits, handle, on_unanswered=None, on_failure=None):
         self._address = address
         self.limits = limits
         self.handle = handle
         self._on_unanswered = on_unanswered
+        self._on_failure = on_failure
         self.closing = False
         self.connections = set()
         self._server = None
@@ -53,6 +60,13 @@
         if self._on_unanswered:
             self._on_unanswered(request, reason)
 
+    def answer_failure(self, request, responder, error):
+        """Log the failure of a request's handler, and answer the request."""
+        if self._on_failure:
+            self._on_failure(request, responder, error)
+        else:
+            log.error("request_failed", target=request.target, exc_info=error)
+
     def report_unanswered(self):
         """Record all requests without a complete response, as the process ends."""
         for connection in self.connections:
--- a/packages/gateway/tests/test_fuzz_callers.py
+++ b/packages/gateway/tests/test_fuzz_callers.py
@@ -64,6 +64,9 @@
     def record_unanswered(self, request, reason):
         self.unanswered.append((request.target, reason))
 
+    def answer_failure(self, request, responder, error):
+        raise error
+
     async def handle(self, request, responder):
         await request.body_complete.wait()
         if request.too_large:
--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -35,6 +35,16 @@
                 await self.go_on.wait()
             case "/fail":
                 raise ValueError("fails on purpose")
+            case "/cancelled":
+                future = asyncio.get_running_loop().create_future()
+                future.cancel()
+                await future
+            case "/silent":
+                return
+            case "/failing-stream":
+                responder.begin(200, Headers())
+                await responder.send(EVENT)
+                raise ValueError("fails on purpose")
             case "/broken-stream":
                 responder.begin(200, Headers())
                 await responder.send(EVENT)
@@ -90,6 +100,11 @@
     return Gateway(settings)
 
 
+async def receive(reader, size=-1):
+    async with asyncio.timeout(1):
+        return await reader.read(size)
+
+
 def get(path):
     return f"GET {path} HTTP/1.1\r\nHost: h\r\n\r\n".encode()
 
@@ -129,11 +144,37 @@
     ]
 
 
-@pytest.mark.filterwarnings("ignore::pytest.PytestUnraisableExceptionWarning")
-async def test_request_whose_handler_fails_is_reported(site, call):
-    await call(get("/fail"))
+async def test_request_whose_handler_fails_is_answered_with_500(site, call):
+    # Guards against an exception that leaves the caller waiting on a busy connection.
+    reader, _ = await call(get("/fail") + get("/next"))
+
+    data = await receive(reader, 500)
+    assert data.startswith(b"HTTP/1.1 500 ")
+    assert b"/next" in data
+    assert site.server.busy_count == 0
+    assert site.unanswered == []
+
+
+async def test_request_whose_handler_is_cancelled_from_inside_is_answered(site, call):
+    # Guards against a cancelled future, as of a lost link, that ends the handler.
+    reader, _ = await call(get("/cancelled"))
+
+    assert (await receive(reader, 20)).startswith(b"HTTP/1.1 500 ")
+    assert site.server.busy_count == 0
+
 
-    assert site.unanswered[:1] == [("/fail", UnansweredReason.HANDLER_FAILED)]
+async def test_request_whose_handler_ends_without_an_answer_gets_500(site, call):
+    reader, _ = await call(get("/silent"))
+
+    assert (await receive(reader, 20)).startswith(b"HTTP/1.1 500 ")
+
+
+async def test_stream_whose_handler_fails_is_reset_and_reported(site, call):
+    # Guards against a stream that stays open for ever, or looks complete.
+    reader, _ = await call(get("/failing-stream"))
+
+    assert not (await receive(reader)).endswith(b"0\r\n\r\n")
+    assert site.unanswered == [("/failing-stream", UnansweredReason.HANDLER_FAILED)]
 
 
 async def test_caller_that_leaves_first_is_not_reported(site, call):
@@ -156,7 +197,7 @@
 
 async def test_stream_that_was_begun_and_reset_is_not_reported(site, call):
     reader, _ = await call(get("/broken-stream"))
-    assert not (await reader.read()).endswith(b"0\r\n\r\n")
+    assert not (await receive(reader)).endswith(b"0\r\n\r\n")
 
     assert site.unanswered == []
 
@@ -181,3 +222,26 @@
     ]
     counts = gateway.meter.count_by_name["wharf_unanswered_requests"]
     assert counts == {("process_ended",): 1}
+
+
+async def test_gateway_answers_a_failed_request_with_a_code_and_logs_it(gateway):
+    # Guards against a failure that neither the caller nor operators can name.
+    async def fail(request, responder):
+        raise ValueError("fails on purpose")
+
+    gateway.server.handle = fail
+    await gateway.server.start()
+    reader, writer = await asyncio.open_connection("127.0.0.1", gateway.server.port)
+    with structlog.testing.capture_logs() as lines:
+        writer.write(b"GET / HTTP/1.1\r\nVanillawharf-Attempt-Id: r1\r\n\r\n")
+        data = await receive(reader, 500)
+    writer.close()
+    gateway.server.stop_accepting()
+
+    assert data.startswith(b"HTTP/1.1 500 ")
+    assert b'"error": "internal"' in data
+    assert [(x["event"], x["request"], str(x["exc_info"])) for x in lines] == [
+        ("request_failed", "r1", "fails on purpose")
+    ]
+    counts = gateway.meter.count_by_name["wharf_requests"]
+    assert counts == {("none", 500, "internal"): 1}
