Answer the requests before one that is rejected

A caller that sent a malformed second request, or one with too large a head, behind one that was still being answered lost both: the handler of the first was cancelled and the connection closed without a word. The same if both came in one piece of data. A request whose chunked body turned out malformed was closed without a status too.

_reject now refuses what follows only after the requests that were read whole are answered: it keeps the status, and the connection sends it as its last response. A request whose own body is malformed can't have been passed on, as admission waits for the body; its handler is cancelled and it gets the 400. A request whose handler hasn't begun yet now counts as open, too.

--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -44,6 +44,7 @@
         self._target = b""
         self._head_bytes = 0
         self._is_rejected = False
+        self._rejection = None
         self._is_ended = False
         self._is_closed_here = False
         self._is_reported = False
@@ -130,7 +131,7 @@
 
     def report_unanswered(self):
         """Report the requests without a complete response, as the process ends."""
-        if self._request and self._responder.is_over and self._is_sending:
+        if self._is_answered and self._is_sending:
             self._record(self._request, UnansweredReason.NOT_SENT)
         self._report(UnansweredReason.PROCESS_ENDED, UnansweredReason.PROCESS_ENDED)
 
@@ -193,12 +194,21 @@
         self._reading = None
 
     def _reject(self, status):
+        """Answer with `status` after the requests that were read whole."""
         self._is_rejected = True
+        self._rejection = status
+        self._head_bytes = 0
+        rejected, self._reading = self._reading, None
+        if rejected in self._waiting:
+            self._waiting.remove(rejected)
+        elif rejected and not (self._responder and self._responder.is_started):
+            self._task.cancel()
+            self._task = None
         if self._task is None:
-            Responder(self, keep_alive=False).answer(status)
-            return
-        self._task.cancel()
-        self.close()
+            self._answer_rejection()
+
+    def _answer_rejection(self):
+        Responder(self, keep_alive=False).answer(self._rejection)
 
     def _await_request(self, seconds):
         self._cancel_timer()
@@ -211,26 +221,28 @@
 
     def _expire(self):
         if self._head_bytes:
-            self._is_rejected = True
-            Responder(self, keep_alive=False).answer(408)
+            self._reject(408)
         else:
             self.close()
 
     def _answer_next(self):
-        request = self._waiting.popleft()
+        self._request = self._waiting.popleft()
+        self._responder = None
         self._transport.resume_reading()
-        self._task = self._loop.create_task(self._answer(request))
+        self._task = self._loop.create_task(self._answer(self._request))
 
     async def _answer(self, request):
         is_last = self._is_ended and not self._waiting
         responder = Responder(self, request.keep_alive and not is_last, self._site)
-        self._request, self._responder = request, responder
+        self._responder = responder
         await self._run_handler(request, responder)
         self._task = None
-        if not request.is_read or not responder.keep_alive or self._is_rejected:
+        if not request.is_read or not responder.keep_alive:
             self.close()
         elif self._waiting:
             self._answer_next()
+        elif self._rejection:
+            self._answer_rejection()
         elif self._is_ended:
             self.close()
         else:
@@ -257,6 +269,11 @@
         else:
             responder.answer(500)
 
+    @property
+    def _is_answered(self):
+        """Return whether the last request that was begun has its response."""
+        return self._responder is not None and self._responder.is_over
+
     @property
     def _is_sending(self):
         return self._transport.get_write_buffer_size() > 0
@@ -266,7 +283,7 @@
         if self._is_reported:
             return
         self._is_reported = True
-        if self._request and self._request.is_read and not self._responder.is_over:
+        if self._request and self._request.is_read and not self._is_answered:
             self._record(self._request, current_reason)
         for request in self._waiting:
             if request.is_read:
--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -210,6 +210,46 @@
     assert site.unanswered == []
 
 
+@pytest.mark.parametrize(
+    ("following", "status"),
+    [
+        (b"\x00\x01\r\n\r\n", b"400"),
+        (b"GET /" + b"a" * 600, b"431"),
+        (b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nno size\r\n", b"400"),
+    ],
+)
+async def test_requests_before_a_rejected_one_are_answered(
+    site, call, following, status
+):
+    # Guards against bad input that ends the requests before it without an answer.
+    reader, writer = await call(get("/wait") + get("/next"))
+    writer.write(following)
+    await asyncio.sleep(0.02)
+    site.go_on.set()
+    data = await receive(reader)
+
+    assert data.count(b"HTTP/1.1 200 ") == 2
+    assert data.index(b"/next") < data.index(b"HTTP/1.1 " + status)
+    assert data.count(b"HTTP/1.1 ") == 3
+    assert site.unanswered == []
+
+
+async def test_request_in_the_same_bytes_as_a_rejected_one_is_answered(site, call):
+    reader, _ = await call(get("/first") + b"\x00\x01\r\n\r\n")
+    data = await receive(reader)
+
+    assert data.index(b"/first") < data.index(b"HTTP/1.1 400 ")
+
+
+async def test_request_with_a_malformed_body_is_rejected(site, call):
+    # Guards against a body that never ends and a connection that closes without a word.
+    reader, _ = await call(
+        b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\nno size\r\n"
+    )
+
+    assert (await receive(reader)).startswith(b"HTTP/1.1 400 ")
+
+
 async def test_gateway_logs_and_counts_an_unanswered_request(gateway):
     headers = Headers((("Vanillawharf-Attempt-Id", "r1"),))
     request = InboundRequest("GET", "/", headers, asyncio.get_running_loop().time())
