Answer requests that were read before the connection is to close

A caller that sent requests ahead lost those behind the current one whenever the gateway stopped: the response's head said "Connection: close" because the server was closing, and what had been read behind it was dropped.

The connection now decides, as the head is written, whether the response is the last: not while a request that was read whole waits behind it, or a rejection. Once a response has said that it is the last, nothing more is read, so that no request counts as read, or runs, behind it. A response before the end of its request's body (401, 404, 413) now says that it is the last; it closed the connection without a word, so that the caller's next request met a closed connection.

--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -43,7 +43,7 @@
         self._fields = []
         self._target = b""
         self._head_bytes = 0
-        self._is_rejected = False
+        self._is_reading_over = False
         self._rejection = None
         self._is_ended = False
         self._is_closed_here = False
@@ -69,7 +69,7 @@
             self._report(failed, failed)
         self._cancel_timer()
         self._is_writable.set()
-        self._is_rejected = True
+        self._is_reading_over = True
         if self._task:
             self._task.cancel()
 
@@ -91,7 +91,7 @@
 
     def data_received(self, data):
         """Parse received data; reject invalid requests and too large headers."""
-        if self._is_rejected or self._is_ended:
+        if self._is_reading_over or self._is_ended:
             return
         if self._reading is None:
             self._head_bytes += len(data)
@@ -112,6 +112,25 @@
         """Return whether no request is being read or answered."""
         return self._task is None and self._reading is None and not self._head_bytes
 
+    @property
+    def is_last_response(self):
+        """Return whether the connection closes after the current response.
+
+        Requests that were read whole behind it are answered first.
+        """
+        if not self._request.is_read:
+            return True
+        if self._rejection or (self._waiting and self._waiting[0].is_read):
+            return False
+        return self._site.closing or (self._is_ended and not self._waiting)
+
+    def stop_reading(self):
+        """Read no further request, and forget one that was read in part."""
+        self._is_reading_over = True
+        self._reading = None
+        self._head_bytes = 0
+        self._waiting.clear()
+
     def write(self, data):
         """Write bytes unless the connection is closing."""
         if not self._transport.is_closing():
@@ -195,7 +214,7 @@
 
     def _reject(self, status):
         """Answer with `status` after the requests that were read whole."""
-        self._is_rejected = True
+        self._is_reading_over = True
         self._rejection = status
         self._head_bytes = 0
         rejected, self._reading = self._reading, None
@@ -232,8 +251,7 @@
         self._task = self._loop.create_task(self._answer(self._request))
 
     async def _answer(self, request):
-        is_last = self._is_ended and not self._waiting
-        responder = Responder(self, request.keep_alive and not is_last, self._site)
+        responder = Responder(self, request.keep_alive)
         self._responder = responder
         await self._run_handler(request, responder)
         self._task = None
--- a/packages/gateway/src/wharf_gateway/http/responder.py
+++ b/packages/gateway/src/wharf_gateway/http/responder.py
@@ -12,9 +12,8 @@
     `is_over` says that the response is complete, or was begun and then reset.
     """
 
-    def __init__(self, connection, keep_alive, site=None):
+    def __init__(self, connection, keep_alive):
         self._connection = connection
-        self._site = site
         self.keep_alive = keep_alive
         self.is_started = False
         self.is_over = False
@@ -53,9 +52,9 @@
     def _write_head(self, status, headers, body=b""):
         self.is_started = True
         self.status = status
-        if self._site is None or self._site.closing:
-            self.keep_alive = False
+        self.keep_alive = self.keep_alive and not self._connection.is_last_response
         if not self.keep_alive:
+            self._connection.stop_reading()
             headers = headers.plus(("Connection", "close"))
         lines = [status_line(status), *(f"{k}: {v}" for k, v in headers.fields)]
         head = "\r\n".join((*lines, "", "")).encode("latin-1")
--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -29,7 +29,8 @@
         self.unanswered.append((request.path, reason))
 
     async def handle(self, request, responder):
-        await request.body_complete.wait()
+        if request.path != "/early":
+            await request.body_complete.wait()
         match request.path:
             case "/wait":
                 await self.go_on.wait()
@@ -250,6 +251,45 @@
     assert (await receive(reader)).startswith(b"HTTP/1.1 400 ")
 
 
+async def test_requests_that_wait_as_the_server_begins_to_close_are_answered(
+    site, call
+):
+    # Guards against a "Connection: close" that drops requests read before it.
+    reader, _ = await call(get("/wait") + get("/second") + get("/third"))
+    site.server.closing = True
+    site.server.close_idle()
+    site.go_on.set()
+    data = await receive(reader)
+
+    assert data.count(b"HTTP/1.1 200 ") == 3
+    assert data.count(b"Connection: close") == 1
+    assert data.index(b"/second") < data.index(b"Connection: close")
+    assert site.unanswered == []
+
+
+async def test_nothing_is_read_once_a_response_has_said_that_it_is_the_last(site, call):
+    # Guards against requests that are read, and perhaps run, behind the last response.
+    site.server.closing = True
+    reader, writer = await call(get("/stream"))
+    writer.write(get("/late"))
+    await asyncio.sleep(0.02)
+    site.go_on.set()
+    data = await receive(reader)
+
+    assert b"Connection: close" in data
+    assert data.endswith(b"0\r\n\r\n")
+    assert site.unanswered == []
+
+
+async def test_response_before_the_end_of_the_body_says_that_it_is_the_last(site, call):
+    # Guards against a caller that sends its next request into a closing connection.
+    reader, _ = await call(
+        b"POST /early HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nabc"
+    )
+
+    assert b"Connection: close" in await receive(reader, 500)
+
+
 async def test_gateway_logs_and_counts_an_unanswered_request(gateway):
     headers = Headers((("Vanillawharf-Attempt-Id", "r1"),))
     request = InboundRequest("GET", "/", headers, asyncio.get_running_loop().time())
