Let a caller that is still sending read its response

A caller whose request was answered before it had sent all of it (401, 404, 413), that sent bytes which were rejected (400, 431), or that sent more behind a last response lost that response: the connection was closed with unread bytes, which makes the kernel reset it, and the caller's side drops what it hasn't read yet.

After the last response the gateway now stops writing, reads on and drops what comes, and closes when the caller has closed, after 2 s or after 8 MB (LingeringClose). Idle connections close at once as before.

--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -7,6 +7,7 @@
 
 from wharf_gateway.http.headers import Headers
 from wharf_gateway.http.inbound_request import InboundRequest
+from wharf_gateway.http.lingering_close import LingeringClose
 from wharf_gateway.http.responder import Responder
 from wharf_gateway.http.socket_options import detect_dead_peer
 from wharf_gateway.http.unanswered_reason import UnansweredReason
@@ -47,6 +48,7 @@
         self._rejection = None
         self._is_ended = False
         self._is_closed_here = False
+        self._closing = None
         self._is_reported = False
         self._is_writable = asyncio.Event()
         self._is_writable.set()
@@ -68,6 +70,8 @@
             failed = UnansweredReason.CONNECTION_FAILED
             self._report(failed, failed)
         self._cancel_timer()
+        if self._closing:
+            self._closing.connection_lost()
         self._is_writable.set()
         self._is_reading_over = True
         if self._task:
@@ -91,6 +95,8 @@
 
     def data_received(self, data):
         """Parse received data; reject invalid requests and too large headers."""
+        if self._closing:
+            self._closing.data_received(data)
         if self._is_reading_over or self._is_ended:
             return
         if self._reading is None:
@@ -133,15 +139,21 @@
 
     def write(self, data):
         """Write bytes unless the connection is closing."""
-        if not self._transport.is_closing():
+        if not self._closing and not self._transport.is_closing():
             self._transport.write(data)
 
     def close(self):
         """Close the connection after the write buffer is sent."""
-        if not self._transport.is_closing():
+        if not self._closing and not self._transport.is_closing():
             self._is_closed_here = True
             self._transport.close()
 
+    def close_after_response(self):
+        """Close the connection once the caller has had time to read the response."""
+        if not self._closing and not self._transport.is_closing():
+            self._is_closed_here = True
+            self._closing = LingeringClose(self._transport)
+
     def abort(self):
         """Reset the connection, so that the caller sees an incomplete response."""
         if not self._transport.is_closing():
@@ -256,13 +268,13 @@
         await self._run_handler(request, responder)
         self._task = None
         if not request.is_read or not responder.keep_alive:
-            self.close()
+            self.close_after_response()
         elif self._waiting:
             self._answer_next()
         elif self._rejection:
             self._answer_rejection()
         elif self._is_ended:
-            self.close()
+            self.close_after_response()
         else:
             self._await_request(self._site.limits.idle_timeout)
 
--- a/packages/gateway/src/wharf_gateway/http/responder.py
+++ b/packages/gateway/src/wharf_gateway/http/responder.py
@@ -25,7 +25,7 @@
         self._write_head(status, headers.plus(("Content-Length", str(len(body)))), body)
         self.is_over = True
         if not self.keep_alive:
-            self._connection.close()
+            self._connection.close_after_response()
 
     def begin(self, status, headers):
         """Write the head of a chunked response."""
@@ -41,7 +41,7 @@
         self._connection.write(b"0\r\n\r\n")
         self.is_over = True
         if not self.keep_alive:
-            self._connection.close()
+            self._connection.close_after_response()
 
     def abort(self):
         """Reset the connection, so that the caller sees an incomplete response."""
--- a/packages/gateway/tests/test_fuzz_callers.py
+++ b/packages/gateway/tests/test_fuzz_callers.py
@@ -39,7 +39,7 @@
     def close(self):
         self.closed = True
 
-    abort = close
+    abort = write_eof = close
 
     def get_write_buffer_size(self):
         return 0
--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -6,6 +6,7 @@
 import structlog
 
 from wharf_gateway.gateway import Gateway
+from wharf_gateway.http import lingering_close
 from wharf_gateway.http.headers import Headers
 from wharf_gateway.http.inbound_request import InboundRequest
 from wharf_gateway.http.unanswered_reason import UnansweredReason
@@ -57,7 +58,8 @@
                 await self.go_on.wait()
                 responder.end()
                 return
-        responder.answer(200, Headers(), request.path.encode())
+        status = 413 if request.too_large and request.path != "/early" else 200
+        responder.answer(status, Headers(), request.path.encode())
 
 
 @pytest.fixture
@@ -281,6 +283,71 @@
     assert site.unanswered == []
 
 
+async def test_rest_of_a_request_behind_the_last_response_does_not_reset_it(site, call):
+    # Guards against unread bytes that reset the connection and lose the response.
+    reader, writer = await call(
+        get("/wait") + b"POST /late HTTP/1.1\r\nContent-Length: 2\r\n\r\na"
+    )
+    site.server.closing = True
+    site.go_on.set()
+    writer.write(b"b")
+    data = await receive(reader)
+
+    assert data.count(b"HTTP/1.1 ") == 1
+    assert b"Connection: close" in data
+    assert site.unanswered == []
+
+
+@pytest.mark.parametrize(
+    ("start", "status"),
+    [
+        (b"POST /x HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n", b"413"),
+        (b"POST /early HTTP/1.1\r\nContent-Length: 9000000\r\n\r\n", b"200"),
+        (b"GET /" + b"a" * 600, b"431"),
+        (b"\x00\x01\r\n\r\n", b"400"),
+    ],
+)
+async def test_caller_that_goes_on_sending_gets_the_response(call, start, status):
+    # Guards against a response that is lost since its connection is reset.
+    reader, writer = await call(start + b"x" * 1_000_000)
+    for _ in range(10):
+        writer.write(b"x" * 100_000)
+        await asyncio.sleep(0.005)
+
+    assert (await receive(reader)).startswith(b"HTTP/1.1 " + status)
+
+
+async def test_stopping_server_lets_the_caller_read_the_last_response(site, call):
+    # Guards against close_idle, which is called again and again, cutting a response.
+    reader, writer = await call(b"\x00\x01\r\n\r\n")
+    site.server.close_idle()
+    for _ in range(10):
+        writer.write(b"x" * 100_000)
+        await asyncio.sleep(0.005)
+
+    assert (await receive(reader)).startswith(b"HTTP/1.1 400")
+
+
+async def test_caller_that_sends_without_end_is_closed(site, call, monkeypatch):
+    monkeypatch.setattr(lingering_close, "LINGER_BYTES", 100_000)
+    _, writer = await call(b"\x00\x01\r\n\r\n")
+    with pytest.raises(ConnectionError):
+        for _ in range(1000):
+            writer.write(b"x" * 10_000)
+            await writer.drain()
+
+    assert not site.server.connections
+
+
+async def test_caller_that_does_not_close_its_side_is_closed(site, call, monkeypatch):
+    monkeypatch.setattr(lingering_close, "LINGER_SECONDS", 0.05)
+    reader, _ = await call(b"\x00\x01\r\n\r\n")
+    await receive(reader)
+    await asyncio.sleep(0.1)
+
+    assert not site.server.connections
+
+
 async def test_response_before_the_end_of_the_body_says_that_it_is_the_last(site, call):
     # Guards against a caller that sends its next request into a closing connection.
     reader, _ = await call(
