Ask for a request's body only once its turn has come

A caller that sent a request with "Expect: 100-continue" while the response to the one before was still being written got "HTTP/1.1 100 Continue" in the midst of that response: a stream's chunks were broken, so that it looked like an incomplete response. The interim head was written as soon as the head of the request was parsed.

It is now written when the request's turn comes, and only if its body hasn't begun to arrive and isn't too large, so that a caller isn't asked to send what will be refused.

Before the change test_interim_response_does_not_break_into_another_response and both cases of test_body_that_came_or_is_too_large_is_not_asked_for failed; they pass after it.

--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -198,8 +198,6 @@
         if length.isdecimal() and int(length) > self._site.limits.max_body_bytes:
             request.too_large = True
             request.body_complete.set()
-        if "100-continue" in headers.tokens("expect"):
-            self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._cancel_timer()
         self._reading = request
         self._waiting.append(request)
@@ -263,6 +261,8 @@
         self._task = self._loop.create_task(self._answer(self._request))
 
     async def _answer(self, request):
+        if request.expects_continue:
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         responder = Responder(self, request.keep_alive)
         self._responder = responder
         await self._run_handler(request, responder)
--- a/packages/gateway/src/wharf_gateway/http/inbound_request.py
+++ b/packages/gateway/src/wharf_gateway/http/inbound_request.py
@@ -29,6 +29,13 @@
     is_read: bool = False
     is_recorded: bool = False
 
+    @property
+    def expects_continue(self):
+        """Return whether the sender waits to be asked for the body."""
+        if self.is_read or self.too_large or self.body:
+            return False
+        return "100-continue" in self.headers.tokens("expect")
+
     @property
     def path(self):
         """Return the path without the query."""
--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -357,6 +357,31 @@
     assert b"Connection: close" in await receive(reader, 500)
 
 
+async def test_interim_response_does_not_break_into_another_response(site, call):
+    # Guards against "100 Continue" in the middle of the response before it.
+    reader, writer = await call(get("/stream"))
+    writer.write(
+        b"POST /x HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n"
+    )
+    await asyncio.sleep(0.02)
+    site.go_on.set()
+    async with asyncio.timeout(1):
+        before = await reader.readuntil(b"100 Continue\r\n\r\n")
+        writer.write(b"ab")
+        after = await reader.readuntil(b"/x")
+
+    assert before.endswith(b"\r\n0\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n")
+    assert after.startswith(b"HTTP/1.1 200 ")
+
+
+@pytest.mark.parametrize(("length", "sent"), [(2, b"ab"), (900, b"")])
+async def test_body_that_came_or_is_too_large_is_not_asked_for(call, length, sent):
+    head = b"POST /x HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: %d\r\n\r\n"
+    reader, _ = await call(head % length + sent)
+
+    assert b"100 Continue" not in await receive(reader, 500)
+
+
 async def test_gateway_logs_and_counts_an_unanswered_request(gateway):
     headers = Headers((("Vanillawharf-Attempt-Id", "r1"),))
     request = InboundRequest("GET", "/", headers, asyncio.get_running_loop().time())
