Measure callers' time-outs from what they were sent and by current limits

Four ways in which a connection closed over a caller that did nothing wrong: a caller that read a long response slowly was idle before it had the response, so that its next request met a closed connection; a longer idle limit of a new configuration didn't apply to connections that were idle already, though callers may reuse them by it; a head whose first bytes came together with the request before it wasn't known as a head, so that it was cut by the idle time-out without a status, or by close_idle; and an empty line behind a request counted as a head, so that a stopping gateway waited for a caller that had asked for nothing, which then got a 408.

The parser's events now say whether a head has begun. A time-out that fires looks at the limits in force, and waits on while the response isn't sent.

Ruled out by tests that passed before: a request that arrives in the same step as the idle time-out is answered, since the event loop reads sockets first; no time-out runs for a head while the request before it is being answered.

Before the change test_head_that_began_in_the_bytes_of_a_request_before_..., test_empty_line_after_a_request_..., test_longer_idle_time_applies_... and test_caller_that_reads_a_response_slowly_is_not_idle failed; they pass after.

--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from operator import attrgetter
 
 import httptools
 
@@ -17,6 +18,9 @@
 # Requests that are read ahead of the current response; others stay in the socket.
 MAX_PIPELINED_REQUESTS = 2
 
+_header_timeout = attrgetter("header_timeout")
+_idle_timeout = attrgetter("idle_timeout")
+
 
 class CallerConnection(asyncio.Protocol):
     """Parse requests and pass them to `site.handle`, one at a time.
@@ -41,6 +45,9 @@
         self._responder = None
         self._task = None
         self._timer = None
+        self._timeout = _header_timeout
+        self._awaited_since = 0.0
+        self._is_in_head = False
         self._fields = []
         self._target = b""
         self._head_bytes = 0
@@ -58,7 +65,7 @@
         self._transport = transport
         detect_dead_peer(transport)
         self._site.connections.add(self)
-        self._await_request(self._site.limits.header_timeout)
+        self._await_request(_header_timeout)
 
     def connection_lost(self, exc):
         """Cancel the handler of the current request."""
@@ -116,7 +123,7 @@
     @property
     def is_idle(self):
         """Return whether no request is being read or answered."""
-        return self._task is None and self._reading is None and not self._head_bytes
+        return self._task is None and self._reading is None and not self._is_in_head
 
     @property
     def is_last_response(self):
@@ -133,8 +140,8 @@
     def stop_reading(self):
         """Read no further request, and forget one that was read in part."""
         self._is_reading_over = True
+        self._is_in_head = False
         self._reading = None
-        self._head_bytes = 0
         self._waiting.clear()
 
     def write(self, data):
@@ -172,8 +179,9 @@
         """Start the timeout of the request's head."""
         self._fields = []
         self._target = b""
+        self._is_in_head = True
         if self._task is None:
-            self._await_request(self._site.limits.header_timeout)
+            self._await_request(_header_timeout)
 
     def on_url(self, url):
         """Collect the request's target."""
@@ -186,6 +194,7 @@
     def on_headers_complete(self):
         """Start the handler, or queue the request; its body may still be incomplete."""
         self._head_bytes = 0
+        self._is_in_head = False
         headers = Headers(tuple(self._fields))
         request = InboundRequest(
             self._parser.get_method().decode("latin-1"),
@@ -226,7 +235,7 @@
         """Answer with `status` after the requests that were read whole."""
         self._is_reading_over = True
         self._rejection = status
-        self._head_bytes = 0
+        self._is_in_head = False
         rejected, self._reading = self._reading, None
         if rejected in self._waiting:
             self._waiting.remove(rejected)
@@ -239,9 +248,12 @@
     def _answer_rejection(self):
         Responder(self, keep_alive=False).answer(self._rejection)
 
-    def _await_request(self, seconds):
+    def _await_request(self, timeout):
+        """Wait `timeout(limits)` seconds for a request, or for the rest of its head."""
         self._cancel_timer()
-        self._timer = self._loop.call_later(seconds, self._expire)
+        self._timeout = timeout
+        self._awaited_since = self._loop.time()
+        self._timer = self._loop.call_later(timeout(self._site.limits), self._expire)
 
     def _cancel_timer(self):
         if self._timer:
@@ -249,8 +261,14 @@
             self._timer = None
 
     def _expire(self):
-        if self._head_bytes:
+        ends_at = self._awaited_since + self._timeout(self._site.limits)
+        if ends_at > self._loop.time():
+            self._timer = self._loop.call_at(ends_at, self._expire)
+        elif self._is_in_head:
             self._reject(408)
+        elif self._is_sending:
+            # The caller can't be idle before it has the response.
+            self._await_request(_idle_timeout)
         else:
             self.close()
 
@@ -276,7 +294,7 @@
         elif self._is_ended:
             self.close_after_response()
         else:
-            self._await_request(self._site.limits.idle_timeout)
+            self._await_request(_header_timeout if self._is_in_head else _idle_timeout)
 
     async def _run_handler(self, request, responder):
         """Run the handler, and answer in its place if it fails."""
--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -1,6 +1,8 @@
 """Whole requests are answered before their connection closes, or are reported."""
 
 import asyncio
+import time
+from dataclasses import replace
 
 import pytest
 import structlog
@@ -16,6 +18,7 @@
 
 LIMITS = CallerLimits(500, 100, header_timeout=0.2, idle_timeout=0.3)
 EVENT = b"id: 1\ndata: x\n\n"
+LONG_BODY_BYTES = 16 << 20  # more than the sockets' buffers hold
 
 
 class Site:
@@ -47,6 +50,9 @@
                 responder.begin(200, Headers())
                 await responder.send(EVENT)
                 raise ValueError("fails on purpose")
+            case "/long":
+                responder.answer(200, Headers(), bytes(LONG_BODY_BYTES))
+                return
             case "/broken-stream":
                 responder.begin(200, Headers())
                 await responder.send(EVENT)
@@ -76,7 +82,9 @@
     writers = []
 
     async def start(data):
-        reader, writer = await asyncio.open_connection("127.0.0.1", site.server.port)
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", site.server.port, limit=2 * LONG_BODY_BYTES
+        )
         writers.append(writer)
         writer.write(data)
         await asyncio.sleep(0.02)
@@ -382,6 +390,73 @@
     assert b"100 Continue" not in await receive(reader, 500)
 
 
+@pytest.mark.parametrize("arrives_with_the_first", [True, False])
+async def test_head_is_not_timed_out_while_the_request_before_is_answered(
+    site, call, arrives_with_the_first
+):
+    # Guards against a connection that closes over a head while one is being answered.
+    start, rest = get("/second")[:12], get("/second")[12:]
+    first = get("/wait") + start if arrives_with_the_first else get("/wait")
+    reader, writer = await call(first)
+    writer.write(b"" if arrives_with_the_first else start)
+    await asyncio.sleep(1.5 * LIMITS.header_timeout)
+    site.go_on.set()
+    writer.write(rest)
+
+    async with asyncio.timeout(1):
+        assert b"200 OK" in await reader.readuntil(b"/second")
+
+
+async def test_head_that_began_in_the_bytes_of_a_request_before_is_timed_out(call):
+    # Guards against a head that is taken for silence, and closed without a status.
+    reader, _ = await call(get("/first") + b"GET /second")
+
+    assert b"HTTP/1.1 408 " in await receive(reader)
+
+
+async def test_empty_line_after_a_request_is_no_request(site, call):
+    # Guards against a stopping gateway that waits for a caller who asks for nothing.
+    reader, writer = await call(get("/first"))
+    writer.write(b"\r\n")
+    await asyncio.sleep(0.02)
+
+    assert site.server.busy_count == 0
+    assert b"408" not in await receive(reader)
+
+
+async def test_request_that_arrives_as_the_connection_times_out_is_answered(call):
+    # Guards against an idle time-out that closes over a request in the same step.
+    reader, writer = await call(get("/first"))
+    writer.write(get("/second"))
+    time.sleep(1.2 * LIMITS.idle_timeout)  # both are due when the loop goes on
+
+    async with asyncio.timeout(1):
+        assert b"200 OK" in await reader.readuntil(b"/second")
+
+
+async def test_longer_idle_time_applies_to_connections_that_are_idle(site, call):
+    # Guards against callers that reuse a connection by a newer, longer limit.
+    reader, writer = await call(get("/first"))
+    site.server.limits = replace(LIMITS, idle_timeout=5.0)
+    await asyncio.sleep(1.2 * LIMITS.idle_timeout)
+    writer.write(get("/second"))
+
+    async with asyncio.timeout(1):
+        assert b"200 OK" in await reader.readuntil(b"/second")
+
+
+async def test_caller_that_reads_a_response_slowly_is_not_idle(site, call):
+    # Guards against an idle time-out that begins before the response is sent.
+    reader, writer = await call(get("/long"))
+    writer.transport.pause_reading()
+    await asyncio.sleep(1.5 * LIMITS.idle_timeout)
+    writer.transport.resume_reading()
+    writer.write(get("/second"))
+
+    async with asyncio.timeout(2):
+        assert b"200 OK" in await reader.readuntil(b"/second")
+
+
 async def test_gateway_logs_and_counts_an_unanswered_request(gateway):
     headers = Headers((("Vanillawharf-Attempt-Id", "r1"),))
     request = InboundRequest("GET", "/", headers, asyncio.get_running_loop().time())
