Judge a request by the limits in force as it begins

A configuration with smaller limits that came into force while a request was being read refused it midway (431, 413), though the configuration that the caller knew allowed it; the rest of the body was dropped. The limits were read anew for each piece of data.

The connection now takes the limits on sizes as a request begins.

--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -36,6 +36,7 @@
 
     def __init__(self, site):
         self._site = site
+        self._limits = site.limits
         self._loop = asyncio.get_running_loop()
         self._transport = None
         self._parser = httptools.HttpRequestParser(self)
@@ -117,7 +118,7 @@
         except httptools.HttpParserError:
             self._reject(400)
             return
-        if self._head_bytes > self._site.limits.max_header_bytes:
+        if self._head_bytes > self._limits.max_header_bytes:
             self._reject(431)
 
     @property
@@ -176,10 +177,11 @@
     # Callbacks of the parser.
 
     def on_message_begin(self):
-        """Start the timeout of the request's head."""
+        """Start the timeout of the request's head; take the limits on its size."""
         self._fields = []
         self._target = b""
         self._is_in_head = True
+        self._limits = self._site.limits
         if self._task is None:
             self._await_request(_header_timeout)
 
@@ -204,7 +206,7 @@
             self._parser.should_keep_alive(),
         )
         length = headers.get("content-length", "0")
-        if length.isdecimal() and int(length) > self._site.limits.max_body_bytes:
+        if length.isdecimal() and int(length) > self._limits.max_body_bytes:
             request.too_large = True
             request.body_complete.set()
         self._cancel_timer()
@@ -221,7 +223,7 @@
         if request.too_large:
             return
         request.body += body
-        if len(request.body) > self._site.limits.max_body_bytes:
+        if len(request.body) > self._limits.max_body_bytes:
             request.too_large = True
             request.body_complete.set()
 
--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -457,6 +457,20 @@
         assert b"200 OK" in await reader.readuntil(b"/second")
 
 
+@pytest.mark.parametrize("sent_bytes", [10, 70])
+async def test_request_is_judged_by_the_limits_at_its_begin(site, call, sent_bytes):
+    # Guards against a request that is refused midway by a newer configuration.
+    request = b"POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 40\r\n\r\n" + b"x" * 40
+    reader, writer = await call(request[:sent_bytes])
+    site.server.limits = replace(LIMITS, max_header_bytes=20, max_body_bytes=20)
+    writer.write(request[sent_bytes:])
+    data = await receive(reader, 500)
+    writer.write(request)
+
+    assert data.startswith(b"HTTP/1.1 200 ")
+    assert (await receive(reader, 500)).startswith(b"HTTP/1.1 4")
+
+
 async def test_gateway_logs_and_counts_an_unanswered_request(gateway):
     headers = Headers((("Vanillawharf-Attempt-Id", "r1"),))
     request = InboundRequest("GET", "/", headers, asyncio.get_running_loop().time())
