Count a response that isn't sent as work of a stopping gateway

A slow caller lost the rest of its response when the gateway stopped: a request counted as done once its response was written, though a part of it was still in the write buffer, and the process ended with that part.

A connection is idle only once all is sent, so that the gateway waits for it as long as its time to stop allows.

--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -123,8 +123,9 @@
 
     @property
     def is_idle(self):
-        """Return whether no request is being read or answered."""
-        return self._task is None and self._reading is None and not self._is_in_head
+        """Return whether no request is being read or answered, and all is sent."""
+        is_working = self._task or self._reading or self._is_in_head
+        return not is_working and not self._is_sending
 
     @property
     def is_last_response(self):
--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -197,6 +197,30 @@
     assert site.unanswered == []
 
 
+async def test_response_that_is_not_sent_counts_as_work(site, call):
+    # Guards against a stopping gateway that ends before its response is sent.
+    _, writer = await call(get("/long"))
+    writer.transport.pause_reading()
+    await asyncio.sleep(0.05)
+
+    assert site.server.busy_count == 1
+    site.server.close_idle()
+    assert site.server.connections
+    writer.transport.resume_reading()
+    async with asyncio.timeout(5):
+        while site.server.busy_count:
+            await asyncio.sleep(0.01)
+
+
+async def test_response_that_is_not_sent_as_the_process_ends_is_reported(site, call):
+    _, writer = await call(get("/long"))
+    writer.transport.pause_reading()
+
+    site.server.report_unanswered()
+
+    assert site.unanswered == [("/long", UnansweredReason.NOT_SENT)]
+
+
 async def test_caller_that_resets_its_connection_is_not_reported(site, call):
     _, writer = await call(get("/wait"))
     writer.transport.abort()
