Show that a caller which closes its sending side has left

A caller that closes only its sending side after a whole request gets no answer.

No behaviour changes; a test names the decision: the handler is cancelled, the connection closes, and nothing counts as unanswered.

--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -86,7 +86,10 @@
             self._task.cancel()
 
     def eof_received(self):
-        """Close the connection when the caller closes its side."""
+        """Close the connection when the caller closes its side.
+
+        A caller that closes only its sending side can't be told from one that left.
+        """
         return False
 
     def pause_writing(self):
--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -26,6 +26,7 @@
 
     def __init__(self):
         self.unanswered = []
+        self.cancelled = []
         self.go_on = asyncio.Event()
         self.server = HttpServer("127.0.0.1:0", LIMITS, self.handle, self.record)
 
@@ -37,7 +38,11 @@
             await request.body_complete.wait()
         match request.path:
             case "/wait":
-                await self.go_on.wait()
+                try:
+                    await self.go_on.wait()
+                except asyncio.CancelledError:
+                    self.cancelled.append(request.path)
+                    raise
             case "/fail":
                 raise ValueError("fails on purpose")
             case "/cancelled":
@@ -197,6 +202,18 @@
     assert site.unanswered == []
 
 
+async def test_caller_that_closes_its_sending_side_has_left(site, call):
+    # Guards against work for callers that have closed: a half-closed connection looks
+    # the same as a closed one.
+    reader, writer = await call(get("/wait") + get("/next"))
+    writer.write_eof()
+
+    assert await receive(reader) == b""
+    assert not site.server.connections
+    assert site.cancelled == ["/wait"]
+    assert site.unanswered == []
+
+
 async def test_response_that_is_not_sent_counts_as_work(site, call):
     # Guards against a stopping gateway that ends before its response is sent.
     _, writer = await call(get("/long"))
