--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -9,8 +9,10 @@
 import structlog
 from result import Err, Ok
 
+from wharf_coordination.code import Code
 from wharf_gateway.crash_guard import CrashGuard
 from wharf_gateway.fleet import Fleet
+from wharf_gateway.gateway_response import GatewayResponse
 from wharf_gateway.http.answer_limits import AnswerLimits
 from wharf_gateway.http.connection_pool import ConnectionPool
 from wharf_gateway.http.headers import Headers
@@ -157,7 +159,13 @@
             settings.max_answer_bytes,
             self.pause_guard,
         )
-        self.server = HttpServer(settings.listen, CallerLimits(), self.handle)
+        self.server = HttpServer(
+            settings.listen,
+            CallerLimits(),
+            self.handle,
+            self.record_unanswered,
+            self.answer_failure,
+        )
         self._ready_server = HttpServer(
             settings.ready_listen, CallerLimits(), self.handle_ready
         )
@@ -230,6 +238,7 @@
         ):
             await asyncio.sleep(TICK_SECONDS / 2)
             self.server.close_idle()
+        self.server.report_unanswered()
         log.info("stopped", busy=self.server.busy_count)
         for task in (*self._tasks, *self._watch_tasks):
             task.cancel()
@@ -317,6 +326,28 @@
             case Ok(context):
                 await self._runner.run(context, responder)
 
+    def record_unanswered(self, request, reason):
+        """Count a request whose connection ended without a response, and log it."""
+        self.meter.count("wharf_unanswered_requests", reason)
+        log.warning(
+            "unanswered",
+            request=request.headers.get(self._dialect.id_field),
+            reason=reason,
+            seconds=round(self._clock() - request.received_at, 3),
+        )
+
+    def answer_failure(self, request, responder, error):
+        """Answer a request whose handler raised `error`, count it and log it."""
+        answer = GatewayResponse(500, Code.INTERNAL)
+        self.meter.count("wharf_requests", "none", answer.status, answer.code.label)
+        log.error(
+            "request_failed",
+            request=request.headers.get(self._dialect.id_field),
+            exc_info=error,
+        )
+        if not responder.is_started:
+            responder.answer(answer.status, answer.headers, answer.body)
+
     def _watch(self, kind, on_listing, on_changes):
         return StoreWatcher(
             self._store,
--- a/packages/gateway/src/wharf_gateway/http/responder.py
+++ b/packages/gateway/src/wharf_gateway/http/responder.py
@@ -7,21 +7,25 @@
 
 
 class Responder:
-    """Write the response to one request, at once or as a chunked stream."""
+    """Write the response to one request, at once or as a chunked stream.
 
-    def __init__(self, connection, keep_alive, site=None):
+    `is_over` says that the response is complete, or was begun and then reset.
+    """
+
+    def __init__(self, connection, keep_alive):
         self._connection = connection
-        self._site = site
         self.keep_alive = keep_alive
         self.is_started = False
+        self.is_over = False
         self.status = None
 
     def answer(self, status, headers=None, body=b""):
         """Write a complete response."""
         headers = headers or Headers()
         self._write_head(status, headers.plus(("Content-Length", str(len(body)))), body)
+        self.is_over = True
         if not self.keep_alive:
-            self._connection.close()
+            self._connection.close_after_response()
 
     def begin(self, status, headers):
         """Write the head of a chunked response."""
@@ -35,20 +39,22 @@
     def end(self):
         """Write the end of a chunked response."""
         self._connection.write(b"0\r\n\r\n")
+        self.is_over = True
         if not self.keep_alive:
-            self._connection.close()
+            self._connection.close_after_response()
 
     def abort(self):
         """Reset the connection, so that the caller sees an incomplete response."""
         self.keep_alive = False
+        self.is_over = self.is_started
         self._connection.abort()
 
     def _write_head(self, status, headers, body=b""):
         self.is_started = True
         self.status = status
-        if self._site is None or self._site.closing:
-            self.keep_alive = False
+        self.keep_alive = self.keep_alive and not self._connection.is_last_response
         if not self.keep_alive:
+            self._connection.stop_reading()
             headers = headers.plus(("Connection", "close"))
         lines = [status_line(status), *(f"{k}: {v}" for k, v in headers.fields)]
         head = "\r\n".join((*lines, "", "")).encode("latin-1")
--- a/packages/gateway/tests/test_fuzz_callers.py
+++ b/packages/gateway/tests/test_fuzz_callers.py
@@ -39,7 +39,10 @@
     def close(self):
         self.closed = True
 
-    abort = close
+    abort = write_eof = close
+
+    def get_write_buffer_size(self):
+        return 0
 
     def pause_reading(self):
         pass
@@ -56,6 +59,13 @@
     def __init__(self):
         self.connections = set()
         self.seen = []
+        self.unanswered = []
+
+    def record_unanswered(self, request, reason):
+        self.unanswered.append((request.target, reason))
+
+    def answer_failure(self, request, responder, error):
+        raise error
 
     async def handle(self, request, responder):
         await request.body_complete.wait()
