Add steps and silent engines to the parts of the soak

An engine can fall silent in the middle of a stream.

The soak also couldn't see such a loss: its client took a connection that closed without any byte and without a run for a request that hadn't been read, however long it had waited. Only check_requests decides that now, by its 0.2 s. Clients pause for up to 0.4 s after a refusal, as most of the users' clients do.

--- a/packages/standins/src/wharf_standins/soak/checks.py
+++ b/packages/standins/src/wharf_standins/soak/checks.py
@@ -1,14 +1,12 @@
 """Checks of the gateways' guarantees, on requests recorded at both ends."""
 
 from wharf_standins.soak.finding import Finding
-from wharf_standins.soak.request import RequestKind, ResponseState
+from wharf_standins.soak.request import NOT_RUN_STATUSES, RequestKind, ResponseState
 from wharf_standins.soak.wire import EVENTS, event, response_body
 
 __all__ = ["check_requests"]
 
 SLACK_SECONDS = 0.2  # tolerance of the operators' rule on lost requests
-# These promise that the request hasn't run and won't run.
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 def check_requests(requests):
@@ -36,9 +34,17 @@
     if request.status == 200:
         yield from _check_success(request)
     if request.is_undisturbed and _is_lost(request):
-        yield Finding(
-            "planned work cuts nothing", request.id, f"response is {request.state}"
-        )
+        yield Finding("planned work cuts nothing", request.id, _loss(request))
+
+
+def _loss(request):
+    waited = ""
+    if request.ended_at is not None:
+        waited = f" after {request.ended_at - request.sent_at:.2f} s"
+    return (
+        f"response of {request.gateway} is {request.state}{waited},"
+        f" status {request.status}, ran {len(request.run_times)} times"
+    )
 
 
 def _is_lost(request):
@@ -60,7 +66,7 @@
     if not request.is_signed:
         yield Finding("own whole answer", request.id, "has no signature")
     expected = response_body(request.id)
-    if request.kind is RequestKind.STREAM:
+    if request.kind.is_stream:
         expected = b"".join(event(request.id, number) for number in range(EVENTS))
     if not expected.startswith(request.body):
         yield Finding("own whole answer", request.id, f"got {request.body[:40]!r}")
--- a/packages/standins/src/wharf_standins/soak/client.py
+++ b/packages/standins/src/wharf_standins/soak/client.py
@@ -4,48 +4,68 @@
 from contextlib import suppress
 
 from wharf_adapter import names
-from wharf_standins.soak.request import RequestKind, ResponseState, SoakRequest
+from wharf_standins.soak.request import (
+    DIRECT_KINDS,
+    NOT_RUN_STATUSES,
+    ResponseState,
+    SoakRequest,
+)
 from wharf_standins.soak.wire import request_head
 
 __all__ = ["SoakClient"]
 
-DEADLINE_SECONDS = 3.0
+PAUSE_SECONDS = 0.05  # between requests, at most
+REFUSED_PAUSE_SECONDS = 0.4
 GRACE_SECONDS = 0.7  # a response after the deadline must arrive within this time
 
 
 class SoakClient:
-    """Send requests to one gateway, one at a time.
+    """Send requests of some kinds to one gateway, one at a time.
 
     `new_request(kind, gateway_name)` creates each request;
     `is_undisturbed(since)` returns whether no unplanned fault had effect since then.
     """
 
-    def __init__(self, gateway, rng, new_request, is_undisturbed, clock):
+    def __init__(
+        self,
+        gateway,
+        rng,
+        new_request,
+        is_undisturbed,
+        clock,
+        kinds=DIRECT_KINDS,
+    ):
         self._gateway = gateway
         self._rng = rng
         self._new_request = new_request
         self._is_undisturbed = is_undisturbed
         self._clock = clock
+        self._kinds = kinds
         self._stream = None
 
     async def run(self):
-        """Send requests until cancelled."""
-        while True:
-            await self.send(self._rng.choice(list(RequestKind)))
-            await asyncio.sleep(self._rng.uniform(0.0, 0.05))
+        """Send requests until cancelled, then close the connection."""
+        try:
+            while True:
+                request = await self.send(self._rng.choice(self._kinds))
+                is_refused = request.status in NOT_RUN_STATUSES
+                most = REFUSED_PAUSE_SECONDS if is_refused else PAUSE_SECONDS
+                await asyncio.sleep(self._rng.uniform(0.0, most))
+        finally:
+            self.close()
 
     async def send(self, kind) -> SoakRequest:
         """Send one request, record its response in it and return it."""
         request = self._new_request(kind, self._gateway.name)
         try:
-            async with asyncio.timeout(DEADLINE_SECONDS + GRACE_SECONDS):
+            async with asyncio.timeout(kind.deadline_seconds + GRACE_SECONDS):
                 if await self._connect(request):
                     await self._exchange(request)
         except TimeoutError:
-            self._close()
+            self.close()
         except (OSError, asyncio.IncompleteReadError):
             request.state = ResponseState.TRUNCATED
-            self._close()
+            self.close()
         request.ended_at = self._clock()
         request.is_undisturbed = self._is_undisturbed(request.sent_at)
         if request.state is ResponseState.NOT_CONNECTED:
@@ -56,7 +76,7 @@
         """Connect if there is no open connection; return whether there is one."""
         if self._stream is not None and not self._stream[0].at_eof():
             return True
-        self._close()
+        self.close()
         host, _, port = self._gateway.address.rpartition(":")
         try:
             self._stream = await asyncio.open_connection(host, int(port))
@@ -68,21 +88,9 @@
     async def _exchange(self, request):
         reader, writer = self._stream
         body = b"q" * 20
-        writer.write(
-            request_head(request.id, request.kind, DEADLINE_SECONDS, len(body)) + body
-        )
+        writer.write(request_head(request.id, request.kind, len(body)) + body)
         await writer.drain()
-        try:
-            head = (await reader.readuntil(b"\r\n\r\n")).decode()
-        except asyncio.IncompleteReadError as error:
-            # The gateway didn't read a request that arrived as it closed an idle
-            # connection.
-            is_unread = not error.partial and not request.run_times
-            request.state = (
-                ResponseState.NOT_CONNECTED if is_unread else ResponseState.TRUNCATED
-            )
-            self._close()
-            return
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
         status_line, *lines = head.split("\r\n")
         fields = dict(line.lower().split(": ", 1) for line in lines if line)
         request.status = int(status_line.split()[1])
@@ -94,7 +102,7 @@
             request.body = await reader.readexactly(length)
         request.state = ResponseState.COMPLETE
         if fields.get("connection") == "close":
-            self._close()
+            self.close()
 
     async def _read_chunks(self, reader, request):
         while size := int(await reader.readuntil(b"\r\n"), 16):
@@ -102,7 +110,8 @@
             await reader.readexactly(2)
         await reader.readexactly(2)
 
-    def _close(self):
+    def close(self):
+        """Close the connection if there is one."""
         if self._stream is not None:
             with suppress(OSError):
                 self._stream[1].close()
--- a/packages/standins/src/wharf_standins/soak/crashing_upstream.py
+++ b/packages/standins/src/wharf_standins/soak/crashing_upstream.py
@@ -4,7 +4,7 @@
 from contextlib import suppress
 
 from wharf_adapter import names
-from wharf_standins.soak.wire import event
+from wharf_standins.soak.wire import ENGINES, event, read_request
 
 __all__ = ["CrashingUpstream"]
 
@@ -19,6 +19,8 @@
     `down_seconds`. `crashed_at` has the loop's times of its crashes.
     """
 
+    service = ENGINES
+
     def __init__(self, name, deadly_part, down_seconds):
         self.name = name
         self.crashed_at = []
@@ -50,10 +52,7 @@
         writer.close()
 
     async def _answer(self, reader, writer):
-        request_head = (await reader.readuntil(b"\r\n\r\n")).decode()
-        lines = request_head.split("\r\n")[1:]
-        fields = dict(line.lower().split(": ", 1) for line in lines if line)
-        await reader.readexactly(int(fields.get("content-length", 0)))
+        _, fields, _ = await read_request(reader)
         request_id = fields[names.ATTEMPT_ID.lower()]
         prompt = fields[names.PROMPT.lower()]
         await asyncio.sleep(READ_SECONDS)
--- a/packages/standins/src/wharf_standins/soak/request.py
+++ b/packages/standins/src/wharf_standins/soak/request.py
@@ -3,15 +3,41 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-__all__ = ["SoakRequest", "RequestKind", "ResponseState"]
+__all__ = [
+    "DIRECT_KINDS",
+    "NOT_RUN_STATUSES",
+    "RequestKind",
+    "ResponseState",
+    "SoakRequest",
+]
+
+# These promise that the request hasn't run and won't run.
+NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 class RequestKind(StrEnum):
-    """Which requests may be repeated: only safe ones."""
+    """Which requests may be repeated: only safe ones.
+
+    Those with steps are streams whose engine needs the results of the steps.
+    """
 
     SAFE = "safe"
     UNSAFE = "unsafe"
     STREAM = "stream"
+    STEPS = "steps"
+
+    @property
+    def is_stream(self):
+        """Return whether the response is a stream of events."""
+        return self in (RequestKind.STREAM, RequestKind.STEPS)
+
+    @property
+    def deadline_seconds(self):
+        """Return how long a client waits for the response."""
+        return 8.0 if self is RequestKind.STEPS else 3.0
+
+
+DIRECT_KINDS = tuple(kind for kind in RequestKind if kind is not RequestKind.STEPS)
 
 
 class ResponseState(StrEnum):
--- a/packages/standins/src/wharf_standins/soak/run.py
+++ b/packages/standins/src/wharf_standins/soak/run.py
@@ -13,7 +13,12 @@
 from wharf_standins.soak.finding import Finding
 from wharf_standins.soak.gateway_process import GatewayProcess
 from wharf_standins.soak.proxy import Proxy
-from wharf_standins.soak.request import RequestKind, ResponseState, SoakRequest
+from wharf_standins.soak.request import (
+    DIRECT_KINDS,
+    RequestKind,
+    ResponseState,
+    SoakRequest,
+)
 from wharf_standins.soak.store import SoakStore
 from wharf_standins.soak.upstream import SoakUpstream
 from wharf_standins.soak.wire import configuration, upstream_entry
@@ -106,9 +111,7 @@
         for gateway in self._gateways:
             client = self._client(gateway)
             for number in range(FINAL_REQUEST_COUNT):
-                request = await client.send(
-                    list(RequestKind)[number % len(RequestKind)]
-                )
+                request = await client.send(DIRECT_KINDS[number % len(DIRECT_KINDS)])
                 if request.status != 200 or request.state is not ResponseState.COMPLETE:
                     detail = f"{gateway.name}: {request.status}, {request.state}"
                     findings.append(Finding("served after faults", request.id, detail))
--- a/packages/standins/src/wharf_standins/soak/upstream.py
+++ b/packages/standins/src/wharf_standins/soak/upstream.py
@@ -4,7 +4,8 @@
 from contextlib import suppress
 
 from wharf_adapter import names
-from wharf_standins.soak.wire import EVENTS, event, response_body
+from wharf_standins.soak.request import RequestKind
+from wharf_standins.soak.wire import ENGINES, EVENTS, event, read_request, response_body
 
 __all__ = ["SoakUpstream"]
 
@@ -16,11 +17,17 @@
 class SoakUpstream:
     """Answer on loopback; call `record_run(upstream, request_id)` as a run begins.
 
-    `rate_limit`, if set, is named in the answers, in requests a second.
+    `rate_limit`, if set, is named in the answers, in requests a second. In the middle
+    of a stream it is silent for `silent_seconds`. `owner_by_result` has the results of
+    steps; a stream is that of the request for which its inputs were made.
     """
 
-    def __init__(self, name, record_run):
+    service = ENGINES
+
+    def __init__(self, name, record_run, owner_by_result=None):
         self.name = name
+        self._owner_by_result = {} if owner_by_result is None else owner_by_result
+        self.silent_seconds = 0.0
         self._record_run = record_run
         self._server = None
         self.rate_limit = None
@@ -41,30 +48,41 @@
         writer.close()
 
     async def _answer(self, reader, writer):
-        request_head = (await reader.readuntil(b"\r\n\r\n")).decode()
-        request_line, *lines = request_head.split("\r\n")
-        fields = dict(line.lower().split(": ", 1) for line in lines if line)
-        await reader.readexactly(int(fields.get("content-length", 0)))
-        request_id = fields[names.ATTEMPT_ID.lower()]
+        path, fields, _ = await read_request(reader)
+        kind = RequestKind(path.split("/")[1])
+        request_id = owner = fields[names.ATTEMPT_ID.lower()]
         if fields.get(names.EXPECTED_UPSTREAM.lower()) != self.name:
-            text = f"HTTP/1.1 421 Other\r\n{names.NOT_RUN}: 1\r\n"
-            writer.write(f"{text}Content-Length: 0\r\n\r\n".encode())
+            self._refuse(writer, "421 Other")
             return
+        if kind is RequestKind.STEPS:
+            handles = fields.get(names.INPUTS.lower(), "").split(",")
+            owners = {self._owner_by_result.get(handle) for handle in handles}
+            if None in owners:
+                self._refuse(writer, "409 Gone")
+                return
+            owner = min(owners - {request_id}, default=request_id)
         self._record_run(self, request_id)
         await asyncio.sleep(WORK_SECONDS)
         head = f"HTTP/1.1 200 OK\r\n{names.ATTEMPT_ID}: {request_id}\r\n{SIGNATURE}\r\n"
         if self.rate_limit is not None:
             head += f"{names.LIMIT}: {self.rate_limit}\r\n"
-        if " /stream/" not in request_line:
+        if not kind.is_stream:
             data = response_body(request_id)
             writer.write(f"{head}Content-Length: {len(data)}\r\n\r\n".encode() + data)
             await writer.drain()
             return
         writer.write(f"{head}Transfer-Encoding: chunked\r\n\r\n".encode())
         for number in range(EVENTS):
-            part = event(request_id, number)
+            part = event(owner, number)
             writer.write(b"%x\r\n%s\r\n" % (len(part), part))
             await writer.drain()
-            await asyncio.sleep(EVENT_INTERVAL_SECONDS)
+            is_middle = number == EVENTS // 2
+            await asyncio.sleep(
+                EVENT_INTERVAL_SECONDS + (self.silent_seconds if is_middle else 0.0)
+            )
         writer.write(b"0\r\n\r\n")
         await writer.drain()
+
+    def _refuse(self, writer, status):
+        head = f"HTTP/1.1 {status}\r\n{names.NOT_RUN}: 1\r\n"
+        writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
--- a/packages/standins/src/wharf_standins/soak/wire.py
+++ b/packages/standins/src/wharf_standins/soak/wire.py
@@ -1,22 +1,30 @@
 """Messages of clients, upstreams and the store in the platform's protocol."""
 
 from wharf_adapter import names
+from wharf_standins.soak.request import DIRECT_KINDS, RequestKind
 
 __all__ = [
+    "ENGINES",
     "EVENTS",
     "HOST",
-    "response_body",
-    "request_head",
+    "STEP_SERVICE",
     "configuration",
     "event",
+    "read_request",
+    "request_head",
+    "response_body",
     "upstream_entry",
 ]
 
 HOST = "soak.example"
 EVENTS = 6
 RESPONSE_BYTES = 300
-SERVICE = "engines"
-TIMEOUT_SECONDS = 3.0
+ENGINES = "engines"
+STEP_SERVICE = "encoders"
+# Pieces of the two steps; the second needs the results of the first.
+STEP_PIECES = (2, 1)
+RESULT_BYTES = 1000
+STEPS_TARGET_SECONDS = 7.0  # long enough for preparations to wait
 
 
 def response_body(request_id):
@@ -29,43 +37,63 @@
     return f"id: {number}\ndata: {request_id}\n\n".encode()
 
 
-def request_head(request_id, kind, seconds, length):
+async def read_request(reader):
+    """Return the path, the fields by lower-case name, and the body of a request."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode()
+    request_line, *lines = head.split("\r\n")
+    fields = dict(line.lower().split(": ", 1) for line in lines if line)
+    body = await reader.readexactly(int(fields.get("content-length", 0)))
+    return request_line.split()[1], fields, body
+
+
+def request_head(request_id, kind, length):
     """Return the request line and header of a client's request."""
     fields = {
         "Host": HOST,
         names.ATTEMPT_ID: request_id,
-        names.DEADLINE: str(int(seconds * 1000)),
+        names.DEADLINE: str(int(kind.deadline_seconds * 1000)),
         "Content-Length": str(length),
     }
+    if kind is RequestKind.STEPS:
+        fields[names.CHUNKS] = ",".join(map(str, STEP_PIECES))
+        fields[names.CHUNK_KEY] = request_id
     lines = [f"POST /{kind}/x HTTP/1.1", *(f"{k}: {v}" for k, v in fields.items())]
     return "\r\n".join((*lines, "", "")).encode()
 
 
-def configuration(version):
-    """Return a configuration with a route for each kind of request."""
+def configuration(version, call_seconds=0.05):
+    """Return a configuration with a route for each kind of request.
+
+    `call_seconds` is the duration of a call that runs pieces of steps.
+    """
     return {
         "version": version,
-        "routes": [
+        "routes": [*map(_route, DIRECT_KINDS), _route_with_steps()],
+        "services": [
+            {"name": ENGINES, "healthPath": "/healthz", "maxConns": 200},
             {
-                "name": kind,
-                "hostname": HOST,
-                "pathPrefix": f"/{kind}/",
-                "routeKind": kind,
-                "timeoutMs": TIMEOUT_SECONDS * 1000,
-                "sloMs": 500,
-                "service": SERVICE,
-                "maxAttempts": 2,
-            }
-            for kind in ("safe", "unsafe", "stream")
+                "name": STEP_SERVICE,
+                "healthPath": "/healthz",
+                "maxConns": 200,
+                "segments": {
+                    "slots": 1,
+                    "queue": 2,
+                    "batch": 2,
+                    "callMs": call_seconds * 1000,
+                    "itemMs": 1,
+                    "headroomMb": 10,
+                    "handleTtlS": 20,
+                    "linkMbps": 1000,
+                },
+            },
         ],
-        "services": [{"name": SERVICE, "healthPath": "/healthz", "maxConns": 200}],
     }
 
 
-def upstream_entry(address, state="ready"):
+def upstream_entry(address, state="ready", service=ENGINES):
     """Return the spec of an upstream's entry in the store."""
     return {
-        "service": SERVICE,
+        "service": service,
         "address": address,
         "zone": "dc-1",
         "version": "v1",
@@ -75,3 +103,25 @@
         "seqNo": 1,
         "born": 1,
     }
+
+
+def _route(kind):
+    return {
+        "name": kind,
+        "hostname": HOST,
+        "pathPrefix": f"/{kind}/",
+        "routeKind": kind,
+        "timeoutMs": kind.deadline_seconds * 1000,
+        "sloMs": 500,
+        "service": ENGINES,
+        "maxAttempts": 2,
+    }
+
+
+def _route_with_steps():
+    step = {"service": STEP_SERVICE, "byteCount": RESULT_BYTES}
+    return _route(RequestKind.STEPS) | {
+        "routeKind": RequestKind.STREAM,
+        "sloMs": STEPS_TARGET_SECONDS * 1000,
+        "stages": [step | {"after": []}, step | {"after": [0]}],
+    }
--- a/packages/standins/tests/conftest.py
+++ b/packages/standins/tests/conftest.py
@@ -69,20 +69,22 @@
     return make
 
 
-@pytest.fixture
-def run_gateways(tmp_path):
+@pytest.fixture(scope="session")
+def run_gateways(tmp_path_factory):
     """Return a context manager that runs gateways before upstreams of its own."""
 
     @asynccontextmanager
     async def run(count, configuration, upstreams):
+        folder = tmp_path_factory.mktemp("gateways")
         store = SoakStore()
         await store.start()
         await store.put("config", "main", configuration)
         for upstream in upstreams:
-            entry = upstream_entry(f"127.0.0.1:{await upstream.start()}")
+            address = f"127.0.0.1:{await upstream.start()}"
+            entry = upstream_entry(address, service=upstream.service)
             await store.put("servers", upstream.name, entry)
         processes = [
-            GatewayProcess(f"gateway-{number}", tmp_path, store.port)
+            GatewayProcess(f"gateway-{number}", folder, store.port)
             for number in range(count)
         ]
         try:
--- a/packages/standins/tests/test_soak.py
+++ b/packages/standins/tests/test_soak.py
@@ -15,7 +15,7 @@
 def _request(kind=RequestKind.UNSAFE, **fields):
     defaults = {
         "status": 200,
-        "body": STREAM if kind is RequestKind.STREAM else response_body("r1"),
+        "body": STREAM if kind.is_stream else response_body("r1"),
         "is_signed": True,
         "state": ResponseState.COMPLETE,
         "run_times": [0.1],
