--- a/packages/gateway/tests/test_peer_set.py
+++ b/packages/gateway/tests/test_peer_set.py
@@ -92,3 +92,40 @@
     await _wait_until(lambda: _is_linked(peer_sets))
     await asyncio.sleep(0.7)
     assert _is_linked(peer_sets)
+
+
+class Peer:
+    """A link to a gateway in a data centre."""
+
+    def __init__(self, data_centre, is_ready):
+        self.data_centre = data_centre
+        self.is_ready = is_ready
+
+    def is_responsive(self, now):
+        return True
+
+
+# Guards against a stopping gateway that refuses connections while the balancer still
+# sends callers, as too few others are ready.
+@pytest.mark.parametrize(
+    ("ready_local", "stopping_local", "ready_elsewhere", "expected"),
+    [
+        (0, 0, 0, False),
+        (0, 0, 1, True),
+        (1, 0, 0, True),
+        (1, 1, 1, False),
+        (2, 1, 0, True),
+        (0, 2, 1, True),
+        (0, 2, 0, False),
+    ],
+)
+async def test_gateway_is_relieved_once_the_balancer_leaves_it_out(
+    peer_sets, ready_local, stopping_local, ready_elsewhere, expected
+):
+    peers = [Peer("dc-1", True)] * ready_local + [Peer("dc-1", False)] * stopping_local
+    peers += [Peer("dc-2", True)] * ready_elsewhere
+    peer_sets["a"].link_by_name = {str(number): p for number, p in enumerate(peers)}
+
+    assert peer_sets["a"].can_relieve(0.0) is expected
+
+    peer_sets["a"].link_by_name = {}
