--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -23,7 +23,7 @@
 from wharf_gateway.peers.registry import Registry
 from wharf_gateway.preparation_router import PreparationRouter
 from wharf_gateway.quarantine_keeper import QuarantineKeeper
-from wharf_gateway.request_admission import FINISH_SECONDS, RequestAdmission
+from wharf_gateway.request_admission import RequestAdmission
 from wharf_gateway.request_runner import RequestRunner
 from wharf_gateway.rollouts.rollout_manager import RolloutManager
 from wharf_gateway.routing.retry_budgets import RetryBudgets
@@ -225,16 +225,10 @@
         self.server.closing = True
         log.info("stopping", busy=self.server.busy_count)
         ends_at = began + self.settings.stop_seconds - EXIT_MARGIN_SECONDS
-        unready_at = began + min(UNREADY_SECONDS, self.settings.stop_seconds / 2)
-        self._shutdown.begin(ends_at - ANSWER_MARGIN_SECONDS, unready_at)
+        self._shutdown.begin(ends_at - ANSWER_MARGIN_SECONDS)
         self.peers.announce()
         self.preparation_router.hand_over()
-        await asyncio.sleep(unready_at - self._clock())
-        while not (
-            self.peers.can_relieve(self._clock())
-            or self._shutdown.lacks(FINISH_SECONDS, self._clock())
-        ):
-            await asyncio.sleep(TICK_SECONDS / 2)
+        await asyncio.sleep(min(UNREADY_SECONDS, self.settings.stop_seconds / 2))
         # A caller that can't connect retries elsewhere at once, and more often than
         # one whose request is refused.
         self.server.stop_accepting()
--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -138,19 +138,6 @@
         names.add(self._settings.name)
         return self._settings.name in ranked("repeaters", names)[:REPEATERS]
 
-    def can_relieve(self, now):
-        """Return whether callers of this data centre find enough other gateways.
-
-        A balancer that finds fewer than half of a data centre's gateways ready uses all
-        of them, and if none is ready, those of the nearest data centres.
-        """
-        own = self._settings.data_centre
-        links = self.responsive(now).values()
-        local = [link.is_ready for link in links if link.data_centre == own]
-        if any(local):
-            return 2 * sum(local) >= len(local) + 1
-        return any(link.is_ready for link in links)
-
     def post_all(self, message, most=None):
         """Send a message to all peers, unless it exceeds `most` bytes."""
         frame = encode(message)
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -175,12 +175,7 @@
             return Err(PreparationFailure("the request is in quarantine"))
 
     def _upstream_seconds(self, context):
-        """Return the seconds that an upstream needs before the process may exit.
-
-        A request that came although others should have taken it must surely end.
-        """
-        is_sure = context.inbound.received_at > self._shutdown.unready_at
-        return self._route_times.upstream_seconds(context.route.name, is_sure=is_sure)
+        return self._route_times.upstream_seconds(context.route.name)
 
     def _is_too_late_to_send(self, context):
         """Return whether the process stops before an upstream would have answered."""
--- a/packages/gateway/src/wharf_gateway/routing/route_times.py
+++ b/packages/gateway/src/wharf_gateway/routing/route_times.py
@@ -6,10 +6,8 @@
 
 __all__ = ["RouteTimes"]
 
-# Mean deviations above the mean: one in twenty normally distributed times exceeds the
-# first, one in a thousand the second.
-LIKELY_DEVIATIONS = 2.0
-SURE_DEVIATIONS = 4.0
+# Of normally distributed times one in twenty exceeds the mean by this many deviations.
+DEVIATIONS = 2.0
 # Of a route without answered requests.
 DEFAULT_SECONDS = 2.5
 DEFAULT_UPSTREAM_SECONDS = 0.5
@@ -36,15 +34,12 @@
         estimate = self._request_by_route.get(route_name)
         return DEFAULT_SECONDS if estimate is None else estimate.mean
 
-    def upstream_seconds(self, route_name, *, is_sure=False):
-        """Return the seconds that an upstream hardly exceeds for such a request.
-
-        With `is_sure` it practically never does.
-        """
+    def upstream_seconds(self, route_name):
+        """Return the seconds that an upstream hardly exceeds for such a request."""
         estimate = self._upstream_by_route.get(route_name)
         if estimate is None:
             return DEFAULT_UPSTREAM_SECONDS
-        return estimate.upper(SURE_DEVIATIONS if is_sure else LIKELY_DEVIATIONS)
+        return estimate.upper(DEVIATIONS)
 
     def retain(self, route_names):
         """Forget the routes that the configuration no longer has."""
--- a/packages/gateway/src/wharf_gateway/shutdown.py
+++ b/packages/gateway/src/wharf_gateway/shutdown.py
@@ -8,13 +8,11 @@
 class Shutdown:
     """Bound waits by the time at which a stopping process has answered all requests.
 
-    `ends_at` is that time, the event loop's, infinite until the process stops. From
-    `unready_at` on callers should have found other gateways.
+    `ends_at` is that time, the event loop's, infinite until the process stops.
     """
 
     def __init__(self):
         self.ends_at = float("inf")
-        self.unready_at = float("inf")
         self._margin_by_scope = {}
 
     @property
@@ -22,10 +20,9 @@
         """Return whether the process stops."""
         return self.ends_at != float("inf")
 
-    def begin(self, ends_at, unready_at=float("inf")):
+    def begin(self, ends_at):
         """Begin the stop; waits that reach beyond it end sooner from now on."""
         self.ends_at = ends_at
-        self.unready_at = unready_at
         for scope, margin in list(self._margin_by_scope.items()):
             self._bound(scope, margin)
 
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -702,17 +702,3 @@
     caller = await ask("safe")
 
     assert (caller.status, caller.body) == (200, b"ok")
-
-
-# Guards against cutting off what a stopping gateway took late, because too few others
-# were ready: it must surely end in time.
-@pytest.mark.parametrize(("unready_in", "status"), [(1.0, 200), (-1.0, 503)])
-async def test_request_that_comes_late_in_a_stop_is_taken_only_if_it_surely_ends(
-    ask, upstreams, shutdown, route_times, unready_in, status
-):
-    await upstreams.add(SIGNED)
-    for number in range(40):
-        route_times.record("r", 1.0, 0.5 + 0.2 * (number % 2))
-    shutdown.begin(_now() + 0.9, _now() + unready_in)
-
-    assert (await ask("unsafe")).status == status
