Refuse what comes to a gateway that no longer listens

From the moment at which a stopping gateway closes its port it refuses what is new, at once and as not run; its callers have found other gateways by then. The new test failed before (200).

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -225,10 +225,11 @@
         self.server.closing = True
         log.info("stopping", busy=self.server.busy_count)
         ends_at = began + self.settings.stop_seconds - EXIT_MARGIN_SECONDS
-        self._shutdown.begin(ends_at - ANSWER_MARGIN_SECONDS)
+        closes_at = began + min(UNREADY_SECONDS, self.settings.stop_seconds / 2)
+        self._shutdown.begin(ends_at - ANSWER_MARGIN_SECONDS, closes_at)
         self.peers.announce()
         self.preparation_router.hand_over()
-        await asyncio.sleep(min(UNREADY_SECONDS, self.settings.stop_seconds / 2))
+        await asyncio.sleep(closes_at - self._clock())
         # A caller that can't connect retries elsewhere at once, and more often than
         # one whose request is refused.
         self.server.stop_accepting()
--- a/packages/gateway/src/wharf_gateway/request_admission.py
+++ b/packages/gateway/src/wharf_gateway/request_admission.py
@@ -52,7 +52,7 @@
         if configuration.has_customers and customer is None and not route.is_public:
             return Err(GatewayResponse(401, Code.UNKNOWN_CUSTOMER, "unknown key"))
         needed = max(FINISH_SECONDS, self._route_times.request_seconds(route.name))
-        if self._shutdown.lacks(needed, self._clock()):
+        if not self._shutdown.admits(needed, self._clock()):
             return Err(GatewayResponse.stopping())
         seconds = route.timeout
         if details.seconds is not None:
--- a/packages/gateway/tests/test_request_admission.py
+++ b/packages/gateway/tests/test_request_admission.py
@@ -129,6 +129,17 @@
     assert await _status(admission, path="/open/x") == 200
 
 
+# Guards against a request that comes over an open connection long after SIGTERM, is
+# taken on, and is cut off at the exit.
+async def test_stopping_process_takes_nothing_once_it_does_not_listen(
+    admission, shutdown
+):
+    now = asyncio.get_running_loop().time()
+    shutdown.begin(now + 60.0, closes_at=now)
+
+    assert await _status(admission) == 503
+
+
 async def test_stopping_process_still_names_bad_keys_and_paths(admission, shutdown):
     _begin_stop(shutdown, 1.0)
 
