--- /dev/null
+++ b/packages/gateway/src/wharf_gateway/limit_waits.py
@@ -0,0 +1,78 @@
+"""Waits of requests for upstreams that are at the limits they name."""
+
+import asyncio
+
+from wharf_coordination.code import Code
+from wharf_gateway.gateway_response import GatewayResponse
+
+__all__ = ["ENGINE_SECONDS", "LimitWaits"]
+
+# Usual time of an engine up to its first event.
+ENGINE_SECONDS = 0.25
+# A request that will be late anyway waits no longer for an upstream at its limit.
+MAX_LATE_SECONDS = 0.5
+# After which a caller may retry if only other gateways may send to the upstreams.
+ELSEWHERE_RETRY_SECONDS = 0.5
+
+
+class LimitWaits:
+    """Let requests wait for an upstream's limit, or refuse them.
+
+    `selector` is the `UpstreamSelector` of the requests.
+    """
+
+    def __init__(self, selector, shutdown, meter, clock):
+        self._selector = selector
+        self._shutdown = shutdown
+        self._meter = meter
+        self._clock = clock
+
+    def refusal_at_once(self, context, answer):
+        """Return the refusal of a request that would wait too long, or None.
+
+        The refusal is `answer` if limits aren't the cause.
+        """
+        seconds = self._selector.limit_wait(context, self._clock())
+        if self._is_within(context, seconds):
+            return None
+        return self.refusal(context, answer)
+
+    async def wait(self, context):
+        """Wait for an upstream that is at the limit it names.
+
+        Return its state, or None if that takes too long or limits aren't the cause.
+        """
+        now = self._clock()
+        seconds = self._selector.limit_wait(context, now)
+        if seconds <= 0 or not self._is_within(context, seconds):
+            return None
+        state, seconds = self._selector.reserve(context, now)
+        self._meter.observe("wharf_limit_wait_seconds", seconds)
+        await asyncio.sleep(seconds)
+        if self._selector.is_usable(state, self._clock()):
+            return state
+        return self._selector.select(context, self._clock())
+
+    def refusal(self, context, answer):
+        """Return the refusal for limits that upstreams name, or else `answer`."""
+        seconds = self._selector.limit_wait(context, self._clock())
+        if seconds <= 0:
+            return answer
+        self._meter.count("wharf_limit_refusals")
+        return GatewayResponse.not_run(
+            Code.UPSTREAM_FULL,
+            "all upstreams are at the limits they name",
+            seconds if seconds < float("inf") else ELSEWHERE_RETRY_SECONDS,
+        )
+
+    def _is_within(self, context, seconds):
+        """Return whether a request sent after `seconds` is answered on time.
+
+        One that is late already takes what no other request has reserved.
+        """
+        if seconds <= 0:
+            return True
+        ends_at = self._clock() + seconds + ENGINE_SECONDS
+        if ends_at > min(context.deadline, self._shutdown.ends_at):
+            return False
+        return ends_at <= context.soft_deadline or seconds <= MAX_LATE_SECONDS
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -11,11 +11,14 @@
 from wharf_gateway.event_splitter import EventSplitter
 from wharf_gateway.gateway_response import GatewayResponse
 from wharf_gateway.http.http_call_error import AnswerTooLargeError, HttpCallError
+from wharf_gateway.limit_waits import ENGINE_SECONDS, LimitWaits
 from wharf_gateway.model.route_kind import RouteKind
+from wharf_gateway.patience import stall_seconds
 from wharf_gateway.request_features import all_features
 from wharf_gateway.routing.upstream_selector import UpstreamSelector
 from wharf_gateway.stages.preparation import Preparation
 from wharf_gateway.stages.preparation_failure import PreparationFailure
+from wharf_gateway.takeover import MAX_SENDS, Takeover
 from wharf_gateway.upstream_failure import UpstreamFailure
 
 __all__ = ["RequestRunner"]
@@ -23,32 +26,8 @@
 log = structlog.get_logger(__name__)
 
 MISDIRECTED_REQUEST = 421
-# Attempts that certainly did not run, such as refused connections, don't count towards
-# the route's limit. This limit includes them.
-MAX_SENDS = 4
-# A safe request is retried on another upstream when the current one takes this many
-# times its usual latency; one request in a hundred takes that long without a fault.
-ATTEMPT_TIMEOUT_FACTOR = 5.0
-MIN_ATTEMPT_TIMEOUT_SECONDS = 0.15
-# A sound engine may fall silent for a second or so and go on. After this long another
-# one takes over if it can.
-STALL_TIMEOUT_SECONDS = 2.0
-# Until then, or until this share of the time after which the caller gives up.
-STALL_PATIENCE_SHARE = 0.5
-# How often a silent upstream is compared anew with the others while none can take over.
-TAKEOVER_CHECK_SECONDS = 0.5
-# Callers give up a stream after a pause of this long, or longer by their route's times.
-GIVE_UP_SECONDS = 2.0
-# A long prompt that is queued behind others takes up to a second.
-FIRST_EVENT_TIMEOUT_SECONDS = 1.5
 # A cancelled attempt counts as a failure of its upstream after this long.
 CANCELLED_FAILURE_SECONDS = 0.5
-# Usual time of an engine up to its first event, kept free after the preparation.
-ENGINE_SECONDS = 0.25
-# A request that will be late anyway waits no longer for an upstream at its limit.
-MAX_LATE_WAIT_SECONDS = 0.5
-# After which a caller may retry if only other gateways may send to the upstreams.
-ELSEWHERE_RETRY_SECONDS = 0.5
 # A request whose upstream was lost as it began to answer waits for what other gateways
 # know of it before it is sent to the next one.
 SUSPECT_DELAY_SECONDS = 0.1
@@ -90,6 +69,15 @@
         self._route_times = route_times
         self._max_event_bytes = max_event_bytes
         self._pause_guard = pause_guard
+        self._limit_waits = LimitWaits(self._choice, shutdown, meter, clock)
+        self._takeover = Takeover(
+            self._choice,
+            budgets,
+            self._prepare,
+            self._drop_inputs,
+            self._is_too_late_to_send,
+            clock,
+        )
 
     async def run(self, context, responder):
         """Answer the request within its deadline and before the process exits."""
@@ -190,10 +178,9 @@
         if refusal is not None:
             return refusal
         answer = GatewayResponse.not_run(Code.NO_UPSTREAM, "no upstream available")
-        if not self._is_within(
-            context, self._choice.limit_wait(context, self._clock())
-        ):
-            return self._limit_refusal(context, answer)
+        refusal = self._limit_waits.refusal_at_once(context, answer)
+        if refusal is not None:
+            return refusal
         splitter = EventSplitter()
         attempts = 0
         while context.sends < MAX_SENDS and attempts < context.route.max_attempts:
@@ -209,9 +196,10 @@
             await self._wait_sure()
             state = self._choice.select(context, self._clock())
             if state is None:
-                state = await self._wait_for_limit(context)
+                state = await self._limit_waits.wait(context)
             if state is None:
-                return answer if context.sends else self._limit_refusal(context, answer)
+                limits = self._limit_waits
+                return answer if context.sends else limits.refusal(context, answer)
             service = state.upstream.service
             refusal = self._crash_guard.refusal_at(context, service, self._clock())
             if refusal is not None:
@@ -241,46 +229,6 @@
             )
         return answer
 
-    async def _wait_for_limit(self, context):
-        """Wait for an upstream that is at the limit it names.
-
-        Return its state, or None if that takes too long or limits aren't the cause.
-        """
-        now = self._clock()
-        seconds = self._choice.limit_wait(context, now)
-        if seconds <= 0 or not self._is_within(context, seconds):
-            return None
-        state, seconds = self._choice.reserve(context, now)
-        self._meter.observe("wharf_limit_wait_seconds", seconds)
-        await asyncio.sleep(seconds)
-        if self._choice.is_usable(state, self._clock()):
-            return state
-        return self._choice.select(context, self._clock())
-
-    def _is_within(self, context, seconds):
-        """Return whether a request sent after `seconds` is answered on time.
-
-        One that is late already takes what no other request has reserved.
-        """
-        if seconds <= 0:
-            return True
-        ends_at = self._clock() + seconds + ENGINE_SECONDS
-        if ends_at > min(context.deadline, self._shutdown.ends_at):
-            return False
-        return ends_at <= context.soft_deadline or seconds <= MAX_LATE_WAIT_SECONDS
-
-    def _limit_refusal(self, context, answer):
-        """Return the refusal for limits that upstreams name, or else `answer`."""
-        seconds = self._choice.limit_wait(context, self._clock())
-        if seconds <= 0:
-            return answer
-        self._meter.count("wharf_limit_refusals")
-        return GatewayResponse.not_run(
-            Code.UPSTREAM_FULL,
-            "all upstreams are at the limits they name",
-            seconds if seconds < float("inf") else ELSEWHERE_RETRY_SECONDS,
-        )
-
     async def _wait_sure(self):
         if self._pause_guard is not None:
             await self._pause_guard.wait_sure(self._clock)
@@ -302,7 +250,7 @@
             connection = await self._pool.acquire(upstream.address, started)
             self._send(context, state, connection, splitter, started)
             context.may_have_run = True
-            head = await self._head(context, state, connection)
+            head = await self._takeover.head(context, state, connection)
             reply = self._dialect.read_response(head)
             context.response_began = True
             self._note_reply(state, reply, connection, started)
@@ -422,8 +370,8 @@
     async def _relay_stream(
         self, context, state, responder, connection, head, splitter, started
     ):
-        pace = EventPace(_allowed_pause(context.route), self._clock())
-        while data := await self._next_part(context, pace, connection):
+        pace = EventPace(stall_seconds(context.route), self._clock())
+        while data := await self._takeover.next_part(context, pace, connection):
             received_at = self._clock()
             events = splitter.feed(data)
             if len(splitter.buffer) > self._max_event_bytes:
@@ -446,78 +394,6 @@
         self._log_answer(context, state, head.status, started)
         return AttemptResult()
 
-    async def _head(self, context, state, connection):
-        """Return the response's head; raise `TimeoutError` to try another upstream."""
-        try:
-            async with asyncio.timeout(self._attempt_timeout(context, state)):
-                return await connection.head()
-        except TimeoutError:
-            if self._may_try_elsewhere(context):
-                raise
-        return await connection.head()
-
-    async def _next_part(self, context, pace, connection):
-        """Return the next bytes; raise `TimeoutError` if another upstream takes over.
-
-        While none can, a stalled stream is kept until its caller has given it up.
-        """
-        given_up_at = pace.last_at + _patience(context.route)
-        until = pace.stalled_at
-        while True:
-            try:
-                async with asyncio.timeout_at(until):
-                    return await connection.next_part()
-            except TimeoutError:
-                now = self._clock()
-                if now >= given_up_at:
-                    raise
-                if self._may_try_elsewhere(context):
-                    async with asyncio.timeout_at(given_up_at):
-                        return await self._part_or_takeover(context, connection)
-                until = min(now + TAKEOVER_CHECK_SECONDS, given_up_at)
-
-    async def _part_or_takeover(self, context, connection):
-        """Return the next bytes; raise `TimeoutError` once another could take over."""
-        is_prepared = context.inputs is not None or not context.route.steps
-        part = asyncio.ensure_future(connection.next_part())
-        refusal = asyncio.ensure_future(
-            asyncio.sleep(0) if is_prepared else self._prepare(context)
-        )
-        try:
-            await asyncio.wait((part, refusal), return_when=asyncio.FIRST_COMPLETED)
-            if not part.done() and refusal.result() is None:
-                raise TimeoutError
-            data = await part
-            if not is_prepared:
-                self._drop_inputs(context)
-            return data
-        finally:
-            part.cancel()
-            refusal.cancel()
-
-    def _may_try_elsewhere(self, context):
-        """Return whether another upstream may take over from one that is silent."""
-        route, now = context.route, self._clock()
-        return (
-            route.may_repeat
-            and max(context.sends, len(context.tried)) < MAX_SENDS
-            and len(context.tried) < route.max_attempts
-            and not self._is_too_late_to_send(context)
-            and self._choice.has_alternative(context, now)
-            and self._budgets.has_retry(route.targets[0].service)
-        )
-
-    def _attempt_timeout(self, context, state):
-        """Return the seconds after which another upstream is tried, or None."""
-        route = context.route
-        is_last = len(context.tried) >= route.max_attempts
-        if is_last or not route.may_repeat:
-            return None
-        if route.kind is RouteKind.STREAM:
-            return FIRST_EVENT_TIMEOUT_SECONDS
-        usual = state.latency or route.target_latency
-        return max(ATTEMPT_TIMEOUT_FACTOR * usual, MIN_ATTEMPT_TIMEOUT_SECONDS)
-
     def _not_run_result(self, context, state, head):
         now = self._clock()
         if head.status == MISDIRECTED_REQUEST:
@@ -605,27 +481,6 @@
     return list(all_features(state.upstream.service, context))
 
 
-def _allowed_pause(route):
-    """Return the seconds without an event after which a stream counts as stalled.
-
-    One that may be resumed can go on at another upstream. Any other ends when its
-    caller has given it up.
-    """
-    patience = _patience(route)
-    if not route.is_resumable:
-        return patience
-    silence = min(STALL_TIMEOUT_SECONDS, STALL_PATIENCE_SHARE * patience)
-    return max(silence, 2 * route.max_event_gap)
-
-
-def _patience(route):
-    """Return the pause of a stream after which its caller gives up, in seconds.
-
-    This is the operators' rule.
-    """
-    return max(GIVE_UP_SECONDS, 4 * route.target_latency, 8 * route.max_event_gap)
-
-
 def _stopped_response(context):
     if context.may_have_run:
         return GatewayResponse(
