Stop the slow callers of tests before they read anything

test_caller_that_reads_a_response_slowly_is_not_idle failed in 3 of 6 runs of its file beside other work (load 10), with all 16,777,261 bytes read and then the end of the connection: the caller stopped reading only after it had sent its request, and by then it had sometimes read the whole response, so that it was idle indeed and its connection was closed rightly.

The three tests with a slow caller now stop it from reading before it sends its request, so that the response can't be sent.

--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -216,8 +216,9 @@
 
 async def test_response_that_is_not_sent_counts_as_work(site, call):
     # Guards against a stopping gateway that ends before its response is sent.
-    _, writer = await call(get("/long"))
+    _, writer = await call(b"")
     writer.transport.pause_reading()
+    writer.write(get("/long"))
     await asyncio.sleep(0.05)
 
     assert site.server.busy_count == 1
@@ -230,8 +231,10 @@
 
 
 async def test_response_that_is_not_sent_as_the_process_ends_is_reported(site, call):
-    _, writer = await call(get("/long"))
+    _, writer = await call(b"")
     writer.transport.pause_reading()
+    writer.write(get("/long"))
+    await asyncio.sleep(0.05)
 
     site.server.report_unanswered()
 
@@ -488,8 +491,9 @@
 
 async def test_caller_that_reads_a_response_slowly_is_not_idle(site, call):
     # Guards against an idle time-out that begins before the response is sent.
-    reader, writer = await call(get("/long"))
+    reader, writer = await call(b"")
     writer.transport.pause_reading()
+    writer.write(get("/long"))
     await asyncio.sleep(1.5 * LIMITS.idle_timeout)
     writer.transport.resume_reading()
     writer.write(get("/second"))
