Don't reuse a connection to an upstream that is about to close

A request got 502, as one that may have run, though it had never been sent: an idle connection whose upstream had just closed it, or on which unexpected data had just arrived, counted as open until the event loop's next step. A request that took it in between was written to a closing transport, which drops it, and its loss counted as a lost answer, so that an unsafe request wasn't sent to another upstream.

The connection now counts as closed from the moment at which its end is read or it is reset.

Before the change both cases of test_connection_that_is_about_to_close_is_not_ reused failed; they pass after it. Answers that end early are shown by a test at the runner too, test_answer_that_ends_early_is_replaced_by_502, which passed before: a cut body with a length or in chunks, a cut failure and a change of protocol each give the caller a whole 502.

--- a/packages/gateway/src/wharf_gateway/http/upstream_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/upstream_connection.py
@@ -71,6 +71,7 @@
 
     def eof_received(self):
         """Complete a response that ends with the connection."""
+        self.is_closed = True
         if self._is_close_delimited:
             self._complete()
         return False
@@ -159,6 +160,7 @@
 
     def close(self):
         """Reset the connection, which lets the upstream cancel the request."""
+        self.is_closed = True
         self.is_reusable = False
         self._transport.abort()
 
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -228,6 +228,25 @@
     assert len(upstreams.seen) == 1
 
 
+@pytest.mark.parametrize(
+    "part",
+    [
+        b"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\nContent-Length: 9\r\n\r\nok",
+        b"HTTP/1.1 200 OK\r\nId: r1\r\nSigned: 1\r\n"
+        b"Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+        b"HTTP/1.1 500 Error\r\nId: r1\r\nSigned: 1\r\nContent-Length: 9\r\n\r\nbad",
+        b"HTTP/1.1 101 Switch\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+    ],
+)
+async def test_answer_that_ends_early_is_replaced_by_502(upstreams, ask, part):
+    # Guards against a caller that gets a part of an answer, or nothing.
+    await upstreams.add(part)
+
+    caller = await ask("unsafe")
+
+    assert (caller.status, caller.ending) == (502, "whole")
+
+
 async def test_unsafe_request_is_retried_when_it_was_not_sent(upstreams, ask):
     await upstreams.add_at("127.0.0.1:1")
     await upstreams.add(SIGNED)
--- a/packages/gateway/tests/test_upstream_connection.py
+++ b/packages/gateway/tests/test_upstream_connection.py
@@ -100,6 +100,37 @@
         await ask(part)
 
 
+@pytest.mark.parametrize("is_ended_by_upstream", [True, False])
+async def test_connection_that_is_about_to_close_is_not_reused(
+    raw_server, is_ended_by_upstream
+):
+    # Guards against a request that is written to a connection which closes in the
+    # same step, and that counts as sent.
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(ANSWER)
+        await reader.read()
+        writer.close()
+
+    address, pool = await raw_server(handle), ConnectionPool()
+    connection = await pool.acquire(address, _now())
+    connection.send(REQUEST, b"", _is_ours)
+    await connection.head()
+    await connection.body()
+    pool.release(address, connection, _now())
+    if is_ended_by_upstream:
+        connection.eof_received()
+    else:
+        connection.data_received(b"unexpected")
+
+    other = await pool.acquire(address, _now())
+    is_reused = other is connection
+    connection.close()
+    other.close()
+
+    assert not is_reused
+
+
 async def test_after_a_refused_connection_the_request_was_not_sent():
     with pytest.raises(HttpCallError) as caught:
         await ConnectionPool().acquire("127.0.0.1:1", 0.0)
