Cancel the handler as soon as its caller closes its side

A stream whose caller had stopped reading and then closed its side went on at its upstream until the unsent bytes timed out: the event loop closes such a transport only once its write buffer is empty, and the handler was cancelled only then. Requests that waited behind it would have run for a caller that had left.

The end of the caller's side now cancels the handler at once, and nothing that waits is begun on a closing connection. A head that can't be written no longer counts as begun, so that its request gets the 500 of a failed handler.

--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -69,7 +69,7 @@
         self._await_request(_header_timeout)
 
     def connection_lost(self, exc):
-        """Cancel the handler of the current request."""
+        """Report unanswered requests, and cancel the handler of the current one."""
         self._site.connections.discard(self)
         if self._is_closed_here:
             self._report(UnansweredReason.WHILE_HANDLED, UnansweredReason.BEFORE_TURN)
@@ -81,15 +81,14 @@
         if self._closing:
             self._closing.connection_lost()
         self._is_writable.set()
-        self._is_reading_over = True
-        if self._task:
-            self._task.cancel()
+        self._cancel_handler()
 
     def eof_received(self):
-        """Close the connection when the caller closes its side.
+        """Close the connection and cancel the handler when the caller closes its side.
 
         A caller that closes only its sending side can't be told from one that left.
         """
+        self._cancel_handler()
         return False
 
     def pause_writing(self):
@@ -108,6 +107,7 @@
         """Parse received data; reject invalid requests and too large headers."""
         if self._closing:
             self._closing.data_received(data)
+            return
         if self._is_reading_over or self._is_ended:
             return
         if self._reading is None:
@@ -237,6 +237,11 @@
         self._reading.body_complete.set()
         self._reading = None
 
+    def _cancel_handler(self):
+        self._is_reading_over = True
+        if self._task:
+            self._task.cancel()
+
     def _reject(self, status):
         """Answer with `status` after the requests that were read whole."""
         self._is_reading_over = True
@@ -291,6 +296,8 @@
         self._responder = responder
         await self._run_handler(request, responder)
         self._task = None
+        if self._transport.is_closing():
+            return
         if not request.is_read or not responder.keep_alive:
             self.close_after_response()
         elif self._waiting:
--- a/packages/gateway/src/wharf_gateway/http/responder.py
+++ b/packages/gateway/src/wharf_gateway/http/responder.py
@@ -50,12 +50,12 @@
         self._connection.abort()
 
     def _write_head(self, status, headers, body=b""):
-        self.is_started = True
-        self.status = status
         self.keep_alive = self.keep_alive and not self._connection.is_last_response
         if not self.keep_alive:
             self._connection.stop_reading()
             headers = headers.plus(("Connection", "close"))
         lines = [status_line(status), *(f"{k}: {v}" for k, v in headers.fields)]
         head = "\r\n".join((*lines, "", "")).encode("latin-1")
+        self.is_started = True
+        self.status = status
         self._connection.write(head + body)
--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -25,6 +25,7 @@
     """A server whose handler does what the request's path says."""
 
     def __init__(self):
+        self.seen = []
         self.unanswered = []
         self.cancelled = []
         self.go_on = asyncio.Event()
@@ -34,6 +35,7 @@
         self.unanswered.append((request.path, reason))
 
     async def handle(self, request, responder):
+        self.seen.append(request.path)
         if request.path != "/early":
             await request.body_complete.wait()
         match request.path:
@@ -58,6 +60,14 @@
             case "/long":
                 responder.answer(200, Headers(), bytes(LONG_BODY_BYTES))
                 return
+            case "/long-stream":
+                responder.begin(200, Headers())
+                try:
+                    await responder.send(bytes(LONG_BODY_BYTES))
+                except asyncio.CancelledError:
+                    self.cancelled.append(request.path)
+                    raise
+                return
             case "/broken-stream":
                 responder.begin(200, Headers())
                 await responder.send(EVENT)
@@ -214,6 +224,31 @@
     assert site.unanswered == []
 
 
+async def test_nothing_runs_for_a_caller_that_left_a_response_unread(site, call):
+    # Guards against work for a caller that left, until its response can't be sent.
+    _, writer = await call(b"")
+    writer.transport.pause_reading()
+    writer.write(get("/long-stream") + get("/next"))
+    await asyncio.sleep(0.05)
+    writer.write_eof()
+    await asyncio.sleep(0.05)
+
+    assert site.cancelled == ["/long-stream"]
+    assert site.seen == ["/long-stream"]
+    assert site.unanswered == []
+
+
+@pytest.mark.parametrize("pause", [LIMITS.header_timeout, LIMITS.idle_timeout])
+async def test_body_that_comes_slowly_is_not_cut_by_other_time_outs(call, pause):
+    # Guards against a header or idle time-out that ends a request in its body.
+    reader, writer = await call(b"POST /x HTTP/1.1\r\nContent-Length: 2\r\n\r\n")
+    for part in (b"a", b"b"):
+        await asyncio.sleep(1.5 * pause)
+        writer.write(part)
+
+    assert (await receive(reader, 500)).startswith(b"HTTP/1.1 200 ")
+
+
 async def test_response_that_is_not_sent_counts_as_work(site, call):
     # Guards against a stopping gateway that ends before its response is sent.
     _, writer = await call(b"")
