Show that a stopping gateway reports what it couldn't answer

A request that is open when the process ends left no line; the report at the end had a test of the server alone. test_stopping_gateway_reports_what_it_ could_not_answer stops a gateway with a request that never ends and reads the line "unanswered" with its id and the reason process_ended.

--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -121,6 +121,7 @@
         listen="127.0.0.1:0",
         ready_listen="127.0.0.1:0",
         peer_port=1,
+        stop_seconds=1.0,
         store="127.0.0.1:1",
     )
     return Gateway(settings)
@@ -586,3 +587,23 @@
     ]
     counts = gateway.meter.count_by_name["wharf_requests"]
     assert counts == {("none", 500, "internal"): 1}
+
+
+async def test_stopping_gateway_reports_what_it_could_not_answer(gateway):
+    # Guards against requests that end with the process and leave no trace.
+    async def wait(request, responder):
+        await asyncio.Event().wait()
+
+    gateway.server.handle = wait
+    await gateway.server.start()
+    _, writer = await asyncio.open_connection("127.0.0.1", gateway.server.port)
+    writer.write(b"GET / HTTP/1.1\r\nVanillawharf-Attempt-Id: r1\r\n\r\n")
+    with structlog.testing.capture_logs() as lines:
+        await gateway.stop()
+    writer.close()
+    await asyncio.sleep(0.02)
+
+    unanswered = [line for line in lines if line["event"] == "unanswered"]
+    assert [(x["request"], x["reason"]) for x in unanswered] == [
+        ("r1", "process_ended")
+    ]
