--- a/packages/gateway/tests/test_request_admission.py
+++ b/packages/gateway/tests/test_request_admission.py
@@ -96,3 +96,16 @@
     admission.ends_at = asyncio.get_running_loop().time() + 1.0
 
     assert await _status(admission) == 503
+
+
+async def test_request_keeps_its_route_if_a_configuration_drops_it(admission, fleet):
+    # Guards against a request that is lost or refused as its route goes meanwhile.
+    request = _request(is_read=False)
+    answer = asyncio.create_task(admission.admit(request))
+    await asyncio.sleep(0)
+    newer = SPEC | {"version": 2, "routes": [], "tenants": []}
+    fleet.apply_configurations([StoredObject("main", 2, newer)], 0.0)
+    request.body_complete.set()
+
+    assert (await answer).unwrap().route.name == "closed"
+    assert await _status(admission) == 404
--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -204,6 +204,17 @@
     assert site.unanswered == [("/failing-stream", UnansweredReason.HANDLER_FAILED)]
 
 
+async def test_request_whose_connection_fails_inside_is_reported(site, call):
+    # Guards against a fault of the connection's code that counts as a caller's leave.
+    await call(get("/wait") + get("/next"))
+
+    for connection in list(site.server.connections):
+        connection.connection_lost(ValueError("fails on purpose"))
+
+    failed = UnansweredReason.CONNECTION_FAILED
+    assert site.unanswered == [("/wait", failed), ("/next", failed)]
+
+
 async def test_caller_that_leaves_first_is_not_reported(site, call):
     _, writer = await call(get("/wait") + get("/next"))
     writer.close()
