--- a/packages/gateway/tests/test_request_admission.py
+++ b/packages/gateway/tests/test_request_admission.py
@@ -158,3 +158,16 @@
     loop.call_later(0.05, shutdown.begin, loop.time() + 2.7)
 
     assert await _status(admission, is_read=False) == 503
+
+
+async def test_request_keeps_its_route_if_a_configuration_drops_it(admission, fleet):
+    # Guards against a request that is lost or refused as its route goes meanwhile.
+    request = _request(is_read=False)
+    answer = asyncio.create_task(admission.admit(request))
+    await asyncio.sleep(0)
+    newer = SPEC | {"version": 2, "routes": [], "tenants": []}
+    fleet.apply_configurations([StoredObject("main", 2, newer)], 0.0)
+    request.body_complete.set()
+
+    assert (await answer).unwrap().route.name == "closed"
+    assert await _status(admission) == 404
--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -25,6 +25,7 @@
     """A server whose handler does what the request's path says."""
 
     def __init__(self):
+        self.seen = []
         self.unanswered = []
         self.cancelled = []
         self.go_on = asyncio.Event()
@@ -34,6 +35,7 @@
         self.unanswered.append((request.path, reason))
 
     async def handle(self, request, responder):
+        self.seen.append(request.path)
         if request.path != "/early":
             await request.body_complete.wait()
         match request.path:
@@ -58,6 +60,14 @@
             case "/long":
                 responder.answer(200, Headers(), bytes(LONG_BODY_BYTES))
                 return
+            case "/long-stream":
+                responder.begin(200, Headers())
+                try:
+                    await responder.send(bytes(LONG_BODY_BYTES))
+                except asyncio.CancelledError:
+                    self.cancelled.append(request.path)
+                    raise
+                return
             case "/broken-stream":
                 responder.begin(200, Headers())
                 await responder.send(EVENT)
@@ -111,6 +121,7 @@
         listen="127.0.0.1:0",
         ready_listen="127.0.0.1:0",
         peer_port=1,
+        stop_seconds=1.0,
         store="127.0.0.1:1",
     )
     return Gateway(settings)
@@ -193,6 +204,17 @@
     assert site.unanswered == [("/failing-stream", UnansweredReason.HANDLER_FAILED)]
 
 
+async def test_request_whose_connection_fails_inside_is_reported(site, call):
+    # Guards against a fault of the connection's code that counts as a caller's leave.
+    await call(get("/wait") + get("/next"))
+
+    for connection in list(site.server.connections):
+        connection.connection_lost(ValueError("fails on purpose"))
+
+    failed = UnansweredReason.CONNECTION_FAILED
+    assert site.unanswered == [("/wait", failed), ("/next", failed)]
+
+
 async def test_caller_that_leaves_first_is_not_reported(site, call):
     _, writer = await call(get("/wait") + get("/next"))
     writer.close()
@@ -214,10 +236,36 @@
     assert site.unanswered == []
 
 
+async def test_nothing_runs_for_a_caller_that_left_a_response_unread(site, call):
+    # Guards against work for a caller that left, until its response can't be sent.
+    _, writer = await call(b"")
+    writer.transport.pause_reading()
+    writer.write(get("/long-stream") + get("/next"))
+    await asyncio.sleep(0.05)
+    writer.write_eof()
+    await asyncio.sleep(0.05)
+
+    assert site.cancelled == ["/long-stream"]
+    assert site.seen == ["/long-stream"]
+    assert site.unanswered == []
+
+
+@pytest.mark.parametrize("pause", [LIMITS.header_timeout, LIMITS.idle_timeout])
+async def test_body_that_comes_slowly_is_not_cut_by_other_time_outs(call, pause):
+    # Guards against a header or idle time-out that ends a request in its body.
+    reader, writer = await call(b"POST /x HTTP/1.1\r\nContent-Length: 2\r\n\r\n")
+    for part in (b"a", b"b"):
+        await asyncio.sleep(1.5 * pause)
+        writer.write(part)
+
+    assert (await receive(reader, 500)).startswith(b"HTTP/1.1 200 ")
+
+
 async def test_response_that_is_not_sent_counts_as_work(site, call):
     # Guards against a stopping gateway that ends before its response is sent.
-    _, writer = await call(get("/long"))
+    _, writer = await call(b"")
     writer.transport.pause_reading()
+    writer.write(get("/long"))
     await asyncio.sleep(0.05)
 
     assert site.server.busy_count == 1
@@ -230,8 +278,10 @@
 
 
 async def test_response_that_is_not_sent_as_the_process_ends_is_reported(site, call):
-    _, writer = await call(get("/long"))
+    _, writer = await call(b"")
     writer.transport.pause_reading()
+    writer.write(get("/long"))
+    await asyncio.sleep(0.05)
 
     site.server.report_unanswered()
 
@@ -488,8 +538,9 @@
 
 async def test_caller_that_reads_a_response_slowly_is_not_idle(site, call):
     # Guards against an idle time-out that begins before the response is sent.
-    reader, writer = await call(get("/long"))
+    reader, writer = await call(b"")
     writer.transport.pause_reading()
+    writer.write(get("/long"))
     await asyncio.sleep(1.5 * LIMITS.idle_timeout)
     writer.transport.resume_reading()
     writer.write(get("/second"))
@@ -547,3 +598,23 @@
     ]
     counts = gateway.meter.count_by_name["wharf_requests"]
     assert counts == {("none", 500, "internal"): 1}
+
+
+async def test_stopping_gateway_reports_what_it_could_not_answer(gateway):
+    # Guards against requests that end with the process and leave no trace.
+    async def wait(request, responder):
+        await asyncio.Event().wait()
+
+    gateway.server.handle = wait
+    await gateway.server.start()
+    _, writer = await asyncio.open_connection("127.0.0.1", gateway.server.port)
+    writer.write(b"GET / HTTP/1.1\r\nVanillawharf-Attempt-Id: r1\r\n\r\n")
+    with structlog.testing.capture_logs() as lines:
+        await gateway.stop()
+    writer.close()
+    await asyncio.sleep(0.02)
+
+    unanswered = [line for line in lines if line["event"] == "unanswered"]
+    assert [(x["request"], x["reason"]) for x in unanswered] == [
+        ("r1", "process_ended")
+    ]
