Keep outcomes of rollouts that a restored store has lost

Operators would have seen a rollout that was completed or rolled back run again: the store came back from a copy in which the order had no status or `running`, every gateway believed it and the driving one began to judge the version anew. With an earlier order in the copy the gateways returned to the version whose upstreams had been stopped.

Cause: a gateway took each order that the store showed for the newest one. A listing after a restoration is older than what gateways know.

`OutcomeMemory` keeps the last outcome of each rollout. After a restoration, an order with an older outcome keeps the known one until the store shows it again; the driving gateway writes it, once, on the order's new revision. What was acknowledged before the restoration doesn't count as written. Missing orders stay, with their elapsed time and evidence. A gateway that starts without memory hears lost outcomes from its peers (`OutcomeNotice`), when linked and each second from two of them, only after a restoration.

Ruled out: telling a new order from the lost one by revision, since revisions are given out again; believing the answer to a write, which may be of the former era. Outside of a restoration an order without an outcome still starts anew.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -29,6 +29,7 @@
 from wharf_gateway.stages.piece_client import PieceClient
 from wharf_gateway.store.outage import Outage
 from wharf_gateway.store.store_client import StoreClient
+from wharf_gateway.store.store_eras import StoreEras
 from wharf_gateway.store.store_feed import StoreFeed
 from wharf_gateway.store.store_kind import StoreKind
 from wharf_gateway.store.store_watcher import StoreWatcher
@@ -70,6 +71,7 @@
             )
         )
         self._store_pool = ConnectionPool(limits=STORE_LIMITS)
+        self._eras = StoreEras()
         self._store = StoreClient(
             settings.store, self._dialect, self._store_pool, self._clock
         )
@@ -97,8 +99,10 @@
             self.preparation_router.owner,
             self.peers,
             self._clock,
+            self._eras,
         )
         self.peers.rollouts = self.rollouts
+        self.peers.greeters.append(self.rollouts.greet)
         self.crash_guard = CrashGuard(
             settings.name, self._pool, self.peers, self._clock, self.meter
         )
@@ -187,8 +191,8 @@
             ),
             self._watch(
                 StoreKind.ROLLOUTS,
-                self.rollouts.apply_orders,
-                self.rollouts.apply_orders,
+                self.rollouts.replace_orders,
+                self.rollouts.update_orders,
             ),
             self._watch(
                 StoreKind.QUARANTINES,
--- a/packages/gateway/src/wharf_gateway/peers/messages.py
+++ b/packages/gateway/src/wharf_gateway/peers/messages.py
@@ -11,6 +11,7 @@
 from pydantic.dataclasses import dataclass
 
 from wharf_coordination.quarantine import LONGEST_SECONDS, CrashSuspect
+from wharf_coordination.rollout_outcome import RolloutOutcome
 from wharf_gateway.model.step import Step
 
 __all__ = [
@@ -22,8 +23,11 @@
     "LimitItem",
     "LimitNotice",
     "LoadNotice",
+    "MAX_OUTCOMES",
     "MAX_SUSPECTS",
     "Message",
+    "OutcomeItem",
+    "OutcomeNotice",
     "Prepare",
     "Prepared",
     "QuarantineItem",
@@ -35,8 +39,10 @@
 ]
 
 MAX_SUSPECTS = 64
+MAX_OUTCOMES = 64
 MAX_AGE_SECONDS = 86_400.0
 Age = Annotated[float, Field(ge=0, le=MAX_AGE_SECONDS)]
+Name = Annotated[str, Field(min_length=1, max_length=512)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -236,6 +242,25 @@
     kind: Literal["limit"] = "limit"
 
 
+@dataclass(frozen=True, slots=True)
+class OutcomeItem:
+    """An order of a rollout that has ended, and its outcome."""
+
+    name: Name
+    service: Name
+    target: Name
+    duration: Annotated[float, Field(gt=0, allow_inf_nan=False)]
+    outcome: Literal[RolloutOutcome.FINISHED, RolloutOutcome.TAKEN_BACK]
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeNotice:
+    """Tell outcomes of rollouts that the store lost and doesn't yet show again."""
+
+    items: tuple[OutcomeItem, ...] = Field(max_length=MAX_OUTCOMES)
+    kind: Literal["outcomes"] = "outcomes"
+
+
 Message = TypeAdapter(
     Annotated[
         Greeting
@@ -251,7 +276,8 @@
         | CrashNotice
         | QuarantineNotice
         | AnsweredNotice
-        | LimitNotice,
+        | LimitNotice
+        | OutcomeNotice,
         Field(discriminator="kind"),
     ]
 )
--- a/packages/gateway/src/wharf_gateway/peers/peer_link.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_link.py
@@ -15,6 +15,7 @@
     Greeting,
     LimitNotice,
     LoadNotice,
+    OutcomeNotice,
     Prepare,
     Prepared,
     QuarantineNotice,
@@ -40,9 +41,10 @@
 class PeerLink:
     """Exchange preparations, their results and the state of rollouts with a peer.
 
-    `preparers` has the method `preparer(pool)`; `rollouts` has `handle_share_notice`
-    and `add_sample`; `feed` has `handle_news` and `handle_notice`; `crashes` has a
-    `handle_` method for each notice about crashes; `limits` has `handle_notice`.
+    `preparers` has the method `preparer(pool)`; `rollouts` has `handle_share_notice`,
+    `handle_outcomes` and `add_sample`; `feed` has `handle_news` and `handle_notice`;
+    `crashes` has a `handle_` method for each notice about crashes; `limits` has
+    `handle_notice`.
     `is_outgoing` says whether this gateway opened the connection.
     """
 
@@ -220,6 +222,8 @@
                 self._limits.handle_notice(message, self._clock())
             case AnsweredNotice():
                 self._crashes.handle_answered(message, self._clock())
+            case OutcomeNotice():
+                self._rollouts.handle_outcomes(message, self._clock())
 
     def _resolve(self, number, answer):
         """Complete a pending preparation; return whether it was still pending."""
--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -48,7 +48,7 @@
     after a delay if there is no link, since the first may not know it: a gateway cut
     off from the store learns of no new ones. `candidates` has the names of the gateways
     that may run preparations, possibly including this one. `load()` returns the fields
-    of a `LoadNotice`.
+    of a `LoadNotice`. Each of `greeters` is called with a link that was just made.
     """
 
     def __init__(self, settings, preparers, clock, rng, load):
@@ -61,6 +61,7 @@
         self.feed = None
         self.crashes = None
         self.limits = None
+        self.greeters = []
         self._dial_task_by_name = {}
         self._state_by_name = {}
         self.link_by_name = {}
@@ -204,6 +205,8 @@
         self.link_by_name[link.name] = link
         log.info("peer_linked", peer=link.name, data_centre=link.data_centre)
         link.post(self._load_notice())
+        for greet in self.greeters:
+            greet(link)
 
     def _is_preferred(self, link):
         """Return whether the gateway whose name sorts first opened the link."""
--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
@@ -1,15 +1,27 @@
 """A gateway's part in rollouts: canary routing, samples, and driving a rollout."""
 
 import asyncio
+from dataclasses import dataclass
 
 import structlog
 import xxhash
 from result import Err
 
 from wharf_coordination.rollout import RolloutOutcome
-from wharf_gateway.peers.messages import RolloutSample, ShareNotice
+from wharf_gateway.model.rollout_order import RolloutOrder
+from wharf_gateway.peers.messages import (
+    MAX_OUTCOMES,
+    OutcomeItem,
+    OutcomeNotice,
+    RolloutSample,
+    ShareNotice,
+)
+from wharf_gateway.peers.turns import Turns
+from wharf_gateway.restoration import is_in_grace
+from wharf_gateway.rollouts.outcome_memory import OutcomeMemory
 from wharf_gateway.rollouts.rollout_progress import RolloutProgress
 from wharf_gateway.stages.pool import Pool
+from wharf_gateway.store.store_eras import StoreEras
 from wharf_gateway.store.store_kind import StoreKind
 
 __all__ = ["RolloutManager"]
@@ -19,6 +31,16 @@
 HASH_RANGE = 2**64
 DRIVER_POOL = Pool.named("rollouts")  # the gateway that owns it drives all rollouts
 WRITE_INTERVAL_SECONDS = 0.3  # least time between writes of an outcome
+NOTICE_INTERVAL_SECONDS = 1.0  # between repetitions of lost outcomes
+
+
+@dataclass(frozen=True, slots=True)
+class _Write:
+    """A write of an outcome; after a restoration it has to be done again."""
+
+    outcome: RolloutOutcome
+    revision: int
+    restored_at: float
 
 
 class RolloutManager:
@@ -29,9 +51,13 @@
     outcome to the store. A gateway without a recent share sends nothing to the new
     version. `owner_of(pool, now)` returns the link to the owner, None if it is this
     gateway.
+
+    A store that comes back from a copy may show an order without its outcome, not at
+    all, or an earlier order of the service. What gateways know then holds, and what
+    they wrote is written again.
     """
 
-    def __init__(self, fleet, dialect, store, owner_of, peers, clock):
+    def __init__(self, fleet, dialect, store, owner_of, peers, clock, eras=None):
         self._fleet = fleet
         self._dialect = dialect
         self._store = store
@@ -41,17 +67,26 @@
         self.progress_by_service = {}
         self.driver_by_service = {}
         self._write_by_service = {}
+        self._done_by_service = {}
+        self._outcomes = OutcomeMemory()
+        self._held_by_service = {}
+        self._turns = Turns(NOTICE_INTERVAL_SECONDS, MAX_OUTCOMES)
+        self._eras = eras or StoreEras()
+        self._eras.callbacks.append(self._handle_restoration)
 
-    def apply_orders(self, objects, now):
-        """Apply rollout orders that were listed, created or changed."""
-        for stored in objects:
-            if stored.is_deleted:
-                continue
-            match self._dialect.read_rollout(stored):
-                case Err(fault):
-                    log.warning("rollout_unreadable", name=stored.name, detail=fault)
-                case answer:
-                    self._apply_order(answer.unwrap(), now)
+    def replace_orders(self, objects, now):
+        """Apply the rollout orders of a complete listing."""
+        for order in self._read_orders(objects):
+            if self._is_superseded(order, now):
+                self._held_by_service[order.service] = order
+                log.info("rollout_held", service=order.service, target=order.target)
+            else:
+                self._apply_order(order, now, is_listing=True)
+
+    def update_orders(self, objects, now):
+        """Apply rollout orders that were created or changed."""
+        for order in self._read_orders(objects):
+            self._apply_order(order, now)
 
     def is_canary(self, service, call_id, now):
         """Return whether a request goes to the service's new version.
@@ -96,28 +131,47 @@
         if progress is not None and progress.order.target == message.target:
             progress.update_share(message.share, message.elapsed, now)
 
+    def greet(self, link):
+        """Tell a peer that has just been linked the outcomes that the store lost."""
+        items = self._lost_items(self._clock())
+        if items:
+            link.post(OutcomeNotice(tuple(items[:MAX_OUTCOMES])))
+
+    def handle_outcomes(self, message, now):
+        """Apply outcomes that the store lost before this gateway could read them."""
+        for item in message.items:
+            order = RolloutOrder(
+                item.name, item.service, item.target, item.duration, item.outcome, 0
+            )
+            is_new = not self._outcomes.knows(order)
+            self._outcomes.learn(order, now)
+            self._apply_outcome(order, is_new, now)
+
     def advance(self, now):
         """Drive the open rollouts if this gateway is chosen, and send their shares."""
+        self._release_held(now)
+        self._repeat_outcomes(now)
         for service, progress in self.progress_by_service.items():
-            if (
-                not progress.order.is_open
-                or self._owner_of(DRIVER_POOL, now) is not None
-            ):
+            if self._owner_of(DRIVER_POOL, now) is not None:
                 self.driver_by_service.pop(service, None)
-                continue
-            driver = self._driver(service, progress, now)
-            if driver is None:
-                continue
-            driver.advance(now)
-            share = driver.share(now)
-            progress.update_share(share, now - progress.began_at, now)
-            notice = ShareNotice(
-                service, progress.order.target, share, now - progress.began_at
-            )
-            self._peers.post_all(notice)
-            outcome = driver.outcome or RolloutOutcome.RUNNING
-            if outcome is not progress.order.outcome:
-                self._write(progress.order, outcome, driver.reason)
+            elif progress.order.is_open:
+                self._drive(service, progress, now)
+            else:
+                self.driver_by_service.pop(service, None)
+                self._write(progress, progress.order.outcome, "lost by the store")
+
+    def _drive(self, service, progress, now):
+        driver = self._driver(service, progress, now)
+        if driver is None:
+            return
+        driver.advance(now)
+        share = driver.share(now)
+        elapsed = now - progress.began_at
+        progress.update_share(share, elapsed, now)
+        notice = ShareNotice(service, progress.order.target, share, elapsed)
+        self._peers.post_all(notice)
+        outcome = driver.outcome or RolloutOutcome.RUNNING
+        self._write(progress, outcome, driver.reason)
 
     def dump(self, now):
         """Return the state of each service's last rollout, for operators."""
@@ -132,16 +186,64 @@
             for service, progress in self.progress_by_service.items()
         }
 
-    def _apply_order(self, order, now):
+    def _read_orders(self, objects):
+        for stored in objects:
+            if stored.is_deleted:
+                continue
+            match self._dialect.read_rollout(stored):
+                case Err(fault):
+                    log.warning("rollout_unreadable", name=stored.name, detail=fault)
+                case answer:
+                    yield answer.unwrap()
+
+    def _is_superseded(self, order, now):
+        """Return whether a listed order may be older than the one that is known."""
+        progress = self.progress_by_service.get(order.service)
+        if progress is None or order.is_same_rollout(progress.order):
+            return False
+        is_known = order.outcome is not None or self._outcomes.knows(order)
+        return is_known and (
+            is_in_grace(self._eras, now) or self._outcomes.is_lost(progress.order, now)
+        )
+
+    def _release_held(self, now):
+        """Apply open orders that no other one has replaced since a restoration."""
+        for order in list(self._held_by_service.values()):
+            if not order.is_open:
+                del self._held_by_service[order.service]
+            elif not self._is_superseded(order, now):
+                self._apply_order(order, now, is_listing=True)
+
+    def _apply_outcome(self, order, is_new, now):
+        """Apply an outcome of a peer if it is later than what is known here."""
+        progress = self.progress_by_service.get(order.service)
+        if progress is None or (is_new and not progress.order.is_open):
+            progress = RolloutProgress(order, now)
+            self.progress_by_service[order.service] = progress
+        elif not progress.order.is_open or not order.is_same_rollout(progress.order):
+            return
+        elif progress.stored is not None:
+            order = self._outcomes.record(progress.stored, now)
+        progress.order = order
+        self._fleet.apply_order(order)
+        self._log_order("rollout_learned", order)
+
+    def _apply_order(self, stored, now, *, is_listing=False):
+        self._held_by_service.pop(stored.service, None)
+        order = self._outcomes.record(stored, now, is_listing=is_listing)
         self._fleet.apply_order(order)
         progress = self.progress_by_service.get(order.service)
-        if progress is not None and order.is_same_rollout(progress.order):
-            progress.order = order
-        else:
+        is_same = progress is not None and order.is_same_rollout(progress.order)
+        if not is_same:
             self.driver_by_service.pop(order.service, None)
-            self.progress_by_service[order.service] = RolloutProgress(order, now)
+            progress = RolloutProgress(order, now)
+            self.progress_by_service[order.service] = progress
+        progress.order, progress.stored = order, stored
+        self._log_order("rollout", order)
+
+    def _log_order(self, event, order):
         log.info(
-            "rollout",
+            event,
             service=order.service,
             target=order.target,
             duration=order.duration,
@@ -149,6 +251,28 @@
             revision=order.revision,
         )
 
+    def _handle_restoration(self, now):
+        self._outcomes.handle_restoration(now)
+        for progress in self.progress_by_service.values():
+            progress.stored = None
+
+    def _lost_items(self, now):
+        orders = [progress.order for progress in self.progress_by_service.values()]
+        return [
+            OutcomeItem(
+                order.name, order.service, order.target, order.duration, order.outcome
+            )
+            for order in orders
+            if self._outcomes.is_lost(order, now)
+        ]
+
+    def _repeat_outcomes(self, now):
+        if not self._turns.is_due(now):
+            return
+        items = self._lost_items(now)
+        if items and self._peers.is_repeater(now):
+            self._peers.post_all(OutcomeNotice(tuple(self._turns.next_page(items))))
+
     def _driver(self, service, progress, now):
         if service not in self.driver_by_service:
             old_version = self._fleet.version(service)
@@ -161,26 +285,36 @@
             self.driver_by_service[service] = driver
         return self.driver_by_service[service]
 
-    def _write(self, order, outcome, reason):
-        if order.service in self._write_by_service:
+    def _write(self, progress, outcome, reason):
+        """Write an outcome unless the store shows it, or is about to do so."""
+        stored = progress.stored
+        if stored is None or outcome is stored.outcome:
             return
-        task = asyncio.ensure_future(self._write_outcome(order, outcome, reason))
-        self._write_by_service[order.service] = task
-        task.add_done_callback(lambda _: self._write_by_service.pop(order.service))
+        service = stored.service
+        write = _Write(outcome, stored.revision, self._eras.restored_at)
+        if service in self._write_by_service or (
+            write == self._done_by_service.get(service)
+        ):
+            return
+        task = asyncio.ensure_future(self._write_outcome(stored, write, reason))
+        self._write_by_service[service] = task
+        task.add_done_callback(lambda _: self._write_by_service.pop(service))
 
-    async def _write_outcome(self, order, outcome, reason):
+    async def _write_outcome(self, order, write, reason):
         """Write the outcome once; the watch returns what the store then holds."""
-        status = self._dialect.rollout_status(order.target, outcome)
+        status = self._dialect.rollout_status(order.target, write.outcome)
         answer = await self._store.replace_status(
-            StoreKind.ROLLOUTS, order.name, status, order.revision
+            StoreKind.ROLLOUTS, order.name, status, write.revision
         )
+        if answer.is_ok():
+            self._done_by_service[order.service] = write
         log.info(
             "rollout_written",
             service=order.service,
             target=order.target,
-            outcome=outcome,
+            outcome=write.outcome,
             reason=reason,
-            revision=order.revision,
+            revision=write.revision,
             fault=answer.unwrap_err().detail if answer.is_err() else None,
         )
         await asyncio.sleep(WRITE_INTERVAL_SECONDS)
--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_progress.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_progress.py
@@ -16,11 +16,13 @@
     """An order, the time of its start, and the new version's share of requests.
 
     `received_at` is the time of the last share. Times are those of the event loop, in
-    seconds.
+    seconds. `stored` is the order as the store shows it; its outcome may be older. It
+    is None while the store, since its last restoration, hasn't shown the order.
     """
 
     order: RolloutOrder
     began_at: float
+    stored: RolloutOrder | None = None
     share: float = 0.0
     received_at: float = float("-inf")
 
--- /dev/null
+++ b/packages/gateway/tests/test_rollout_restoration.py
@@ -0,0 +1,379 @@
+"""Rollouts of three gateways while the store comes back from an older copy."""
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+from result import Err, Ok
+
+from wharf_coordination.rollout_outcome import RolloutOutcome
+from wharf_gateway.fleet import Fleet
+from wharf_gateway.model.rollout_order import RolloutOrder
+from wharf_gateway.model.upstream import Upstream
+from wharf_gateway.peers.codec import decode, encode
+from wharf_gateway.peers.messages import OutcomeNotice, RolloutSample, ShareNotice
+from wharf_gateway.restoration import GRACE_SECONDS
+from wharf_gateway.rollouts.rollout_manager import RolloutManager
+from wharf_gateway.store.store_eras import StoreEras
+from wharf_gateway.store.store_error import StoreUnavailable
+from wharf_gateway.store.stored_object import StoredObject
+
+RUNNING = RolloutOutcome.RUNNING
+FINISHED = RolloutOutcome.FINISHED
+TAKEN_BACK = RolloutOutcome.TAKEN_BACK
+ORDER = RolloutOrder("s", "s", "v2", 16.0, None, 7)
+
+
+class OrderDialect:
+    """A dialect whose stored objects hold orders as they are."""
+
+    def read_rollout(self, stored):
+        return Ok(stored.spec)
+
+    def rollout_status(self, target, outcome):
+        return outcome
+
+
+class World:
+    """A store with one order, and gateways that are linked to each other."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.era = 1
+        self.order = None
+        self.written = []
+        self.held_writes = None
+        self.manager_by_name = {}
+        for name in "abc":
+            self.start(name)
+
+    def start(self, name):
+        """Start a gateway, which lists the store and is linked to all others."""
+        fleet = Fleet(None)
+        for number, version in enumerate(("v1", "v1", "v2", "v3")):
+            fleet.add(
+                Upstream(f"u{number}", "s", f"a:{number}", "dc", version, 4, False, 1)
+            )
+        eras = StoreEras()
+        manager = RolloutManager(
+            fleet,
+            OrderDialect(),
+            self,
+            lambda pool, now: self._link_from(name),
+            Peers(self, name),
+            lambda: self.now,
+            eras,
+        )
+        manager.fleet, manager.eras = fleet, eras
+        self.manager_by_name[name] = manager
+        eras.record(self.era, self.now)
+        manager.replace_orders(self._objects(), self.now)
+        return manager
+
+    @property
+    def managers(self):
+        return self.manager_by_name.values()
+
+    def _link_from(self, name):
+        driver = min(self.manager_by_name)
+        return None if driver == name else Link(self, driver)
+
+    def _objects(self):
+        return [] if self.order is None else [_stored(self.order)]
+
+    def post(self, name, message):
+        manager = self.manager_by_name[name]
+        match decode(encode(message)).unwrap():
+            case ShareNotice() as notice:
+                manager.handle_share_notice(notice, self.now)
+            case RolloutSample() as sample:
+                manager.add_sample(sample, self.now)
+            case OutcomeNotice() as notice:
+                manager.handle_outcomes(notice, self.now)
+
+    async def replace_status(self, kind, name, status, revision):
+        """Replace the status, after `held_writes` if that is set."""
+        if self.held_writes is not None:
+            await self.held_writes.wait()
+        if self.order is None or self.order.revision != revision:
+            return Err(StoreUnavailable("conflict", 409))
+        self.written.append((status, revision))
+        self.change(replace(self.order, outcome=status))
+        return Ok(b"")
+
+    def change(self, order):
+        """Write an order, of which the watches of all gateways tell at once."""
+        revision = self.order.revision if self.order else ORDER.revision
+        self.order = replace(order, revision=revision + 1)
+        for manager in self.managers:
+            manager.update_orders(self._objects(), self.now)
+
+    def restore(self, order):
+        """Return to a copy with this order, which all gateways list."""
+        self.era += 1
+        self.order = order
+        self.written.clear()
+        for manager in self.managers:
+            manager.eras.record(self.era, self.now)
+        self.list_again()
+
+    def list_again(self):
+        for manager in self.managers:
+            manager.replace_orders(self._objects(), self.now)
+
+    async def advance(self, seconds):
+        """Let all gateways advance ten times a second."""
+        for _ in range(round(seconds * 10)):
+            self.now += 0.1
+            for manager in self.managers:
+                manager.advance(self.now)
+                manager._write_by_service.clear()  # writes are 0.3 s apart
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+
+    def outcomes(self):
+        return [manager.dump(self.now)["s"]["outcome"] for manager in self.managers]
+
+    def versions(self):
+        return [manager.fleet.version("s") for manager in self.managers]
+
+
+class Peers:
+    """The links of one gateway."""
+
+    def __init__(self, world, name):
+        self._world = world
+        self._name = name
+
+    def post_all(self, message):
+        for name in list(self._world.manager_by_name):
+            if name != self._name:
+                self._world.post(name, message)
+
+    def is_repeater(self, now):
+        return self._name in sorted(self._world.manager_by_name)[:2]
+
+
+class Link:
+    """A link to a gateway."""
+
+    def __init__(self, world, name):
+        self._world = world
+        self._name = name
+
+    def post(self, message):
+        self._world.post(self._name, message)
+
+
+def _stored(order):
+    return StoredObject(order.name, order.revision, order)
+
+
+@pytest.fixture
+async def world():
+    return World()
+
+
+def _end(world, outcome, target="v2"):
+    """Let the operator order a rollout, and the store show its outcome."""
+    world.change(replace(ORDER, target=target))
+    world.change(replace(ORDER, target=target, outcome=RUNNING))
+    running = world.order
+    world.change(replace(ORDER, target=target, outcome=outcome))
+    return running
+
+
+# Guards against outcomes that operators have seen and a restoration takes back.
+@pytest.mark.parametrize("outcome", [FINISHED, TAKEN_BACK])
+@pytest.mark.parametrize("older", [None, RUNNING])
+async def test_outcome_is_kept_and_written_again_once(world, outcome, older):
+    running = _end(world, outcome)
+    versions = world.versions()
+
+    world.restore(replace(running, outcome=older))
+    assert world.outcomes() == [outcome] * 3
+    await world.advance(10.0)
+
+    assert world.written == [(outcome, running.revision)]
+    assert world.outcomes() == [outcome] * 3
+    assert world.versions() == versions
+
+
+# Guards against an outcome lost for good if the store answers late after its return.
+async def test_outcome_is_kept_until_the_store_takes_it(world):
+    running = _end(world, TAKEN_BACK)
+    world.held_writes = asyncio.Event()
+    world.restore(running)
+    await world.advance(2 * GRACE_SECONDS)
+    world.list_again()
+
+    assert world.outcomes() == [TAKEN_BACK] * 3
+    world.held_writes.set()
+    await world.advance(1.0)
+    assert world.order.outcome is TAKEN_BACK
+
+
+# Guards against a rollout that never starts as the store lost that it was running.
+async def test_running_rollout_goes_on_and_is_written_again_once(world):
+    world.change(ORDER)
+    await world.advance(3.0)
+    driver = world.manager_by_name["a"].driver_by_service["s"]
+
+    world.restore(replace(ORDER, revision=8))
+    await world.advance(1.0)
+
+    assert world.written == [(RUNNING, 8)]
+    assert world.manager_by_name["a"].driver_by_service["s"] is driver
+    assert {m.dump(world.now)["s"]["seconds"] for m in world.managers} == {4.0}
+
+
+# Guards against requests that stop going to the new version until it is ordered again.
+async def test_order_that_is_missing_goes_on_until_it_is_written_again(world):
+    world.change(ORDER)
+    await world.advance(3.0)
+    driver = world.manager_by_name["a"].driver_by_service["s"]
+
+    world.restore(None)
+    await world.advance(1.5)
+    assert all(m.progress_by_service["s"].share_at(world.now) for m in world.managers)
+    assert world.written == []
+    world.change(ORDER)
+    await world.advance(0.5)
+
+    assert [outcome for outcome, _ in world.written] == [RUNNING]
+    assert world.manager_by_name["a"].driver_by_service["s"] is driver
+
+
+# Guards against the return to a version whose upstreams have been stopped.
+@pytest.mark.parametrize("older", [RUNNING, FINISHED, TAKEN_BACK])
+async def test_earlier_order_of_the_copy_does_not_replace_a_later_one(world, older):
+    _end(world, FINISHED if older is FINISHED else TAKEN_BACK)
+    earlier = replace(world.order, outcome=older)
+    _end(world, FINISHED, target="v3")
+
+    world.restore(earlier)
+    assert world.versions() == ["v3"] * 3
+    await world.advance(2.0)
+    assert world.written == []
+    world.change(replace(ORDER, target="v3"))
+    await world.advance(GRACE_SECONDS)
+
+    assert [outcome for outcome, _ in world.written] == [FINISHED]
+    assert world.outcomes() == [FINISHED] * 3
+    assert world.versions() == ["v3"] * 3
+
+
+async def test_open_order_of_the_copy_holds_if_no_other_one_follows(world):
+    world.change(ORDER)
+    earlier = world.order
+    _end(world, TAKEN_BACK, target="v3")
+
+    world.restore(earlier)
+    await world.advance(GRACE_SECONDS + 0.5)
+
+    assert {m.progress_by_service["s"].order.target for m in world.managers} == {"v2"}
+    assert [outcome for outcome, _ in world.written] == [RUNNING]
+
+
+async def test_order_written_after_the_restoration_starts_at_once(world):
+    _end(world, TAKEN_BACK)
+    copy = world.order
+
+    world.restore(copy)
+    world.restore(replace(ORDER, target="v3", revision=copy.revision + 1))
+    await world.advance(0.5)
+
+    assert world.written == [(RUNNING, copy.revision + 1)]
+
+
+async def test_same_version_offered_again_after_a_restoration_starts_anew(world):
+    _end(world, TAKEN_BACK)
+    world.restore(world.order)
+    await world.advance(0.5)
+
+    world.change(ORDER)
+    await world.advance(0.5)
+
+    assert [outcome for outcome, _ in world.written] == [RUNNING]
+
+
+# Guards against a delayed write of an earlier state that is taken for the last one.
+async def test_write_that_is_done_after_the_restoration_takes_nothing_back(world):
+    running = _end(world, TAKEN_BACK)
+    world.restore(replace(running, outcome=None))
+    world.change(replace(world.order, outcome=RUNNING))
+    await world.advance(1.0)
+
+    assert world.written == [(TAKEN_BACK, world.order.revision - 1)]
+    assert world.outcomes() == [TAKEN_BACK] * 3
+
+
+# Guards against an answer of the former era that is taken for one of the new era.
+async def test_write_acknowledged_before_the_restoration_is_written_again(world):
+    world.change(ORDER)
+    await world.advance(0.3)
+    running = world.order
+
+    world.restore(replace(running, outcome=None, revision=running.revision - 1))
+    await world.advance(0.3)
+
+    assert world.written == [(RUNNING, running.revision - 1)]
+
+
+# Guards against a gateway that starts with no memory and drives what has ended.
+@pytest.mark.parametrize("outcome", [FINISHED, TAKEN_BACK])
+async def test_gateway_that_starts_after_the_restoration_learns_outcomes(
+    world, outcome
+):
+    running = _end(world, outcome)
+    world.held_writes = asyncio.Event()
+    world.restore(running)
+    await world.advance(0.5)
+
+    # Its name sorts first, so that it drives the rollouts.
+    fresh = world.start("_")
+    world.manager_by_name["c"].greet(Link(world, "_"))
+    assert fresh.dump(world.now)["s"]["outcome"] is outcome
+    world.held_writes.set()
+    await world.advance(1.0)
+
+    assert world.order.outcome is outcome
+    assert world.outcomes() == [outcome] * 4
+    assert [written for written, _ in world.written] == [outcome]
+
+
+async def test_outcomes_are_repeated_to_gateways_that_were_linked_before(world):
+    running = _end(world, FINISHED)
+    fresh = world.start("d")
+    fresh._outcomes = type(fresh._outcomes)()
+    fresh.progress_by_service.clear()
+
+    world.restore(None)
+    await world.advance(1.5)
+    assert fresh.dump(world.now)["s"]["outcome"] is FINISHED
+    world.change(replace(running, outcome=None))
+
+    assert world.outcomes() == [FINISHED] * 4
+
+
+async def test_outcomes_are_told_only_after_a_restoration(world):
+    _end(world, FINISHED)
+    sent = []
+    world.post = lambda name, message: sent.append(message)
+    await world.advance(3.0)
+    world.manager_by_name["a"].greet(Link(world, "b"))
+
+    assert sent == []
+
+
+# Guards against a peer whose older knowledge replaces a later order.
+async def test_outcome_of_an_earlier_order_changes_nothing(world):
+    running = _end(world, TAKEN_BACK)
+    world.restore(running)
+    late = world.manager_by_name["c"]._lost_items(world.now)
+    await world.advance(0.5)
+    world.change(replace(ORDER, target="v3"))
+    world.post("b", OutcomeNotice(tuple(late)))
+
+    progress = world.manager_by_name["b"].progress_by_service["s"]
+    assert (progress.order.target, progress.order.is_open) == ("v3", True)
--- a/packages/gateway/tests/test_rollouts.py
+++ b/packages/gateway/tests/test_rollouts.py
@@ -105,7 +105,7 @@
 
 
 def test_without_a_recent_share_no_request_goes_to_the_new_version(manager):
-    manager.apply_orders([_stored(ORDER)], 0.0)
+    manager.update_orders([_stored(ORDER)], 0.0)
     manager.handle_share_notice(ShareNotice("s", "v2", 1.0, 3.0), 5.0)
 
     assert manager.is_canary("s", "r1", 5.0)
@@ -114,14 +114,14 @@
 
 
 def test_a_share_notice_for_another_version_is_ignored(manager):
-    manager.apply_orders([_stored(ORDER)], 0.0)
+    manager.update_orders([_stored(ORDER)], 0.0)
     manager.handle_share_notice(ShareNotice("s", "v3", 1.0, 3.0), 5.0)
 
     assert not manager.is_canary("s", "r1", 5.0)
 
 
 async def test_the_driver_writes_each_state_once(manager, fleet):
-    manager.apply_orders([_stored(ORDER)], 0.0)
+    manager.update_orders([_stored(ORDER)], 0.0)
     manager.advance(0.1)
     manager.advance(0.2)
     await asyncio.sleep(0)
