Time a version that is offered again from its new order

Operators who offered a version again after it had been rolled back would have seen it rolled back at once, without a request: its rollout began with the elapsed time of the former one, so that its deadline had passed.

Cause: an order with the same service and version kept the progress of the former order, also when that had ended. The progress now begins with the order.

Measured: the new test failed before (`taken back` written within half a second in place of `running`) and passes now.

--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
@@ -234,7 +234,7 @@
         self._fleet.apply_order(order)
         progress = self.progress_by_service.get(order.service)
         is_same = progress is not None and order.is_same_rollout(progress.order)
-        if not is_same:
+        if not is_same or (order.is_open and not progress.order.is_open):
             self.driver_by_service.pop(order.service, None)
             progress = RolloutProgress(order, now)
             self.progress_by_service[order.service] = progress
--- a/packages/gateway/tests/test_rollout_restoration.py
+++ b/packages/gateway/tests/test_rollout_restoration.py
@@ -286,6 +286,18 @@
     assert world.written == [(RUNNING, copy.revision + 1)]
 
 
+# Guards against a version that is offered again and judged by its former outcome.
+async def test_same_version_offered_again_starts_anew(world):
+    _end(world, TAKEN_BACK)
+    await world.advance(30.0)
+
+    world.change(ORDER)
+    await world.advance(0.5)
+
+    assert [outcome for outcome, _ in world.written] == [RUNNING]
+    assert world.manager_by_name["b"].dump(world.now)["s"]["seconds"] < 1.0
+
+
 async def test_same_version_offered_again_after_a_restoration_starts_anew(world):
     _end(world, TAKEN_BACK)
     world.restore(world.order)
