Register again when the store has lost a gateway's entry

A store that came back from a copy without a gateway's entry never got it again: gateways wrote it once, when they started. New gateways didn't find such a gateway, and the others closed their links to it and counted one gateway less at once, so that shares of retries, cold rates and named limits jumped.

A gateway now writes its entry again whenever the store lacks it or holds an older one, once, after a delay by chance that keeps all gateways together within 300 writes a second. Entries of others that are missing from or older in a listing after a restoration are kept for the grace of five seconds. An entry that is deleted is dropped at once, as before.

Ruled out: keeping entries whose gateways are linked for good, since candidates and shares must follow from what all gateways read.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -119,7 +119,7 @@
             settings.name, self._store, self.crash_guard, self.peers, time.time
         )
         self._registry = Registry(
-            settings, self._store, self._rng, self._on_gateway_entries
+            settings, self._store, self._rng, self._on_gateway_entries, self._eras
         )
         self.feed = StoreFeed(
             settings,
@@ -354,6 +354,7 @@
             now = self._clock()
             self.pause_guard.step(now)
             self.feed.advance(now)
+            self._registry.advance(now)
             self.fleet.remove_expired(now)
             self.fleet.decay_paces(TICK_SECONDS)
             if self.fleet.configuration:
--- a/packages/gateway/tests/test_peer_set.py
+++ b/packages/gateway/tests/test_peer_set.py
@@ -3,13 +3,18 @@
 import asyncio
 import socket
 from contextlib import closing
+from dataclasses import asdict
 from random import Random
 
 import pytest
 
 from wharf_gateway.peers.gateway_entry import GatewayEntry
 from wharf_gateway.peers.peer_set import PeerSet
+from wharf_gateway.peers.registry import Registry
+from wharf_gateway.restoration import GRACE_SECONDS
 from wharf_gateway.settings import GatewaySettings
+from wharf_gateway.store.store_eras import StoreEras
+from wharf_gateway.store.stored_object import StoredObject
 
 
 def _free_port():
@@ -92,3 +97,26 @@
     await _wait_until(lambda: _is_linked(peer_sets))
     await asyncio.sleep(0.7)
     assert _is_linked(peer_sets)
+
+
+# Guards against links that are cut while the peer registers again.
+async def test_links_outlast_a_restoration_of_the_store(peer_sets):
+    own = peer_sets["a"]
+    eras = StoreEras()
+    registry = Registry(own._settings, None, Random(1), own.update_peers, eras)
+    eras.record(1, 0.0)
+    entries = [
+        StoredObject(name, 1, asdict(_entry(peer_sets[name]))) for name in peer_sets
+    ]
+    registry.replace_entries(entries, 1.0)
+    await _wait_until(lambda: _is_linked(peer_sets))
+    link = own.link_by_name["b"]
+
+    eras.record(2, 10.0)
+    registry.replace_entries(entries[:1], 10.0)
+    await asyncio.sleep(0.3)
+    assert own.link_by_name["b"] is link
+    assert len(registry.entry_by_name) == 2
+
+    registry.advance(10.0 + GRACE_SECONDS)
+    await _wait_until(lambda: not own.link_by_name)
