Let gateways ask their peers for a newer configuration

Callers with a revoked key would have been let in, and new routes refused, by a gateway that started between the return of the store from a copy and the operator's second writing: it read the older configuration and knew no better. If the copy had none, it stayed unready.

Gateways tell each other the version of their configuration when they link and when it changes. One that hears of a newer version asks one of these peers for the document after half a second (a tenth in its first five seconds), as the store's news arrive sooner, and another one if there is no answer in a second. The document is what the store had shown to the peer, in parts of 128 KiB, 4 MiB at most, and is read by the same reader. Readiness is as before: a start takes no longer if no peer answers.

Ruled out: sending the document with the notice, which would cost each change a copy to each link.

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -24,12 +24,14 @@
     An upstream whose entry disappears around an outage of the store is kept until
     `EXPIRY_GRACE_SECONDS` after the store's return. `has_listing` says whether the
     upstreams have been listed once. Each of `removal_callbacks` is called with an
-    upstream that is removed. `gateway_count` is the number of gateways.
+    upstream that is removed. `configuration_object` is what the current configuration
+    was read from. `gateway_count` is the number of gateways.
     """
 
     def __init__(self, dialect):
         self._dialect = dialect
         self.configuration = None
+        self.configuration_object = None
         self.has_listing = False
         self.state_by_id = {}
         self._states_by_service = {}
@@ -139,7 +141,7 @@
                 case Err(fault):
                     log.warning("configuration_rejected", detail=fault)
                 case Ok(configuration):
-                    self._apply(configuration, stored.revision)
+                    self._apply(configuration, stored)
 
     def replace_upstreams(self, objects, now, recovered_at=None):
         """Replace all upstreams by those of a complete listing."""
@@ -189,12 +191,15 @@
         """Remove an upstream that is gone or whose address another one has."""
         self._remove(upstream_id, reason)
 
-    def _apply(self, configuration, revision):
+    def _apply(self, configuration, stored):
         current = self.configuration
         if current is not None and configuration.version <= current.version:
             return
         self.configuration = configuration
-        log.info("configuration", version=configuration.version, revision=revision)
+        self.configuration_object = stored
+        log.info(
+            "configuration", version=configuration.version, revision=stored.revision
+        )
 
     def _add_or_update(self, upstream):
         self._grace_end_by_id.pop(upstream.id, None)
--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -17,6 +17,7 @@
 from wharf_gateway.http_server import HttpServer
 from wharf_gateway.model.caller_limits import CallerLimits
 from wharf_gateway.pause_guard import PauseGuard
+from wharf_gateway.peers.configuration_exchange import ConfigurationExchange
 from wharf_gateway.peers.peer_set import PeerSet
 from wharf_gateway.peers.registry import Registry
 from wharf_gateway.preparation_router import PreparationRouter
@@ -103,6 +104,11 @@
         )
         self.peers.rollouts = self.rollouts
         self.peers.greeters.append(self.rollouts.greet)
+        self._configurations = ConfigurationExchange(
+            self.fleet, self.peers, self._clock
+        )
+        self.peers.configurations = self._configurations
+        self.peers.greeters.append(self._configurations.greet)
         self.crash_guard = CrashGuard(
             settings.name, self._pool, self.peers, self._clock, self.meter
         )
@@ -355,6 +361,7 @@
             self.pause_guard.step(now)
             self.feed.advance(now)
             self._registry.advance(now)
+            self._configurations.advance(now)
             self.fleet.remove_expired(now)
             self.fleet.decay_paces(TICK_SECONDS)
             if self.fleet.configuration:
--- a/packages/gateway/src/wharf_gateway/peers/messages.py
+++ b/packages/gateway/src/wharf_gateway/peers/messages.py
@@ -17,6 +17,9 @@
 __all__ = [
     "Abandon",
     "AnsweredNotice",
+    "ConfigurationNotice",
+    "ConfigurationPart",
+    "ConfigurationRequest",
     "CrashNotice",
     "Free",
     "Greeting",
@@ -24,6 +27,8 @@
     "LimitNotice",
     "LoadNotice",
     "MAX_OUTCOMES",
+    "MAX_PARTS",
+    "MAX_PART_BYTES",
     "MAX_SUSPECTS",
     "Message",
     "OutcomeItem",
@@ -40,6 +45,9 @@
 
 MAX_SUSPECTS = 64
 MAX_OUTCOMES = 64
+# The store's objects have a megabyte at most, frames twice the size of a part.
+MAX_PART_BYTES = 1 << 17
+MAX_PARTS = 32
 MAX_AGE_SECONDS = 86_400.0
 Age = Annotated[float, Field(ge=0, le=MAX_AGE_SECONDS)]
 Name = Annotated[str, Field(min_length=1, max_length=512)]
@@ -261,6 +269,33 @@
     kind: Literal["outcomes"] = "outcomes"
 
 
+@dataclass(frozen=True, slots=True)
+class ConfigurationNotice:
+    """Tell the version of the sender's configuration."""
+
+    version: int
+    kind: Literal["configuration"] = "configuration"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationRequest:
+    """Ask for a configuration of this version or a newer one."""
+
+    version: int
+    kind: Literal["configuration request"] = "configuration request"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationPart:
+    """One of `count` parts of a configuration, as JSON; `name` is its object's."""
+
+    name: Name
+    index: Annotated[int, Field(ge=0, lt=MAX_PARTS)]
+    count: Annotated[int, Field(ge=1, le=MAX_PARTS)]
+    data: Annotated[bytes, Field(max_length=MAX_PART_BYTES)]
+    kind: Literal["configuration part"] = "configuration part"
+
+
 Message = TypeAdapter(
     Annotated[
         Greeting
@@ -277,7 +312,10 @@
         | QuarantineNotice
         | AnsweredNotice
         | LimitNotice
-        | OutcomeNotice,
+        | OutcomeNotice
+        | ConfigurationNotice
+        | ConfigurationRequest
+        | ConfigurationPart,
         Field(discriminator="kind"),
     ]
 )
--- a/packages/gateway/src/wharf_gateway/peers/peer_link.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_link.py
@@ -10,6 +10,9 @@
 from wharf_gateway.peers.messages import (
     Abandon,
     AnsweredNotice,
+    ConfigurationNotice,
+    ConfigurationPart,
+    ConfigurationRequest,
     CrashNotice,
     Free,
     Greeting,
@@ -44,8 +47,8 @@
     `preparers` has the method `preparer(pool)`; `rollouts` has `handle_share_notice`,
     `handle_outcomes` and `add_sample`; `feed` has `handle_news` and `handle_notice`;
     `crashes` has a `handle_` method for each notice about crashes; `limits` has
-    `handle_notice`.
-    `is_outgoing` says whether this gateway opened the connection.
+    `handle_notice`; `configurations` has `handle_notice`, `handle_request` and
+    `handle_part`. `is_outgoing` says whether this gateway opened the connection.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
         feed=None,
         crashes=None,
         limits=None,
+        configurations=None,
         is_outgoing=False,
     ):
         self._socket = socket
@@ -66,6 +70,7 @@
         self._feed = feed
         self._crashes = crashes
         self._limits = limits
+        self._configurations = configurations
         self._clock = clock
         self._numbers = count()
         self._future_by_number = {}
@@ -224,6 +229,12 @@
                 self._crashes.handle_answered(message, self._clock())
             case OutcomeNotice():
                 self._rollouts.handle_outcomes(message, self._clock())
+            case ConfigurationNotice():
+                self._configurations.handle_notice(message, self, self._clock())
+            case ConfigurationRequest():
+                self._configurations.handle_request(message, self)
+            case ConfigurationPart():
+                self._configurations.handle_part(message, self, self._clock())
 
     def _resolve(self, number, answer):
         """Complete a pending preparation; return whether it was still pending."""
--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -61,6 +61,7 @@
         self.feed = None
         self.crashes = None
         self.limits = None
+        self.configurations = None
         self.greeters = []
         self._dial_task_by_name = {}
         self._state_by_name = {}
@@ -179,6 +180,7 @@
             feed=self.feed,
             crashes=self.crashes,
             limits=self.limits,
+            configurations=self.configurations,
             is_outgoing=is_outgoing,
         )
         greeting = Greeting(self._settings.name, self._settings.data_centre)
