Ignore entries of a restored store that are older than known ones

After the store's return from a copy, requests would have gone to upstreams that were draining or had left since the copy: the copy's entries said that they were ready, and gateways believed the listing. An upstream that registered since the copy was dropped at once if no watch had failed, as only a failed watch began the grace in which it may write again.

An entry now has the number of its write (`seqNo`) beside the start of its process. In the ten seconds after a restoration, a listed entry that is no later than the known one of a draining upstream, or older than that of any upstream, changes nothing. Gateways remember the last 1,000 upstreams whose entries were removed; a listed entry that is no later is held. It is used when it is written again, or when it hasn't expired after ten seconds, three heartbeats of silence being less. Heartbeats that change only the number don't change the entry, so that this is the only sign of such an upstream. A lower number doesn't end draining at any time. A restoration begins the grace of missing upstreams like the end of an outage.

Upstreams that lapsed in an outage aren't remembered, since they may live. A gateway that starts after the restoration has no such memory.

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -6,7 +6,9 @@
 from result import Err, Ok
 
 from wharf_gateway.rollouts.version_table import VersionTable
+from wharf_gateway.routing.upstream_memory import UpstreamMemory
 from wharf_gateway.routing.upstream_state import UpstreamState
+from wharf_gateway.store.store_eras import StoreEras
 
 __all__ = ["Fleet"]
 
@@ -16,20 +18,27 @@
 # registered again within two seconds of its return. After that, a missing upstream is
 # gone.
 EXPIRY_GRACE_SECONDS = 2.0
+# An entry of a process that is gone expires sooner than this after a restoration, since
+# the platform removes it after three heartbeats of silence.
+HELD_SECONDS = 10.0
 
 
 class Fleet:
     """The configuration, the upstreams and the data centres taken out of service.
 
     An upstream whose entry disappears around an outage of the store is kept until
-    `EXPIRY_GRACE_SECONDS` after the store's return. `has_listing` says whether the
-    upstreams have been listed once. Each of `removal_callbacks` is called with an
-    upstream that is removed. `configuration_object` is what the current configuration
-    was read from. `gateway_count` is the number of gateways.
+    `EXPIRY_GRACE_SECONDS` after the store's return. Entries of a restored store that
+    are older than what is known are ignored: a draining upstream stays so, and one that
+    has left is used again only if its entry is written again or hasn't expired after
+    `HELD_SECONDS`. `eras` has the time of the last restoration. `has_listing` says
+    whether the upstreams have been listed once. Each of `removal_callbacks` is called
+    with an upstream that is removed. `configuration_object` is what the current
+    configuration was read from. `gateway_count` is the number of gateways.
     """
 
-    def __init__(self, dialect):
+    def __init__(self, dialect, eras=None):
         self._dialect = dialect
+        self.eras = eras or StoreEras()
         self.configuration = None
         self.configuration_object = None
         self.has_listing = False
@@ -40,6 +49,8 @@
         self.out_data_centres = frozenset()
         self.gateway_count = 1
         self._grace_end_by_id = {}
+        self._left = UpstreamMemory()
+        self._held_by_id = {}
         self.removal_callbacks = []
 
     def counts(self, now):
@@ -147,29 +158,37 @@
         """Replace all upstreams by those of a complete listing."""
         names = {stored.name for stored in objects}
         self.has_listing = True
+        self._held_by_id.clear()
         for name in list(self.state_by_id):
             if name not in names:
                 self._expire(name, now, recovered_at)
-        self.update_upstreams(objects, now)
+        is_restored = now - self.eras.restored_at < HELD_SECONDS
+        add = self._add_restored if is_restored else self._add_or_update
+        for stored in objects:
+            upstream = self._read_upstream(stored, now)
+            if upstream is not None:
+                add(upstream)
 
     def update_upstreams(self, objects, now, recovered_at=None):
         """Add, update or remove upstreams whose entries changed."""
         for stored in objects:
+            self._held_by_id.pop(stored.name, None)
             if stored.is_deleted:
                 self._expire(stored.name, now, recovered_at)
                 continue
-            match self._dialect.read_upstream(stored, now):
-                case Err(fault):
-                    log.warning("upstream_unreadable", name=stored.name, detail=fault)
-                    self._remove(stored.name, "unreadable")
-                case Ok(upstream):
-                    self._add_or_update(upstream)
+            upstream = self._read_upstream(stored, now)
+            if upstream is not None:
+                self._add_or_update(upstream)
 
     def remove_expired(self, now):
-        """Remove upstreams whose grace period has ended."""
+        """Remove upstreams whose grace period has ended, and use held ones."""
         for name, until in list(self._grace_end_by_id.items()):
             if now >= until:
                 self._remove(name, "entry lapsed")
+        if self._held_by_id and now - self.eras.restored_at >= HELD_SECONDS:
+            held, self._held_by_id = self._held_by_id, {}
+            for upstream in held.values():
+                self._add_or_update(upstream)
 
     def decay_paces(self, seconds):
         """Lower the pace of slow idle upstreams, so that they are tried again."""
@@ -201,6 +220,27 @@
             "configuration", version=configuration.version, revision=stored.revision
         )
 
+    def _read_upstream(self, stored, now):
+        """Return an entry's upstream, or None if the entry can't be read."""
+        match self._dialect.read_upstream(stored, now):
+            case Err(fault):
+                log.warning("upstream_unreadable", name=stored.name, detail=fault)
+                self._remove(stored.name, "unreadable")
+                return None
+            case answer:
+                return answer.unwrap()
+
+    def _add_restored(self, upstream):
+        """Add or update an upstream unless its entry is older than what is known."""
+        state = self.state_by_id.get(upstream.id)
+        if state is None and self._left.has_left(upstream):
+            log.info("upstream_held", id=upstream.id)
+            self._held_by_id[upstream.id] = upstream
+        elif state is None or not upstream.is_outdated_by(state.upstream):
+            self._add_or_update(upstream)
+        else:
+            self._grace_end_by_id.pop(upstream.id, None)
+
     def _add_or_update(self, upstream):
         self._grace_end_by_id.pop(upstream.id, None)
         state = self.state_by_id.get(upstream.id)
@@ -215,6 +255,8 @@
                 draining=upstream.is_draining,
             )
             return
+        if state.upstream.is_draining and upstream.sequence < state.upstream.sequence:
+            return
         if state.upstream.is_draining != upstream.is_draining:
             log.info("upstream_draining", id=upstream.id, draining=upstream.is_draining)
         state.upstream = upstream
@@ -223,9 +265,13 @@
         """Remove an upstream without an entry, after an outage with a delay."""
         if name not in self.state_by_id:
             return
-        if recovered_at is not None and now < recovered_at + EXPIRY_GRACE_SECONDS:
-            self._grace_end_by_id[name] = recovered_at + EXPIRY_GRACE_SECONDS
+        returned_at = self.eras.restored_at
+        if recovered_at is not None:
+            returned_at = max(recovered_at, returned_at)
+        if now < returned_at + EXPIRY_GRACE_SECONDS:
+            self._grace_end_by_id[name] = returned_at + EXPIRY_GRACE_SECONDS
             return
+        self._left.record(self.state_by_id[name].upstream)
         self._remove(name, "entry removed")
 
     def _remove(self, name, reason):
--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -73,6 +73,7 @@
         )
         self._store_pool = ConnectionPool(limits=STORE_LIMITS)
         self._eras = StoreEras()
+        self.fleet.eras = self._eras
         self._store = StoreClient(
             settings.store, self._dialect, self._store_pool, self._clock
         )
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -20,7 +20,13 @@
             return Err("unreadable")
         draining = stored.spec.get("draining", False)
         started = stored.spec.get("started", 1)
-        return Ok(Upstream(stored.name, "s", "a:1", "dc-1", "v1", 4, draining, started))
+        sequence = stored.spec.get("sequence", 1)
+        return Ok(
+            Upstream(
+                *(stored.name, "s", "a:1", "dc-1", "v1", 4, draining, started),
+                sequence=sequence,
+            )
+        )
 
 
 @pytest.fixture
