Keep data centres out that a restored store lacks, for a grace

An evacuation that was ordered since the copy was missing from the store's first listing after its return, so that gateways sent requests to the data centre until the operator ordered it again, a second or two later.

An order that is deleted ends at once, also within the grace. The log line names data centres that are out without an order as `unconfirmed`.

An evacuation of the copy that had ended since takes the data centre out until the operator deletes it again, as the safe side.

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -6,6 +6,7 @@
 from result import Err, Ok
 
 from wharf_gateway.rollouts.version_table import VersionTable
+from wharf_gateway.routing.evacuations import Evacuations
 from wharf_gateway.routing.upstream_memory import UpstreamMemory
 from wharf_gateway.routing.upstream_state import UpstreamState
 from wharf_gateway.store.store_eras import StoreEras
@@ -46,6 +47,7 @@
         self._states_by_service = {}
         self._versions = VersionTable()
         self._version_by_service = {}
+        self._evacuations = Evacuations()
         self.out_data_centres = frozenset()
         self.gateway_count = 1
         self._grace_end_by_id = {}
@@ -198,13 +200,21 @@
 
     def replace_evacuations(self, objects, now):
         """Replace all data centres that are taken out of service."""
-        self._set_out(frozenset(stored.name for stored in objects))
+        names = {stored.name for stored in objects}
+        self._evacuations.replace(names, now, self.eras.restored_at)
+        self._set_out()
 
     def update_evacuations(self, objects, now):
         """Take data centres out of service, or bring them back."""
         gone = {stored.name for stored in objects if stored.is_deleted}
         added = {stored.name for stored in objects if not stored.is_deleted}
-        self._set_out(self.out_data_centres - gone | added)
+        self._evacuations.update(added, gone)
+        self._set_out()
+
+    def advance_evacuations(self, now):
+        """Bring back data centres that the restored store lacks."""
+        self._evacuations.advance(now)
+        self._set_out()
 
     def remove(self, upstream_id, reason):
         """Remove an upstream that is gone or whose address another one has."""
@@ -291,10 +301,15 @@
             self._version_by_service.pop(service, None)
         return state
 
-    def _set_out(self, data_centres):
+    def _set_out(self):
+        data_centres = self._evacuations.names
         if data_centres != self.out_data_centres:
-            log.info("data_centres_out", names=sorted(data_centres))
             self.out_data_centres = data_centres
+            log.info(
+                "data_centres_out",
+                names=sorted(data_centres),
+                unconfirmed=sorted(self._evacuations.kept),
+            )
 
 
 def _is_restarted(known, upstream):
--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -364,6 +364,7 @@
             self._registry.advance(now)
             self._configurations.advance(now)
             self.fleet.remove_expired(now)
+            self.fleet.advance_evacuations(now)
             self.fleet.decay_paces(TICK_SECONDS)
             if self.fleet.configuration:
                 self.server.limits = self.fleet.configuration.limits
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -7,6 +7,7 @@
 
 from wharf_gateway.fleet import Fleet
 from wharf_gateway.model.upstream import Upstream
+from wharf_gateway.restoration import GRACE_SECONDS
 from wharf_gateway.store.store_watcher import MAX_RETRY_SECONDS
 from wharf_gateway.store.stored_object import StoredObject
 
@@ -103,3 +104,55 @@
 
     fleet.update_evacuations([_entry("dc-1", gone=True)], 2.0)
     assert _names(fleet) == ["u1", "u2"]
+
+
+def _restored(fleet, *names, at=20.0, era=2):
+    """Let the store come back from a copy with evacuations of these data centres."""
+    fleet.eras.record(1, 0.0)
+    fleet.eras.record(era, at)
+    fleet.replace_evacuations([_entry(name) for name in names], at)
+
+
+# Guards against requests to a data centre that is out while the operator writes again.
+def test_evacuation_that_the_copy_lacks_holds_for_the_grace(fleet):
+    fleet.replace_evacuations([_entry("dc-1")], 10.0)
+    _restored(fleet)
+    fleet.replace_evacuations([], 21.0)
+    fleet.advance_evacuations(20.0 + GRACE_SECONDS - 0.1)
+    assert _names(fleet) == []
+
+    fleet.advance_evacuations(20.0 + GRACE_SECONDS)
+    assert _names(fleet) == ["u1", "u2"]
+
+
+def test_evacuation_that_is_ordered_again_holds(fleet):
+    fleet.replace_evacuations([_entry("dc-1")], 10.0)
+    _restored(fleet)
+    fleet.update_evacuations([_entry("dc-1")], 21.5)
+    fleet.advance_evacuations(20.0 + GRACE_SECONDS)
+
+    assert _names(fleet) == []
+
+
+def test_second_restoration_prolongs_the_grace(fleet):
+    fleet.replace_evacuations([_entry("dc-1")], 10.0)
+    _restored(fleet)
+    _restored(fleet, at=23.0, era=3)
+    fleet.advance_evacuations(23.0 + GRACE_SECONDS - 0.1)
+
+    assert _names(fleet) == []
+
+
+def test_evacuation_that_ends_after_a_restoration_ends_at_once(fleet):
+    fleet.replace_evacuations([_entry("dc-1")], 10.0)
+    _restored(fleet, "dc-1")
+    fleet.update_evacuations([_entry("dc-1", gone=True)], 20.1)
+
+    assert _names(fleet) == ["u1", "u2"]
+
+
+def test_evacuation_missing_without_a_restoration_ends_at_once(fleet):
+    fleet.replace_evacuations([_entry("dc-1")], 10.0)
+    fleet.replace_evacuations([], 11.0)
+
+    assert _names(fleet) == ["u1", "u2"]
