Don't adopt a quarantine again that was lifted since the copy

Requests would have been refused again after an operator had deleted their quarantine, or an answer had lifted it, if the store came back from a copy with the document and the host that wrote it had a clock that was ahead: gateways recognise a lifted quarantine by its end, within half a second, and the end in the document followed the writer's clock.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -123,7 +123,12 @@
         self.peers.limits = self._limits
         client.record_limit = self._limits.record_answer
         self._quarantine_keeper = QuarantineKeeper(
-            settings.name, self._store, self.crash_guard, self.peers, time.time
+            settings.name,
+            self._store,
+            self.crash_guard,
+            self.peers,
+            time.time,
+            self._eras,
         )
         self._registry = Registry(
             settings, self._store, self._rng, self._on_gateway_entries, self._eras
