Write outcomes of rollouts by a class of its own

The manager of rollouts held the writes beside the routing and the notices. `OutcomeWriter` now decides whether a write is due and does it; its behaviour is the same. The tests of restorations let writes follow each other at once, in place of forgetting the one in progress, and one more shows that a write that was under way during a restoration is repeated.

--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
@@ -1,8 +1,5 @@
 """A gateway's part in rollouts: canary routing, samples, and driving a rollout."""
 
-import asyncio
-from dataclasses import dataclass
-
 import structlog
 import xxhash
 from result import Err
@@ -19,10 +16,10 @@
 from wharf_gateway.peers.turns import Turns
 from wharf_gateway.restoration import is_in_grace
 from wharf_gateway.rollouts.outcome_memory import OutcomeMemory
+from wharf_gateway.rollouts.outcome_writer import OutcomeWriter
 from wharf_gateway.rollouts.rollout_progress import RolloutProgress
 from wharf_gateway.stages.pool import Pool
 from wharf_gateway.store.store_eras import StoreEras
-from wharf_gateway.store.store_kind import StoreKind
 
 __all__ = ["RolloutManager"]
 
@@ -30,19 +27,9 @@
 
 HASH_RANGE = 2**64
 DRIVER_POOL = Pool.named("rollouts")  # the gateway that owns it drives all rollouts
-WRITE_INTERVAL_SECONDS = 0.3  # least time between writes of an outcome
 NOTICE_INTERVAL_SECONDS = 1.0  # between repetitions of lost outcomes
 
 
-@dataclass(frozen=True, slots=True)
-class _Write:
-    """A write of an outcome; after a restoration it has to be done again."""
-
-    outcome: RolloutOutcome
-    revision: int
-    restored_at: float
-
-
 class RolloutManager:
     """Route a share of requests to new versions, and evaluate them on one gateway.
 
@@ -60,19 +47,17 @@
     def __init__(self, fleet, dialect, store, owner_of, peers, clock, eras=None):
         self._fleet = fleet
         self._dialect = dialect
-        self._store = store
         self._owner_of = owner_of
         self._peers = peers
         self._clock = clock
         self.progress_by_service = {}
         self.driver_by_service = {}
-        self._write_by_service = {}
-        self._done_by_service = {}
         self._outcomes = OutcomeMemory()
         self._held_by_service = {}
         self._turns = Turns(NOTICE_INTERVAL_SECONDS, MAX_OUTCOMES)
         self._eras = eras or StoreEras()
         self._eras.callbacks.append(self._handle_restoration)
+        self._writer = OutcomeWriter(dialect, store, self._eras)
 
     def replace_orders(self, objects, now):
         """Apply the rollout orders of a complete listing."""
@@ -286,35 +271,5 @@
         return self.driver_by_service[service]
 
     def _write(self, progress, outcome, reason):
-        """Write an outcome unless the store shows it, or is about to do so."""
-        stored = progress.stored
-        if stored is None or outcome is stored.outcome:
-            return
-        service = stored.service
-        write = _Write(outcome, stored.revision, self._eras.restored_at)
-        if service in self._write_by_service or (
-            write == self._done_by_service.get(service)
-        ):
-            return
-        task = asyncio.ensure_future(self._write_outcome(stored, write, reason))
-        self._write_by_service[service] = task
-        task.add_done_callback(lambda _: self._write_by_service.pop(service))
-
-    async def _write_outcome(self, order, write, reason):
-        """Write the outcome once; the watch returns what the store then holds."""
-        status = self._dialect.rollout_status(order.target, write.outcome)
-        answer = await self._store.replace_status(
-            StoreKind.ROLLOUTS, order.name, status, write.revision
-        )
-        if answer.is_ok():
-            self._done_by_service[order.service] = write
-        log.info(
-            "rollout_written",
-            service=order.service,
-            target=order.target,
-            outcome=write.outcome,
-            reason=reason,
-            revision=write.revision,
-            fault=answer.unwrap_err().detail if answer.is_err() else None,
-        )
-        await asyncio.sleep(WRITE_INTERVAL_SECONDS)
+        if progress.stored is not None:
+            self._writer.write(progress.stored, outcome, reason)
--- a/packages/gateway/tests/test_rollout_restoration.py
+++ b/packages/gateway/tests/test_rollout_restoration.py
@@ -13,6 +13,7 @@
 from wharf_gateway.peers.codec import decode, encode
 from wharf_gateway.peers.messages import OutcomeNotice, RolloutSample, ShareNotice
 from wharf_gateway.restoration import GRACE_SECONDS
+from wharf_gateway.rollouts import outcome_writer
 from wharf_gateway.rollouts.rollout_manager import RolloutManager
 from wharf_gateway.store.store_eras import StoreEras
 from wharf_gateway.store.store_error import StoreUnavailable
@@ -127,9 +128,8 @@
             self.now += 0.1
             for manager in self.managers:
                 manager.advance(self.now)
-                manager._write_by_service.clear()  # writes are 0.3 s apart
-            await asyncio.sleep(0)
-            await asyncio.sleep(0)
+            for _ in range(5):
+                await asyncio.sleep(0)
 
     def outcomes(self):
         return [manager.dump(self.now)["s"]["outcome"] for manager in self.managers]
@@ -170,7 +170,8 @@
 
 
 @pytest.fixture
-async def world():
+async def world(monkeypatch):
+    monkeypatch.setattr(outcome_writer, "WRITE_INTERVAL_SECONDS", 0.0)
     return World()
 
 
@@ -332,6 +333,17 @@
     assert world.written == [(RUNNING, running.revision - 1)]
 
 
+async def test_write_in_flight_during_the_restoration_is_repeated(world):
+    world.change(ORDER)
+    world.held_writes = asyncio.Event()
+    await world.advance(0.3)
+    world.restore(replace(ORDER, revision=5))
+    world.held_writes.set()
+    await world.advance(0.3)
+
+    assert world.written == [(RUNNING, 5)]
+
+
 # Guards against a gateway that starts with no memory and drives what has ended.
 @pytest.mark.parametrize("outcome", [FINISHED, TAKEN_BACK])
 async def test_gateway_that_starts_after_the_restoration_learns_outcomes(
--- a/packages/gateway/tests/test_rollouts.py
+++ b/packages/gateway/tests/test_rollouts.py
@@ -64,9 +64,14 @@
 
 
 @pytest.fixture
-def manager(fleet):
+def store():
+    return Store()
+
+
+@pytest.fixture
+def manager(fleet, store):
     return RolloutManager(
-        fleet, OrderDialect(), Store(), lambda pool, now: None, Peers(), lambda: 0.0
+        fleet, OrderDialect(), store, lambda pool, now: None, Peers(), lambda: 0.0
     )
 
 
@@ -120,13 +125,13 @@
     assert not manager.is_canary("s", "r1", 5.0)
 
 
-async def test_the_driver_writes_each_state_once(manager, fleet):
+async def test_the_driver_writes_each_state_once(manager, store):
     manager.update_orders([_stored(ORDER)], 0.0)
     manager.advance(0.1)
     manager.advance(0.2)
     await asyncio.sleep(0)
 
-    assert manager._store.written == [("s", ("v2", RolloutOutcome.RUNNING), 7)]
+    assert store.written == [("s", ("v2", RolloutOutcome.RUNNING), 7)]
 
 
 @dataclass
