Keep an earlier order's outcome while it is held

If nobody wrote the service's last order again after a restoration, an earlier order that the copy showed as running was applied after the grace and ran again, though it had ended before.

Cause: a held order's outcome was looked up only when the grace was over, when an order without an outcome counts as a new one. It is now looked up when the order is held, and an order that has ended isn't held.

--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
@@ -63,8 +63,7 @@
         """Apply the rollout orders of a complete listing."""
         for order in self._read_orders(objects):
             if self._is_superseded(order, now):
-                self._held_by_service[order.service] = order
-                log.info("rollout_held", service=order.service, target=order.target)
+                self._hold(order, now)
             else:
                 self._apply_order(order, now, is_listing=True)
 
@@ -191,12 +190,15 @@
             is_in_grace(self._eras, now) or self._outcomes.is_lost(progress.order, now)
         )
 
+    def _hold(self, order, now):
+        """Apply an open order later, unless the one that is known is written again."""
+        log.info("rollout_held", service=order.service, target=order.target)
+        if self._outcomes.record(order, now, is_listing=True).is_open:
+            self._held_by_service[order.service] = order
+
     def _release_held(self, now):
-        """Apply open orders that no other one has replaced since a restoration."""
         for order in list(self._held_by_service.values()):
-            if not order.is_open:
-                del self._held_by_service[order.service]
-            elif not self._is_superseded(order, now):
+            if not self._is_superseded(order, now):
                 self._apply_order(order, now, is_listing=True)
 
     def _apply_outcome(self, order, is_new, now):
--- a/packages/gateway/tests/test_rollout_restoration.py
+++ b/packages/gateway/tests/test_rollout_restoration.py
@@ -276,6 +276,20 @@
     assert [outcome for outcome, _ in world.written] == [RUNNING]
 
 
+# Guards against a version that was taken back and runs again after the grace.
+@pytest.mark.parametrize("outcome", [FINISHED, TAKEN_BACK])
+async def test_ended_order_of_the_copy_does_not_run_again(world, outcome):
+    earlier = _end(world, outcome)
+    _end(world, FINISHED, target="v3")
+
+    world.restore(earlier)
+    await world.advance(2 * GRACE_SECONDS)
+
+    assert world.written == []
+    assert world.outcomes() == [FINISHED] * 3
+    assert world.versions() == ["v3"] * 3
+
+
 async def test_order_written_after_the_restoration_starts_at_once(world):
     _end(world, TAKEN_BACK)
     copy = world.order
