--- a/packages/gateway/tests/test_peer_set.py
+++ b/packages/gateway/tests/test_peer_set.py
@@ -120,3 +120,13 @@
 
     registry.advance(10.0 + GRACE_SECONDS)
     await _wait_until(lambda: not own.link_by_name)
+
+
+async def test_each_new_link_is_greeted_by_both_sides(peer_sets):
+    greeted = []
+    for name, peer_set in peer_sets.items():
+        peer_set.greeters.append(lambda link, name=name: greeted.append(name))
+    peer_sets["a"].update_peers({"b": _entry(peer_sets["b"])})
+
+    await _wait_until(lambda: _is_linked(peer_sets))
+    assert sorted(greeted) == ["a", "b"]
