Ignore lost outcomes of orders that were offered again

A gateway that was cut off from the store after a restoration went on telling its peers an outcome that they had already seen written again. If the operator offered that version again meanwhile, they ended the new rollout.

Cause: a peer's outcome applied to any open order of the same version. It now applies only where the order hasn't been seen to end before, which is the case for gateways that have just started.

--- a/packages/gateway/src/wharf_gateway/rollouts/outcome_memory.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/outcome_memory.py
@@ -15,11 +15,13 @@
     """An outcome, and whether the store has shown it since its last restoration.
 
     If it hasn't, an order without that outcome is the same one until `kept_until`.
+    `is_anew` says that the order was offered again after it had ended.
     """
 
     outcome: RolloutOutcome | None
     is_stored: bool = True
     kept_until: float = float("-inf")
+    is_anew: bool = False
 
     @property
     def is_closed(self):
@@ -65,15 +67,21 @@
         if known is not None and known.outlasts(order.outcome, is_listing, now):
             known.kept_until = float("inf")
         else:
-            known = _Known(order.outcome)
+            is_anew = known is not None and (known.is_closed or known.is_anew)
+            known = _Known(order.outcome, is_anew=is_anew)
         self._add(order, known)
         return replace(order, outcome=known.outcome)
 
-    def learn(self, order, now):
-        """Record an outcome that a peer knows and the store has lost."""
+    def learn(self, order, now) -> bool:
+        """Record an outcome that a peer knows and the store has lost.
+
+        Return whether it is new here; an order that was offered again has none yet.
+        """
         known = self._known_by_rollout.get(_key(order))
-        if known is None or not known.is_closed:
-            self._add(order, _Known(order.outcome, False, now + GRACE_SECONDS))
+        if known is not None and (known.is_closed or known.is_anew):
+            return False
+        self._add(order, _Known(order.outcome, False, now + GRACE_SECONDS))
+        return True
 
     def knows(self, order):
         """Return whether the order has been seen."""
--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
@@ -128,8 +128,8 @@
                 item.name, item.service, item.target, item.duration, item.outcome, 0
             )
             is_new = not self._outcomes.knows(order)
-            self._outcomes.learn(order, now)
-            self._apply_outcome(order, is_new, now)
+            if self._outcomes.learn(order, now):
+                self._apply_outcome(order, is_new, now)
 
     def advance(self, now):
         """Drive the open rollouts if this gateway is chosen, and send their shares."""
--- a/packages/gateway/tests/test_rollout_restoration.py
+++ b/packages/gateway/tests/test_rollout_restoration.py
@@ -415,3 +415,18 @@
 
     progress = world.manager_by_name["b"].progress_by_service["s"]
     assert (progress.order.target, progress.order.is_open) == ("v3", True)
+
+
+# Guards against a peer cut off from the store that ends a rollout ordered anew.
+async def test_lost_outcome_does_not_end_an_order_that_was_offered_again(world):
+    running = _end(world, TAKEN_BACK)
+    world.restore(running)
+    late = world.manager_by_name["c"]._lost_items(world.now)
+    await world.advance(0.5)
+    world.change(ORDER)
+    for name in "ab":
+        world.post(name, OutcomeNotice(tuple(late)))
+    await world.advance(1.0)
+
+    assert world.outcomes() == [RUNNING] * 3
+    assert world.order.outcome is RUNNING
