--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -19,6 +19,7 @@
 from wharf_gateway.http_server import HttpServer
 from wharf_gateway.model.caller_limits import CallerLimits
 from wharf_gateway.pause_guard import PauseGuard
+from wharf_gateway.peers.configuration_exchange import ConfigurationExchange
 from wharf_gateway.peers.peer_set import PeerSet
 from wharf_gateway.peers.registry import Registry
 from wharf_gateway.preparation_router import PreparationRouter
@@ -33,6 +34,7 @@
 from wharf_gateway.stages.piece_client import PieceClient
 from wharf_gateway.store.outage import Outage
 from wharf_gateway.store.store_client import StoreClient
+from wharf_gateway.store.store_eras import StoreEras
 from wharf_gateway.store.store_feed import StoreFeed
 from wharf_gateway.store.store_kind import StoreKind
 from wharf_gateway.store.store_watcher import StoreWatcher
@@ -76,6 +78,8 @@
             )
         )
         self._store_pool = ConnectionPool(limits=STORE_LIMITS)
+        self._eras = StoreEras()
+        self.fleet.eras = self._eras
         self._store = StoreClient(
             settings.store, self._dialect, self._store_pool, self._clock
         )
@@ -103,8 +107,15 @@
             self.preparation_router.owner,
             self.peers,
             self._clock,
+            self._eras,
         )
         self.peers.rollouts = self.rollouts
+        self.peers.greeters.append(self.rollouts.greet)
+        self._configurations = ConfigurationExchange(
+            self.fleet, self.peers, self._clock
+        )
+        self.peers.configurations = self._configurations
+        self.peers.greeters.append(self._configurations.greet)
         self.crash_guard = CrashGuard(
             settings.name, self._pool, self.peers, self._clock, self.meter
         )
@@ -118,10 +129,15 @@
         self.peers.limits = self._limits
         client.record_limit = self._limits.record_answer
         self._quarantine_keeper = QuarantineKeeper(
-            settings.name, self._store, self.crash_guard, self.peers, time.time
+            settings.name,
+            self._store,
+            self.crash_guard,
+            self.peers,
+            time.time,
+            self._eras,
         )
         self._registry = Registry(
-            settings, self._store, self._rng, self._on_gateway_entries
+            settings, self._store, self._rng, self._on_gateway_entries, self._eras
         )
         self.feed = StoreFeed(
             settings,
@@ -205,8 +221,8 @@
             ),
             self._watch(
                 StoreKind.ROLLOUTS,
-                self.rollouts.apply_orders,
-                self.rollouts.apply_orders,
+                self.rollouts.replace_orders,
+                self.rollouts.update_orders,
             ),
             self._watch(
                 StoreKind.QUARANTINES,
@@ -399,7 +415,10 @@
             now = self._clock()
             self.pause_guard.step(now)
             self.feed.advance(now)
+            self._registry.advance(now)
+            self._configurations.advance(now)
             self.fleet.remove_expired(now)
+            self.fleet.advance_evacuations(now)
             self.fleet.decay_paces(TICK_SECONDS)
             if self.fleet.configuration:
                 self._apply_configuration(self.fleet.configuration)
--- a/packages/gateway/src/wharf_gateway/peers/messages.py
+++ b/packages/gateway/src/wharf_gateway/peers/messages.py
@@ -11,19 +11,28 @@
 from pydantic.dataclasses import dataclass
 
 from wharf_coordination.quarantine import LONGEST_SECONDS, CrashSuspect
+from wharf_coordination.rollout_outcome import RolloutOutcome
 from wharf_gateway.model.step import Step
 
 __all__ = [
     "Abandon",
     "AnsweredNotice",
+    "ConfigurationNotice",
+    "ConfigurationPart",
+    "ConfigurationRequest",
     "CrashNotice",
     "Free",
     "Greeting",
     "LimitItem",
     "LimitNotice",
     "LoadNotice",
+    "MAX_OUTCOMES",
+    "MAX_PARTS",
+    "MAX_PART_BYTES",
     "MAX_SUSPECTS",
     "Message",
+    "OutcomeItem",
+    "OutcomeNotice",
     "Prepare",
     "Prepared",
     "QuarantineItem",
@@ -35,8 +44,13 @@
 ]
 
 MAX_SUSPECTS = 64
+MAX_OUTCOMES = 64
+# The store's objects have a megabyte at most, frames twice the size of a part.
+MAX_PART_BYTES = 1 << 17
+MAX_PARTS = 32
 MAX_AGE_SECONDS = 86_400.0
 Age = Annotated[float, Field(ge=0, le=MAX_AGE_SECONDS)]
+Name = Annotated[str, Field(min_length=1, max_length=512)]
 
 
 @dataclass(frozen=True, slots=True)
@@ -236,6 +250,52 @@
     kind: Literal["limit"] = "limit"
 
 
+@dataclass(frozen=True, slots=True)
+class OutcomeItem:
+    """An order of a rollout that has ended, and its outcome."""
+
+    name: Name
+    service: Name
+    target: Name
+    duration: Annotated[float, Field(gt=0, allow_inf_nan=False)]
+    outcome: Literal[RolloutOutcome.FINISHED, RolloutOutcome.TAKEN_BACK]
+
+
+@dataclass(frozen=True, slots=True)
+class OutcomeNotice:
+    """Tell outcomes of rollouts that the store lost and doesn't yet show again."""
+
+    items: tuple[OutcomeItem, ...] = Field(max_length=MAX_OUTCOMES)
+    kind: Literal["outcomes"] = "outcomes"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationNotice:
+    """Tell the version of the sender's configuration."""
+
+    version: int
+    kind: Literal["configuration"] = "configuration"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationRequest:
+    """Ask for a configuration of this version or a newer one."""
+
+    version: int
+    kind: Literal["configuration request"] = "configuration request"
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigurationPart:
+    """One of `count` parts of a configuration, as JSON; `name` is its object's."""
+
+    name: Name
+    index: Annotated[int, Field(ge=0, lt=MAX_PARTS)]
+    count: Annotated[int, Field(ge=1, le=MAX_PARTS)]
+    data: Annotated[bytes, Field(max_length=MAX_PART_BYTES)]
+    kind: Literal["configuration part"] = "configuration part"
+
+
 Message = TypeAdapter(
     Annotated[
         Greeting
@@ -251,7 +311,11 @@
         | CrashNotice
         | QuarantineNotice
         | AnsweredNotice
-        | LimitNotice,
+        | LimitNotice
+        | OutcomeNotice
+        | ConfigurationNotice
+        | ConfigurationRequest
+        | ConfigurationPart,
         Field(discriminator="kind"),
     ]
 )
