Refuse requests that wait for a pool that a configuration removes

Callers of an entry: requests that waited for a pool's capacity when a configuration removed the pool got neither an answer nor a refusal; requests that ran there got 500 internal even when their answer was complete. Cause: the retry of waiting calls looked the pool up in the new document. The KeyError ended the entry's admission task, so that no waiting call of any pool was admitted or expired by it again, and it was raised from the release of each attempt's capacity. Ruled out: the link's loss (the calls that ran got their LINK_LOST; the waiting ones had no link) and the deadline (30 s; nothing expires a call but that task).

--- a/packages/coordination/src/wharf_coordination/fair_queue.py
+++ b/packages/coordination/src/wharf_coordination/fair_queue.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 from heapq import heapify, heappop, heappush
 from itertools import count
+from math import inf
 
 from wharf_coordination.priority import Priority
 from wharf_coordination.queued_call import QueuedCall
@@ -130,6 +131,10 @@
             self.remove(call)
         return expired
 
+    def clear(self) -> list[QueuedCall]:
+        """Remove and return all calls."""
+        return self.expire(inf)
+
     def ahead_of(self, call):
         """Estimate how many calls would start before `call` if it were added now.
 
--- a/packages/coordination/tests/test_fair_queue.py
+++ b/packages/coordination/tests/test_fair_queue.py
@@ -89,6 +89,14 @@
     assert len(queue) == 1
 
 
+def test_cleared_queue_returns_all_calls(queue):
+    calls = [make_call("a"), make_call("b", priority=Priority.PATIENT)]
+    for call in calls:
+        queue.push(call)
+    assert queue.clear() == calls
+    assert len(queue) == 0
+
+
 CALL = st.tuples(st.sampled_from("abcd"), st.sampled_from(list(Priority)))
 
 
--- a/packages/daemon/src/wharf_daemon/entry/admission.py
+++ b/packages/daemon/src/wharf_daemon/entry/admission.py
@@ -39,6 +39,7 @@
         while True:
             await asyncio.sleep(EXPIRY_INTERVAL_SECONDS)
             for pool in tuple(self._queue_by_pool):
+                self._refuse_if_removed(pool)
                 self._expire(pool)
                 self._admit_waiting(pool)
 
@@ -78,6 +79,8 @@
         now = self._now()
         document = self._feed.document
         pool = task.stage.pool
+        if pool not in document.folder.pools:
+            return Err(_no_upstream(pool))
         version = self._versions.version_for(task, now, tried)
         priority = task.request.priority
         candidates = self._links.candidates(document, pool, version, tried, priority)
@@ -87,7 +90,7 @@
         prefix = self._prefix(task, document.folder.pools[pool])
         candidate = self._policy.chooser.choose(candidates, now, prefix)
         if candidate is None:
-            return Err(Refusal.not_run(Code.NO_UPSTREAM, f"pool {pool!r}"))
+            return Err(_no_upstream(pool))
         self._links.acquire(candidate.upstream)
         return Ok(candidate)
 
@@ -134,6 +137,12 @@
                 return True
         return False
 
+    def _refuse_if_removed(self, pool):
+        if pool in self._feed.document.folder.pools:
+            return
+        for call in self._queue_by_pool[pool].calls.clear():
+            self._resolve(call, Err(_no_upstream(pool)))
+
     def _expire(self, pool):
         for call in self._queue_by_pool[pool].calls.expire(self._now()):
             task = self._waiting_by_call[call].task
@@ -176,6 +185,10 @@
     return asyncio.get_running_loop().create_future()
 
 
+def _no_upstream(pool):
+    return Refusal.not_run(Code.NO_UPSTREAM, f"pool {pool!r}")
+
+
 def _deadline_refusal(task):
     detail = f"stage {task.stage.name!r} is not expected to meet the deadline"
     return Refusal.not_run(Code.DEADLINE_TOO_SHORT, detail)
--- /dev/null
+++ b/packages/standins/tests/test_changed_pools.py
@@ -0,0 +1,99 @@
+"""Requests under way while a configuration removes what they use."""
+
+import asyncio
+import json
+
+import pytest
+import pytest_asyncio
+
+from wharf_platform.configuration import Folder
+from wharf_standins.loopback import Loopback
+
+SHAPE = {"model": ("dc-1",), "scorer": ("dc-1",)}
+PIPELINES = {
+    "ask": {"stages": [{"name": "answer", "pool": "model"}]},
+    "score": {"stages": [{"name": "score", "pool": "scorer"}]},
+}
+LONG_SECONDS = 30.0
+RUN_SECONDS = 0.5
+ANSWER_SECONDS = 5.0
+COLD_LIMIT = 2
+
+
+@pytest_asyncio.fixture
+async def system():
+    async with Loopback(SHAPE, PIPELINES) as running:
+        yield running
+
+
+@pytest_asyncio.fixture
+async def post(system):
+    """Return a function that starts a request as a task.
+
+    The task returns the status and the JSON of the response.
+    """
+    tasks = []
+
+    async def ask(pipeline, deadline):
+        url = f"{system.entry_url()}/v1/pipelines/{pipeline}"
+        headers = {"Customer": "acme", "Deadline-Seconds": str(deadline)}
+        async with system.session.post(url, json=1, headers=headers) as response:
+            return response.status, json.loads(await response.text())
+
+    def begin(pipeline, deadline=LONG_SECONDS):
+        tasks.append(asyncio.create_task(ask(pipeline, deadline)))
+        return tasks[-1]
+
+    yield begin
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+@pytest.fixture
+def change(system):
+    """Return a function that publishes the folder without the given parts."""
+
+    async def publish(*removed):
+        fields = system.folder().model_dump()
+        for section, name in removed:
+            del fields[section][name]
+        document = system.entries[0].feed.document
+        folder = Folder.model_validate(fields)
+        successor = document.successor("test", folder=folder)
+        await system.publish(successor)
+        await until(lambda: system.entries[0].feed.document == successor)
+
+    return publish
+
+
+async def until(condition):
+    async with asyncio.timeout(10):
+        while not condition():
+            await asyncio.sleep(0.005)
+
+
+async def fill(system, post, pipeline, pool, waiting):
+    """Start as many requests as the pool's upstream takes, and `waiting` more."""
+    tasks = [post(pipeline) for _ in range(COLD_LIMIT + waiting)]
+    entry = system.entries[0]
+    await until(lambda: entry.admission.dump().get(pool) == waiting)
+    await until(lambda: len(system.engine_by_name[f"{pool}-0"].runs) == COLD_LIMIT)
+    return tasks
+
+
+# Guards against requests that get neither an answer nor a refusal once a new
+# configuration has removed the pool that they wait for.
+async def test_removed_pool_refuses_its_waiting_requests(system, post, change):
+    system.engine_by_name["model-0"].batch.service_time = LONG_SECONDS
+    system.engine_by_name["scorer-0"].batch.service_time = LONG_SECONDS
+    asked = await fill(system, post, "ask", "model", 2)
+    await fill(system, post, "score", "scorer", 0)
+    await change(("pools", "model"), ("upstreams", "model-0"), ("pipelines", "ask"))
+    done, _ = await asyncio.wait(asked[COLD_LIMIT:], timeout=ANSWER_SECONDS)
+    refusals = [refusal for _, refusal in (task.result() for task in done)]
+    outcomes = [(refusal["error"], refusal["ran"]) for refusal in refusals]
+    assert outcomes == [("no_upstream", "no")] * 2
+    late = post("score", deadline=0.5)
+    status, refusal = await asyncio.wait_for(late, ANSWER_SECONDS)
+    assert (status, refusal["error"]) == (503, "deadline_too_short")
