Finish the calls of an upstream that a configuration removes

Callers: a request that ran on an upstream when a configuration removed it (or gave it another address) was cut: run a second time if its stage may be repeated, else 502 link_lost. The entry also published it as suspected of a crash. Cause: LinkSet cancelled the link's task at once; the lost link looked like any other. Change: a link with calls is retired: it takes no more, doesn't reconnect, and closes after its last call, as for a sidecar that leaves. An attempt that was admitted just before the removal is refused as not run and tried elsewhere (it was a KeyError). Before: test_call_of_a_removed_upstream_is_finished didn't get its answer in 5 s (no other upstream was left), test_upstream_that_returns_during_its_last_call_is_used saw three runs for two requests, the first of them cut. After: both pass, 5 runs of 5; packages/standins/tests passes once.

--- a/packages/daemon/src/wharf_daemon/entry/attempt_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/attempt_runner.py
@@ -38,9 +38,11 @@
                 f"stage {task.stage.name!r} input too large: {len(task.body)} bytes"
             )
             return Err(Refusal.not_run(Code.ANSWER_TOO_LARGE, detail))
+        link = self._link(candidate)
+        if link is None:
+            detail = f"upstream {candidate.upstream!r} was removed"
+            return Err(Refusal.not_run(Code.LINK_LOST, detail))
         call = self._build_call(task, candidate, number, answer)
-        upstream = self._feed.document.folder.upstreams[candidate.upstream]
-        link = self._links.by_address[upstream.address]
         started_at = self._now()
         try:
             async with asyncio.timeout(call.time_left):
@@ -52,6 +54,10 @@
         self.outcomes.on_next(outcome)
         return result
 
+    def _link(self, candidate):
+        upstream = self._feed.document.folder.upstreams.get(candidate.upstream)
+        return self._links.by_address.get(upstream.address) if upstream else None
+
     async def _collect(self, task, link, call, answer):
         frames = link.attempt(call)
         try:
--- a/packages/daemon/src/wharf_daemon/entry/link_set.py
+++ b/packages/daemon/src/wharf_daemon/entry/link_set.py
@@ -32,6 +32,7 @@
         self._entry = entry
         self._rng = rng
         self._task_by_address = {}
+        self._retired_tasks = set()
         self._linked_names_by_pool = {}
         self._view_by_upstream = defaultdict(UpstreamView)
         self.by_address = {}
@@ -53,15 +54,26 @@
         self.reconcile(addresses or self._entry.settings.peers)
 
     def reconcile(self, addresses):
-        """Open links to new addresses and close links to all others."""
+        """Open links to new addresses and close links to all others.
+
+        A link with calls is closed after the last of them.
+        """
         wanted = set(addresses)
         for address in wanted - self.by_address.keys():
             link = SidecarLink(address, self._entry, self._rng)
             self.by_address[address] = link
             self._task_by_address[address] = asyncio.create_task(link.run())
         for address in self.by_address.keys() - wanted:
-            del self.by_address[address]
-            self._task_by_address.pop(address).cancel()
+            self._retire(self.by_address.pop(address), address)
+
+    def _retire(self, link, address):
+        task = self._task_by_address.pop(address)
+        if not link.in_flight:
+            task.cancel()
+            return
+        link.retire()
+        self._retired_tasks.add(task)
+        task.add_done_callback(self._retired_tasks.discard)
 
     def candidates(
         self, document, pool, version, excluded, priority=Priority.URGENT
@@ -159,5 +171,9 @@
         await asyncio.gather(*(link.send(message) for link in self.by_address.values()))
 
     def close(self):
-        """Close all links."""
-        self.reconcile(())
+        """Close all links at once."""
+        tasks = {*self._task_by_address.values(), *self._retired_tasks}
+        for task in tasks:
+            task.cancel()
+        self._task_by_address.clear()
+        self.by_address.clear()
--- a/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
+++ b/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
@@ -59,6 +59,7 @@
         self._entry = entry
         self._rng = rng
         self._socket = None
+        self._is_retired = False
         self._inbox_by_attempt = {}
 
     @property
@@ -72,9 +73,9 @@
         return len(self._inbox_by_attempt)
 
     async def run(self):
-        """Connect, and reconnect with backoff, until cancelled."""
+        """Connect, and reconnect with backoff, until cancelled or retired."""
         failures = 0
-        while True:
+        while not self._is_retired:
             started_at = self._now()
             try:
                 async with self._connect() as socket:
@@ -88,12 +89,16 @@
             failures = 0 if was_stable else failures + 1
             await asyncio.sleep(RECONNECT_BACKOFF.delay(failures, self._rng))
 
+    def retire(self):
+        """Send no more calls and close the link after the last one."""
+        self._is_retired = True
+
     async def attempt(self, call: Call):
         """Send `call` and yield its frames; the last is an `End` or `Failed`.
 
         If the link is down, the only frame is a `Failed` that says not run.
         """
-        if not self.is_open or self.load.leaving:
+        if not self.is_open or self._is_draining:
             yield self._failed_frame(
                 call, Refusal.not_run(Code.LINK_LOST, "link is down")
             )
@@ -203,10 +208,14 @@
         self._entry.links.observe_report(self)
         self.exchange.observe_revision(load.revision)
 
+    @property
+    def _is_draining(self):
+        return self._is_retired or self.load.leaving
+
     async def _close_if_drained(self):
         # A leaving sidecar waits until the entry closes the link, since after that
         # no call can be in transit.
-        if self._socket and self.load and self.load.leaving and not self.in_flight:
+        if self.is_open and self._is_draining and not self.in_flight:
             await self._socket.close()
 
     def _deliver(self, message):
--- a/packages/standins/tests/test_changed_pools.py
+++ b/packages/standins/tests/test_changed_pools.py
@@ -97,3 +97,34 @@
     late = post("score", deadline=0.5)
     status, refusal = await asyncio.wait_for(late, ANSWER_SECONDS)
     assert (status, refusal["error"]) == (503, "deadline_too_short")
+
+
+# Guards against a removed upstream whose running calls are cut and whose requests
+# then count as suspected of a crash.
+async def test_call_of_a_removed_upstream_is_finished(system, post, change):
+    system.engine_by_name["model-0"].batch.service_time = RUN_SECONDS
+    sidecar = system.sidecar_by_name["model-0"]
+    asked = post("ask")
+    await until(lambda: sidecar.limiter.in_flight)
+    await change(("upstreams", "model-0"))
+    assert (await post("ask", deadline=RUN_SECONDS / 5))[1]["ran"] == "no"
+    assert (await asyncio.wait_for(asked, ANSWER_SECONDS))[0] == 200
+    await until(lambda: not sidecar.links)
+    assert not system.entries[0].facts.messages()
+
+
+# Guards against a removed upstream that gets no calls when it returns at once, and
+# whose running calls are repeated then.
+async def test_upstream_that_returns_during_its_last_call_is_used(system, post, change):
+    engine = system.engine_by_name["model-0"]
+    engine.batch.service_time = RUN_SECONDS
+    asked = post("ask")
+    await until(lambda: engine.runs)
+    await change(("upstreams", "model-0"))
+    await change()
+    links = system.entries[0].links
+    await until(lambda: all(link.is_open for link in links.by_address.values()))
+    assert len(links.by_address) == 2
+    assert (await post("ask"))[0] == 200
+    assert (await asyncio.wait_for(asked, ANSWER_SECONDS))[0] == 200
+    assert [run.completed for run in engine.runs] == [True, True]
