Refuse as unknown a pipeline that is removed while the body is read

Callers got 500 internal, ran unknown, for a request that nothing had run. Cause: the pipeline was looked up before the body was read and again after it. Before: the new test saw ('internal', 'unknown'). After: ('unknown_pipeline', 'no').

--- a/packages/daemon/src/wharf_daemon/entry/pipeline_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/pipeline_runner.py
@@ -30,7 +30,11 @@
         admitted = self._crash_guard.admit(request)
         if admitted.is_err():
             return admitted
-        stages = self._feed.document.folder.pipelines[request.pipeline].stages
+        pipeline = self._feed.document.folder.pipelines.get(request.pipeline)
+        if pipeline is None:
+            detail = f"pipeline {request.pipeline!r} was removed"
+            return Err(Refusal.not_run(Code.UNKNOWN_PIPELINE, detail))
+        stages = pipeline.stages
         answers = {}
         outcome = Ok(request.body)
         for stage in stages:
--- a/packages/standins/tests/test_changed_pools.py
+++ b/packages/standins/tests/test_changed_pools.py
@@ -128,3 +128,19 @@
     assert (await post("ask"))[0] == 200
     assert (await asyncio.wait_for(asked, ANSWER_SECONDS))[0] == 200
     assert [run.completed for run in engine.runs] == [True, True]
+
+
+# Guards against an internal error for a request whose pipeline was removed while its
+# body was read.
+async def test_pipeline_removed_while_the_body_is_read_is_unknown(system, change):
+    entry = system.entries[0]
+    reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
+    head = b"POST /v1/pipelines/ask HTTP/1.1\r\nHost: e\r\nCustomer: acme\r\n"
+    writer.write(head + b"Content-Length: 2\r\nConnection: close\r\n\r\n1")
+    await until(lambda: entry.dump()["running"])
+    await change(("pipelines", "ask"))
+    writer.write(b"2")
+    answer = await asyncio.wait_for(reader.read(), ANSWER_SECONDS)
+    writer.close()
+    refusal = json.loads(answer.partition(b"\r\n\r\n")[2])
+    assert (refusal["error"], refusal["ran"]) == ("unknown_pipeline", "no")
