Close a stream by an error event when its entry fails

Callers: an exception in the midst of a stream put the head of a second response (500) into the stream's body; the client saw a broken chunk and no closing event. Cause: unexpected exceptions became a refusal's response in the middleware, which can't know that the stream's response has begun. Change: CallerApi turns the runner's exception into a refusal first, so that a stream that has begun ends with its error event and another request gets status 500 as before. Before: the new test failed with 'Invalid character in chunk size'. After: it passes (a sidecar's part that isn't UTF-8 stands for the exception).

--- a/packages/daemon/src/wharf_daemon/entry/caller_api.py
+++ b/packages/daemon/src/wharf_daemon/entry/caller_api.py
@@ -56,7 +56,7 @@
                 raise
 
     async def _respond(self, request):
-        match await self._runner.run(request):
+        match await self._run(request):
             case Ok(body):
                 self._count(request.pipeline, Code.OK)
                 headers = {
@@ -72,7 +72,7 @@
     async def _respond_streaming(self, http, request):
         stream = EventStream(http, request.id)
         try:
-            outcome = await self._runner.run(request, stream.send_chunks)
+            outcome = await self._run(request, stream.send_chunks)
             if outcome.is_err() and not stream.is_started:
                 return self._refused(request.id, outcome.unwrap_err(), request.pipeline)
             await stream.close(outcome)
@@ -82,6 +82,15 @@
         self._count(request.pipeline, code)
         return stream.response
 
+    async def _run(self, request, on_chunks=None):
+        try:
+            return await self._runner.run(request, on_chunks)
+        except ConnectionResetError:
+            raise
+        except Exception:
+            log.exception("request_failed", request=request.id)
+            return Err(Refusal.unknown(Code.INTERNAL))
+
     @web.middleware
     async def _handle_errors(self, http, handler):
         """Convert routing errors and unexpected exceptions into refusals."""
--- a/packages/standins/tests/test_entry_links.py
+++ b/packages/standins/tests/test_entry_links.py
@@ -23,6 +23,7 @@
 
 PIPELINES = {"ask": {"stages": [{"name": "answer", "pool": "model"}]}}
 EXCESS_CHUNKS = 400
+NOT_UTF_8 = b"\xff"
 UNREACHABLE_URL = "http://127.0.0.1:9"
 CUSTOMER = {"Customer": "acme"}
 STREAM = CUSTOMER | {"Accept": "text/event-stream"}
@@ -196,6 +197,19 @@
     assert text.strip().split("\n\n")[-1].startswith("event: error")
 
 
+# Guards against a stream that ends without a closing event when its entry fails.
+async def test_stream_that_an_error_breaks_ends_with_an_error_event(sidecars, post):
+    task = post({"note": 1}, STREAM)
+    [(sidecar, call)] = await next_calls(sidecars, 1)
+    await sidecar.send(Chunk(call.attempt, 0, b"part"))
+    await sidecar.send(Chunk(call.attempt, 1, NOT_UTF_8))
+    status, text = await asyncio.wait_for(task, 10)
+    kind, data = text.strip().split("\n\n")[-1].split("\n")
+    refusal = json.loads(data.removeprefix("data: "))
+    assert (status, kind) == (200, "event: error")
+    assert (refusal["error"], refusal["ran"]) == ("internal", "unknown")
+
+
 async def test_bad_frame_closes_only_its_link(entry, sidecars, post):
     bad, good = sidecars.values()
     task = post({"note": 1})
