Answer every request that a stopping entry can't finish

Callers: when an entry's stop took longer than stop_grace, all requests that waited for an upstream or ran lost their connections without an answer or a refusal, up to 10 s later; a stream ended without a closing event, a body still being sent got nothing. The entry also went on to admit requests that couldn't end before its exit. Cause: the stop left the rest to aiohttp's shutdown, which cancels handlers and closes their connections after two time limits of 5 s; the entry counted them as caller_left. Change: the admission knows the end of the stop. A call whose estimated time doesn't fit is refused at once as not run (entry_stopping, 503, Connection: close, Retry-After), and one that waits as soon as it doesn't fit any more. At the end what still runs is answered as outcome_unknown, a stream by its error event; a body that isn't whole is refused as not run. The entry then waits 1 s for these answers to be sent.

--- a/packages/daemon/src/wharf_daemon/entry/admission.py
+++ b/packages/daemon/src/wharf_daemon/entry/admission.py
@@ -13,6 +13,7 @@
 
 EXPIRY_INTERVAL_SECONDS = 0.05
 MIN_COST_SECONDS = 0.001
+MIN_CALL_SECONDS = 0.2
 # Bytes of a request's start; calls that share them prefer the same engines, whose
 # caches probably hold that prefix.
 PREFIX_BYTES = 256
@@ -32,6 +33,7 @@
         self._budget = budget
         self._queue_by_pool = defaultdict(lambda: PoolQueue(FairQueue(max_queued)))
         self._waiting_by_call = {}
+        self._end = None
         links.reports.subscribe(self._on_report)
 
     async def run(self):
@@ -41,6 +43,7 @@
             for pool in tuple(self._queue_by_pool):
                 self._refuse_if_removed(pool)
                 self._expire(pool)
+                self._refuse_unfinishable(pool)
                 self._admit_waiting(pool)
 
     async def admit(self, task, tried) -> Result[Candidate, Refusal]:
@@ -49,6 +52,8 @@
         Upstreams in `tried` are avoided if others are available. The caller must
         `release` the candidate after the attempt.
         """
+        if self._is_unfinishable(task):
+            return Err(_stopping_refusal(task))
         if not self._policy.is_queueing:
             return self._try_admit(task, tried)
         call = self._queued_call(task)
@@ -61,6 +66,10 @@
                 return admitted
         return await self._wait(WaitingTask(task, frozenset(tried), call, _future()))
 
+    def end_at(self, end):
+        """Refuse from now on calls that aren't expected to end by the time `end`."""
+        self._end = end
+
     def release(self, candidate, pool):
         """Free the capacity of an ended attempt and admit waiting calls."""
         self._links.release(candidate.upstream)
@@ -148,6 +157,22 @@
             task = self._waiting_by_call[call].task
             self._resolve(call, Err(_deadline_refusal(task)))
 
+    def _refuse_unfinishable(self, pool):
+        if self._end is None:
+            return
+        queue = self._queue_by_pool[pool].calls
+        for call, waiting in tuple(self._waiting_by_call.items()):
+            task = waiting.task
+            if task.stage.pool == pool and self._is_unfinishable(task):
+                queue.remove(call)
+                self._resolve(call, Err(_stopping_refusal(task)))
+
+    def _is_unfinishable(self, task):
+        if self._end is None:
+            return False
+        left = max(self._budget.left(task), MIN_CALL_SECONDS)
+        return self._now() + left >= self._end
+
     def _resolve(self, call, admitted):
         waiting = self._waiting_by_call.pop(call)
         if not waiting.admission.cancelled():
@@ -189,6 +214,11 @@
     return Refusal.not_run(Code.NO_UPSTREAM, f"pool {pool!r}")
 
 
+def _stopping_refusal(task):
+    detail = f"stage {task.stage.name!r} can't end before the entry stops"
+    return Refusal.not_run(Code.ENTRY_STOPPING, detail)
+
+
 def _deadline_refusal(task):
     detail = f"stage {task.stage.name!r} is not expected to meet the deadline"
     return Refusal.not_run(Code.DEADLINE_TOO_SHORT, detail)
--- a/packages/daemon/src/wharf_daemon/entry/caller_api.py
+++ b/packages/daemon/src/wharf_daemon/entry/caller_api.py
@@ -13,6 +13,7 @@
     REQUEST_HEADER,
     refusal_response,
 )
+from wharf_daemon.entry.running_requests import EntryStoppedError
 
 __all__ = ["CallerApi"]
 
@@ -39,11 +40,11 @@
 
     async def _post(self, http):
         request_id = self._entry.next_request_id()
-        with self._entry.admit_request() as admitted:
+        with self._entry.requests.admit(request_id) as admitted:
             if admitted.is_err():
                 return self._refused(request_id, admitted.unwrap_err(), "")
             now = asyncio.get_running_loop().time()
-            read = await self._reader.read(http, request_id, now)
+            read = await self._read(http, request_id, now)
             if read.is_err():
                 return self._refused(request_id, read.unwrap_err(), "")
             request = read.unwrap()
@@ -55,6 +56,14 @@
                 self._count(request.pipeline, Code.CALLER_LEFT)
                 raise
 
+    async def _read(self, http, request_id, now):
+        try:
+            async with self._entry.requests.until_end():
+                return await self._reader.read(http, request_id, now)
+        except EntryStoppedError:
+            detail = "the entry stopped before the body was received"
+            return Err(Refusal.not_run(Code.ENTRY_STOPPING, detail))
+
     async def _respond(self, request):
         match await self._run(request):
             case Ok(body):
@@ -84,9 +93,13 @@
 
     async def _run(self, request, on_chunks=None):
         try:
-            return await self._runner.run(request, on_chunks)
+            async with self._entry.requests.until_end():
+                return await self._runner.run(request, on_chunks)
         except ConnectionResetError:
             raise
+        except EntryStoppedError:
+            detail = "the entry stopped before the request ended"
+            return Err(Refusal.unknown(Code.OUTCOME_UNKNOWN, detail))
         except Exception:
             log.exception("request_failed", request=request.id)
             return Err(Refusal.unknown(Code.INTERNAL))
--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -2,16 +2,13 @@
 
 import asyncio
 import uuid
-from contextlib import contextmanager
 from dataclasses import asdict
 from itertools import count
 from random import Random
 
 import aiohttp
 import structlog
-from result import Err, Ok
 
-from wharf_coordination import Code, Refusal
 from wharf_daemon.configuration_feed import ConfigurationFeed
 from wharf_daemon.configuration_fetcher import ConfigurationFetcher
 from wharf_daemon.entry.admission import Admission
@@ -29,6 +26,7 @@
 from wharf_daemon.entry.request_reader import RequestReader
 from wharf_daemon.entry.rollout_controller import RolloutController
 from wharf_daemon.entry.rollout_table import RolloutTable
+from wharf_daemon.entry.running_requests import RunningRequests
 from wharf_daemon.entry.stage_runner import StageRunner
 from wharf_daemon.entry.time_budget import TimeBudget
 from wharf_daemon.entry.version_loader import VersionLoader
@@ -42,6 +40,9 @@
 
 __all__ = ["Entry"]
 
+# Time to send the answers of requests that the stop has ended.
+LAST_ANSWERS_SECONDS = 1.0
+
 log = structlog.get_logger(__name__)
 
 
@@ -54,16 +55,13 @@
         self.feed = ConfigurationFeed(self.metrics)
         self.facts = FactFeed()
         self.stopping = False
-        self._closed = False
         self._rng = Random(settings.seed)
         self._policy = policy or EntryPolicy.standard(self._rng, settings.data_centre)
         # Not seeded: request ids must differ between restarts.
         self._incarnation = uuid.uuid4().hex[:12]
         self._request_numbers = count()
-        self._running = 0
-        self.metrics.running.set_function(lambda: self._running)
-        self._idle = asyncio.Event()
-        self._idle.set()
+        self.requests = RunningRequests(settings.max_requests)
+        self.metrics.running.set_function(lambda: len(self.requests))
         self.fetcher = ConfigurationFetcher(self.feed, self._rng)
         self.links = LinkSet(self, self._rng)
         self.replies = PendingReplies(f"{settings.name}-{self._incarnation}")
@@ -76,7 +74,9 @@
             self._session, self.settings.platform, limiter=CallLimiter(self._rng)
         )
         self.store.limiter.calls.subscribe(self._count_store_call)
-        self._callers = HttpServer(self._caller_application(), self.settings.listen)
+        self._callers = HttpServer(
+            self._caller_application(), self.settings.listen, LAST_ANSWERS_SECONDS
+        )
         self._operators = HttpServer(
             OperatorsApi(self, self.metrics).application(),
             self.settings.operators_listen,
@@ -107,14 +107,16 @@
     async def stop(self):
         """Report not ready, finish running requests, then shut down."""
         self.stopping = True
-        log.info("stopping", running=self._running)
+        log.info("stopping", running=len(self.requests))
+        drain_delay, grace = self.settings.drain_delay, self.settings.stop_grace
+        now = asyncio.get_running_loop().time()
+        self.admission.end_at(now + drain_delay + grace)
         # The load balancer sends requests here until its next readiness check.
-        await asyncio.sleep(self.settings.drain_delay)
-        try:
-            await asyncio.wait_for(self._idle.wait(), self.settings.stop_grace)
-        except TimeoutError:
-            log.warning("stop_grace_spent", running=self._running)
-        self._closed = True
+        await asyncio.sleep(drain_delay)
+        if not await self.requests.wait_until_idle(grace):
+            log.warning("stop_grace_spent", running=len(self.requests))
+        self.requests.end()
+        await self.requests.wait_until_idle(LAST_ANSWERS_SECONDS)
         await self._callers.stop()
         await self._claim_service.stop(self.settings.stop_grace)
         self._store_watcher.cancel()
@@ -139,24 +141,6 @@
         """Return a request id that is unique among all entries."""
         return f"{self.settings.name}-{self._incarnation}-{next(self._request_numbers)}"
 
-    @contextmanager
-    def admit_request(self):
-        """Count a request while it runs; yield a refusal if none is admitted."""
-        if self._closed:
-            yield Err(Refusal.not_run(Code.ENTRY_STOPPING))
-            return
-        if self._running >= self.settings.max_requests:
-            yield Err(Refusal.not_run(Code.ENTRY_FULL, f"{self._running} requests"))
-            return
-        self._running += 1
-        self._idle.clear()
-        try:
-            yield Ok(None)
-        finally:
-            self._running -= 1
-            if self._running == 0:
-                self._idle.set()
-
     def dump(self):
         """Return the state as a dictionary for JSON."""
         return {
@@ -164,7 +148,7 @@
             "data_centre": self.settings.data_centre,
             "revision": self.feed.document.revision,
             "stopping": self.stopping,
-            "running": self._running,
+            "running": len(self.requests),
             "waiting": self.admission.dump(),
             "store_calls": self.store.calls_by_kind,
             "claims": self._claim_service.dump(),
--- a/packages/daemon/src/wharf_daemon/entry/time_budget.py
+++ b/packages/daemon/src/wharf_daemon/entry/time_budget.py
@@ -36,11 +36,15 @@
 
     def latest_start(self, task):
         """Return the latest start of the stage that still meets the deadline."""
+        return task.request.deadline.at - self.left(task)
+
+    def left(self, task):
+        """Return the estimated duration of the stage and those after it in seconds."""
         later = sum(
             self._expected(task.request.pipeline, stage)
             for stage in self.later_stages(task)
         )
-        return task.request.deadline.at - self.expected(task) - later
+        return self.expected(task) + later
 
     def later_stages(self, task):
         """Return the stages that follow the task's stage."""
--- a/packages/daemon/src/wharf_daemon/http_server.py
+++ b/packages/daemon/src/wharf_daemon/http_server.py
@@ -20,12 +20,12 @@
 class HttpServer:
     """Serve one aiohttp application at one address."""
 
-    def __init__(self, application, address):
+    def __init__(self, application, address, shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS):
         self._runner = web.AppRunner(
             application,
             access_log=None,
             handler_cancellation=True,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_SECONDS,
+            shutdown_timeout=shutdown_timeout,
         )
         self._address = address
 
