Count requests that an entry leaves without an answer

Operators couldn't see a request that was cut: the entry counted it as caller_left. Change: a request is under way until its response is sent, and one that ends before while its caller hasn't left adds to wharf_unanswered_requests with a log line request_unanswered: a handler that is cancelled, and what the stop closes in the end. Loopback and ProcessFleet check on exit that there was none, so that every test with an entry checks the promise. Before: neither name existed; test_request_cut_by_the_stop_is_counted (a caller that doesn't read) couldn't pass.

--- a/packages/daemon/src/wharf_daemon/entry/caller_api.py
+++ b/packages/daemon/src/wharf_daemon/entry/caller_api.py
@@ -1,6 +1,7 @@
 """HTTP endpoint for callers."""
 
 import asyncio
+from contextlib import suppress
 
 import structlog
 from aiohttp import web
@@ -43,19 +44,35 @@
         with self._entry.requests.admit(request_id) as admitted:
             if admitted.is_err():
                 return self._refused(request_id, admitted.unwrap_err(), "")
-            now = asyncio.get_running_loop().time()
-            read = await self._read(http, request_id, now)
-            if read.is_err():
-                return self._refused(request_id, read.unwrap_err(), "")
-            request = read.unwrap()
             try:
-                if request.streaming:
-                    return await self._respond_streaming(http, request)
-                return await self._respond(request)
+                response = await self._answer(http, request_id)
+                await self._send(http, response)
+                return response
             except asyncio.CancelledError:
-                self._count(request.pipeline, Code.CALLER_LEFT)
+                if http.transport is not None:
+                    self._entry.count_unanswered(request_id)
                 raise
 
+    async def _send(self, http, response):
+        # Done here and not by aiohttp, so that the request is under way until then.
+        with suppress(ConnectionResetError):
+            await response.prepare(http)
+            await response.write_eof()
+
+    async def _answer(self, http, request_id):
+        now = asyncio.get_running_loop().time()
+        read = await self._read(http, request_id, now)
+        if read.is_err():
+            return self._refused(request_id, read.unwrap_err(), "")
+        request = read.unwrap()
+        try:
+            if request.streaming:
+                return await self._respond_streaming(http, request)
+            return await self._respond(request)
+        except asyncio.CancelledError:
+            self._count(request.pipeline, Code.CALLER_LEFT)
+            raise
+
     async def _read(self, http, request_id, now):
         try:
             async with self._entry.requests.until_end():
--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -117,6 +117,8 @@
             log.warning("stop_grace_spent", running=len(self.requests))
         self.requests.end()
         await self.requests.wait_until_idle(LAST_ANSWERS_SECONDS)
+        for request_id in self.requests:
+            self.count_unanswered(request_id)
         await self._callers.stop()
         await self._claim_service.stop(self.settings.stop_grace)
         self._store_watcher.cancel()
@@ -141,6 +143,11 @@
         """Return a request id that is unique among all entries."""
         return f"{self.settings.name}-{self._incarnation}-{next(self._request_numbers)}"
 
+    def count_unanswered(self, request_id):
+        """Count a request that ends without an answer though its caller stayed."""
+        self.metrics.unanswered_requests.inc()
+        log.error("request_unanswered", request=request_id)
+
     def dump(self):
         """Return the state as a dictionary for JSON."""
         return {
--- a/packages/daemon/src/wharf_daemon/metrics.py
+++ b/packages/daemon/src/wharf_daemon/metrics.py
@@ -18,6 +18,11 @@
         self.requests = self._counter(
             "wharf_requests", "Requests by outcome", ["pipeline", "code"]
         )
+        self.unanswered_requests = self._counter(
+            "wharf_unanswered_requests",
+            "Requests that ended without an answer though their caller hadn't left",
+            [],
+        )
         self.attempts = self._counter(
             "wharf_attempts", "Attempts of stages by outcome", ["stage", "code"]
         )
--- a/packages/standins/src/wharf_standins/loopback.py
+++ b/packages/standins/src/wharf_standins/loopback.py
@@ -24,7 +24,8 @@
     `shape` maps each pool's name to its upstreams' data centres, `versions` an
     upstream's name to its version where it differs from the pool's. `services` has
     the names of pools of plain services; `cold_bearable` is passed to the engines.
-    Daemons in `killed` are not stopped on exit.
+    Daemons in `killed` are not stopped on exit. A request that an entry left without
+    an answer raises RuntimeError on exit.
     """
 
     def __init__(
@@ -53,6 +54,7 @@
         self.sidecar_by_name = {}
         self._address_by_name = {}
         self.entries = []
+        self._started_entries = []
         self.killed = []
         self.platform = Platform()
 
@@ -72,6 +74,10 @@
 
     async def __aexit__(self, *exc_info):
         await self._stack.aclose()
+        for entry in self._started_entries:
+            if count := entry.metrics.unanswered_requests._value.get():
+                name = entry.settings.name
+                raise RuntimeError(f"{name} left {count:.0f} requests unanswered")
 
     def folder(self):
         """Return the configuration folder of this system."""
@@ -129,6 +135,8 @@
 
     async def _start_daemon(self, daemon):
         await daemon.start()
+        if isinstance(daemon, Entry):
+            self._started_entries.append(daemon)
         self._stack.push_async_callback(self._stop_daemon, daemon)
 
     async def _stop_daemon(self, daemon):
--- a/packages/standins/src/wharf_standins/process_fleet.py
+++ b/packages/standins/src/wharf_standins/process_fleet.py
@@ -28,7 +28,8 @@
 
     `shape` maps each pool's name to its upstreams' data centres. Stand-ins of the
     platform and the upstreams run in this process, so that tests can access them.
-    `is_store_cut` makes the store unavailable to the daemons but not to wharfctl.
+    `is_store_cut` makes the store unavailable to the daemons but not to wharfctl. A
+    request that an entry left without an answer raises RuntimeError on exit.
     """
 
     def __init__(self, directory: Path, shape, pipelines, entries=2, service_time=0.01):
@@ -71,6 +72,9 @@
 
     async def __aexit__(self, *exc_info):
         await self._stack.aclose()
+        for path in self.directory.glob("*.log"):
+            if "request_unanswered" in path.read_text():
+                raise RuntimeError(f"{path.name}: requests were left unanswered")
 
     async def start_sidecar(self, name):
         """Start the stand-in of an upstream and its sidecar."""
--- a/packages/standins/tests/test_entry_links.py
+++ b/packages/standins/tests/test_entry_links.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 import aiohttp
 import pytest_asyncio
@@ -23,6 +24,7 @@
 
 PIPELINES = {"ask": {"stages": [{"name": "answer", "pool": "model"}]}}
 EXCESS_CHUNKS = 400
+SMALL_BUFFER_BYTES = 2048
 NOT_UTF_8 = b"\xff"
 UNREACHABLE_URL = "http://127.0.0.1:9"
 CUSTOMER = {"Customer": "acme"}
@@ -111,7 +113,8 @@
     await until(lambda: all(link.is_open for link in links(running)))
     assert len(links(running)) == 2
     yield running
-    await running.stop()
+    if not running.stopping:
+        await running.stop()
 
 
 def links(entry):
@@ -210,6 +213,33 @@
     assert (refusal["error"], refusal["ran"]) == ("internal", "unknown")
 
 
+# Guards against a request that ends without an answer and isn't counted.
+async def test_request_cut_by_the_stop_is_counted(entry, sidecars, post):
+    caller = socket.socket()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES)
+    caller.connect(("127.0.0.1", entry.port))
+    head = b"POST /v1/pipelines/ask HTTP/1.1\r\nHost: e\r\nCustomer: acme\r\n"
+    caller.send(head + b"Accept: text/event-stream\r\nContent-Length: 1\r\n\r\n1")
+    [(sidecar, call)] = await next_calls(sidecars, 1)
+    for sequence in range(EXCESS_CHUNKS):
+        await sidecar.send(Chunk(call.attempt, sequence, b"x" * 60_000))
+        await asyncio.sleep(0.002)
+    await asyncio.wait_for(entry.stop(), 10)
+    assert entry.metrics.unanswered_requests._value.get() == 1
+    caller.close()
+
+
+# Guards against a caller that left and counts as unanswered.
+async def test_caller_that_left_is_not_counted_as_unanswered(entry, sidecars, post):
+    task = post({"note": 1})
+    await next_calls(sidecars, 1)
+    task.cancel()
+    await until(lambda: not len(entry.requests))
+    assert entry.metrics.unanswered_requests._value.get() == 0
+    left = entry.metrics.requests.labels("ask", "caller_left")
+    assert left._value.get() == 1
+
+
 async def test_bad_frame_closes_only_its_link(entry, sidecars, post):
     bad, good = sidecars.values()
     task = post({"note": 1})
