--- a/packages/daemon/src/wharf_daemon/entry/caller_api.py
+++ b/packages/daemon/src/wharf_daemon/entry/caller_api.py
@@ -1,6 +1,7 @@
 """HTTP endpoint for callers."""
 
 import asyncio
+from contextlib import suppress
 
 import structlog
 from aiohttp import web
@@ -13,6 +14,7 @@
     REQUEST_HEADER,
     refusal_response,
 )
+from wharf_daemon.entry.running_requests import EntryStoppedError
 
 __all__ = ["CallerApi"]
 
@@ -39,24 +41,48 @@
 
     async def _post(self, http):
         request_id = self._entry.next_request_id()
-        with self._entry.admit_request() as admitted:
+        with self._entry.requests.admit(request_id) as admitted:
             if admitted.is_err():
                 return self._refused(request_id, admitted.unwrap_err(), "")
-            now = asyncio.get_running_loop().time()
-            read = await self._reader.read(http, request_id, now)
-            if read.is_err():
-                return self._refused(request_id, read.unwrap_err(), "")
-            request = read.unwrap()
             try:
-                if request.streaming:
-                    return await self._respond_streaming(http, request)
-                return await self._respond(request)
+                response = await self._answer(http, request_id)
+                await self._send(http, response)
+                return response
             except asyncio.CancelledError:
-                self._count(request.pipeline, Code.CALLER_LEFT)
+                if http.transport is not None:
+                    self._entry.count_unanswered(request_id)
                 raise
 
+    async def _send(self, http, response):
+        # Done here and not by aiohttp, so that the request is under way until then.
+        with suppress(ConnectionResetError):
+            await response.prepare(http)
+            await response.write_eof()
+
+    async def _answer(self, http, request_id):
+        now = asyncio.get_running_loop().time()
+        read = await self._read(http, request_id, now)
+        if read.is_err():
+            return self._refused(request_id, read.unwrap_err(), "")
+        request = read.unwrap()
+        try:
+            if request.streaming:
+                return await self._respond_streaming(http, request)
+            return await self._respond(request)
+        except asyncio.CancelledError:
+            self._count(request.pipeline, Code.CALLER_LEFT)
+            raise
+
+    async def _read(self, http, request_id, now):
+        try:
+            async with self._entry.requests.until_end():
+                return await self._reader.read(http, request_id, now)
+        except EntryStoppedError:
+            detail = "the entry stopped before the body was received"
+            return Err(Refusal.not_run(Code.ENTRY_STOPPING, detail))
+
     async def _respond(self, request):
-        match await self._runner.run(request):
+        match await self._run(request):
             case Ok(body):
                 self._count(request.pipeline, Code.OK)
                 headers = {
@@ -72,7 +98,7 @@
     async def _respond_streaming(self, http, request):
         stream = EventStream(http, request.id)
         try:
-            outcome = await self._runner.run(request, stream.send_chunks)
+            outcome = await self._run(request, stream.send_chunks)
             if outcome.is_err() and not stream.is_started:
                 return self._refused(request.id, outcome.unwrap_err(), request.pipeline)
             await stream.close(outcome)
@@ -82,6 +108,19 @@
         self._count(request.pipeline, code)
         return stream.response
 
+    async def _run(self, request, on_chunks=None):
+        try:
+            async with self._entry.requests.until_end():
+                return await self._runner.run(request, on_chunks)
+        except ConnectionResetError:
+            raise
+        except EntryStoppedError:
+            detail = "the entry stopped before the request ended"
+            return Err(Refusal.unknown(Code.OUTCOME_UNKNOWN, detail))
+        except Exception:
+            log.exception("request_failed", request=request.id)
+            return Err(Refusal.unknown(Code.INTERNAL))
+
     @web.middleware
     async def _handle_errors(self, http, handler):
         """Convert routing errors and unexpected exceptions into refusals."""
