Close the connections of the soak's upstreams as they stop

Runs of test_stopping_gateway.py printed "SystemError: AST constructor recursion depth mismatch", mostly after their results, once in place of them: upstreams left connections open when the test's event loop closed, their writers raised "Event loop is closed" when they were collected, and pytest's report of that inside the parser of Python 3.11 broke the run.

The three upstreams share LoopbackServer now, which resets its connections when it stops; test_named_limit.py closes its clients too. Ruled out: the gateways, no code of which runs in that process.

--- a/packages/standins/src/wharf_standins/soak/upstream.py
+++ b/packages/standins/src/wharf_standins/soak/upstream.py
@@ -1,9 +1,9 @@
 """An upstream that reports which requests it runs."""
 
 import asyncio
-from contextlib import suppress
 
 from wharf_adapter import names
+from wharf_standins.soak.loopback_server import LoopbackServer
 from wharf_standins.soak.request import RequestKind
 from wharf_standins.soak.wire import ENGINES, EVENTS, event, read_request, response_body
 
@@ -11,10 +11,12 @@
 
 WORK_SECONDS = 0.03
 EVENT_INTERVAL_SECONDS = 0.02
+STEPS_PATH = f"/{RequestKind.STEPS}/"
+STREAM_PATHS = tuple(f"/{kind}/" for kind in RequestKind if kind.is_stream)
 SIGNATURE = f"{names.SIGNATURE}: soak"
 
 
-class SoakUpstream:
+class SoakUpstream(LoopbackServer):
     """Answer on loopback; call `record_run(upstream, request_id)` as a run begins.
 
     `rate_limit`, if set, is named in the answers, in requests a second. In the middle
@@ -25,38 +27,24 @@
     service = ENGINES
 
     def __init__(self, name, record_run, owner_by_result=None):
+        super().__init__()
         self.name = name
-        self._owner_by_result = {} if owner_by_result is None else owner_by_result
+        self.owner_by_result = {} if owner_by_result is None else owner_by_result
         self.silent_seconds = 0.0
         self._record_run = record_run
-        self._server = None
         self.rate_limit = None
 
-    async def start(self):
-        """Listen on loopback and return the port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return self._server.sockets[0].getsockname()[1]
-
-    def stop(self):
-        """Stop listening."""
-        self._server.close()
-
-    async def _serve(self, reader, writer):
-        with suppress(OSError, asyncio.IncompleteReadError):
-            while True:
-                await self._answer(reader, writer)
-        writer.close()
-
-    async def _answer(self, reader, writer):
+    async def answer(self, reader, writer):
+        """Answer one request."""
         path, fields, _ = await read_request(reader)
-        kind = RequestKind(path.split("/")[1])
+        is_stream = path.startswith(STREAM_PATHS)
         request_id = owner = fields[names.ATTEMPT_ID.lower()]
         if fields.get(names.EXPECTED_UPSTREAM.lower()) != self.name:
             self._refuse(writer, "421 Other")
             return
-        if kind is RequestKind.STEPS:
+        if path.startswith(STEPS_PATH):
             handles = fields.get(names.INPUTS.lower(), "").split(",")
-            owners = {self._owner_by_result.get(handle) for handle in handles}
+            owners = {self.owner_by_result.get(handle) for handle in handles}
             if None in owners:
                 self._refuse(writer, "409 Gone")
                 return
@@ -66,7 +54,7 @@
         head = f"HTTP/1.1 200 OK\r\n{names.ATTEMPT_ID}: {request_id}\r\n{SIGNATURE}\r\n"
         if self.rate_limit is not None:
             head += f"{names.LIMIT}: {self.rate_limit}\r\n"
-        if not kind.is_stream:
+        if not is_stream:
             data = response_body(request_id)
             writer.write(f"{head}Content-Length: {len(data)}\r\n\r\n".encode() + data)
             await writer.drain()
--- a/packages/standins/tests/test_named_limit.py
+++ b/packages/standins/tests/test_named_limit.py
@@ -61,6 +61,7 @@
             async with asyncio.timeout(20.0):
                 while (await client.send(RequestKind.SAFE)).status != 200:
                     await asyncio.sleep(0.1)
+                client.close()
         except TimeoutError:
             pytest.fail(f"{gateway.name} serves nothing:\n{gateway.output()}")
     # A gateway keeps to the upstream that answered it first.
