--- a/packages/standins/src/wharf_standins/soak/request.py
+++ b/packages/standins/src/wharf_standins/soak/request.py
@@ -55,8 +55,9 @@
 
     `run_times` are the times at which upstreams began to run it,
     `runs_after_draining` counts the runs on upstreams that had finished draining.
-    `is_undisturbed` says that no unplanned fault had effect from before it was
-    sent until its end.
+    `is_undisturbed` says that no fault that excuses a loss had effect from before it
+    was sent until its end. `feature` is the route or the key that it uses if it has to
+    show which configuration is in force, `incarnation` counts its gateway's starts.
     """
 
     id: str
@@ -71,3 +72,5 @@
     run_times: list[float] = field(default_factory=list)
     runs_after_draining: int = 0
     is_undisturbed: bool = False
+    feature: str | None = None
+    incarnation: int = 0
