Play steps, stops in turn and restored stores in the soak

Each seed now has requests with steps that wait for seconds, and a series of faults that overlap, by its remainder of three: planned work (stops in turn, SIGHUP, changes of routes, keys, time-outs and the idle limit), a store that comes back from a copy, once or twice, near a fault of a gateway, or changes of routes beside other faults. The single faults of each seed are those that it had.

Checks: an older configuration in force too long or again, a leaving upstream that gets requests after a restoration, a gateway that the store has forgotten. One test puts six faults in (SIGKILL in place of SIGTERM, a draining that isn't written, a version that isn't written, results of another request, a store without entries) and sees all found.

--- a/packages/standins/src/wharf_standins/soak/client.py
+++ b/packages/standins/src/wharf_standins/soak/client.py
@@ -7,12 +7,13 @@
 from wharf_standins.soak.request import (
     DIRECT_KINDS,
     NOT_RUN_STATUSES,
+    RequestKind,
     ResponseState,
     SoakRequest,
 )
 from wharf_standins.soak.wire import request_head
 
-__all__ = ["SoakClient"]
+__all__ = ["PAUSE_SECONDS", "SoakClient"]
 
 PAUSE_SECONDS = 0.05  # between requests, at most
 REFUSED_PAUSE_SECONDS = 0.4
@@ -24,6 +25,7 @@
 
     `new_request(kind, gateway_name)` creates each request;
     `is_undisturbed(since)` returns whether no unplanned fault had effect since then.
+    It pauses for up to `pause_seconds` between requests.
     """
 
     def __init__(
@@ -34,6 +36,7 @@
         is_undisturbed,
         clock,
         kinds=DIRECT_KINDS,
+        pause_seconds=PAUSE_SECONDS,
     ):
         self._gateway = gateway
         self._rng = rng
@@ -41,6 +44,7 @@
         self._is_undisturbed = is_undisturbed
         self._clock = clock
         self._kinds = kinds
+        self._pause_seconds = pause_seconds
         self._stream = None
 
     async def run(self):
@@ -49,14 +53,26 @@
             while True:
                 request = await self.send(self._rng.choice(self._kinds))
                 is_refused = request.status in NOT_RUN_STATUSES
-                most = REFUSED_PAUSE_SECONDS if is_refused else PAUSE_SECONDS
+                most = REFUSED_PAUSE_SECONDS if is_refused else self._pause_seconds
                 await asyncio.sleep(self._rng.uniform(0.0, most))
         finally:
             self.close()
 
-    async def send(self, kind) -> SoakRequest:
+    async def probe(self, features, stopped):
+        """Show which configuration is in force, until `stopped` is set.
+
+        `features()` returns the routes and keys of all versions.
+        """
+        while not stopped.is_set():
+            await self.send(RequestKind.SAFE, self._rng.choice(features()))
+            await asyncio.sleep(self._rng.uniform(0.0, self._pause_seconds))
+        self.close()
+
+    async def send(self, kind, feature=None) -> SoakRequest:
         """Send one request, record its response in it and return it."""
         request = self._new_request(kind, self._gateway.name)
+        request.feature = feature
+        request.incarnation = self._gateway.incarnation
         try:
             async with asyncio.timeout(kind.deadline_seconds + GRACE_SECONDS):
                 if await self._connect(request):
@@ -88,7 +104,7 @@
     async def _exchange(self, request):
         reader, writer = self._stream
         body = b"q" * 20
-        writer.write(request_head(request.id, request.kind, len(body)) + body)
+        writer.write(request_head(request, len(body)) + body)
         await writer.drain()
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
         status_line, *lines = head.split("\r\n")
--- a/packages/standins/src/wharf_standins/soak/command.py
+++ b/packages/standins/src/wharf_standins/soak/command.py
@@ -11,12 +11,19 @@
 EXIT_FINDINGS = 1
 
 
-def soak(*, seeds: str = "1-5", seconds: float = 6.0, keep: Path | None = None):
+def soak(
+    *,
+    seeds: str = "1-5",
+    seconds: float = 6.0,
+    keep: Path | None = None,
+    gateways: int = 2,
+):
     """Inject faults into gateways on loopback and check the gateways' guarantees.
 
     :param seeds: one seed, or the first and the last with a dash
     :param seconds: seconds from the start within which faults begin
     :param keep: folder in which the gateways' logs of each seed are kept
+    :param gateways: number of gateways
     """
     failed_seeds = 0
     for seed in seed_range(seeds):
@@ -24,7 +31,7 @@
         if keep is not None:
             folder = keep / str(seed)
             folder.mkdir(parents=True, exist_ok=True)
-        soak_run = SoakRun(seed, seconds)
+        soak_run = SoakRun(seed, seconds, gateways)
         findings = asyncio.run(soak_run.run(folder))
         faults = "; ".join(map(str, soak_run.faults))
         print(f"seed {seed}: {len(findings)} findings ({faults})", flush=True)
--- a/packages/standins/src/wharf_standins/soak/gateway_process.py
+++ b/packages/standins/src/wharf_standins/soak/gateway_process.py
@@ -4,6 +4,7 @@
 import json
 import signal
 import sys
+from contextlib import suppress
 
 from wharf_standins.free_address import free_address
 
@@ -11,7 +12,10 @@
 
 
 class GatewayProcess:
-    """Start, signal and restart one gateway."""
+    """Start, signal and restart one gateway.
+
+    `incarnation` counts its starts.
+    """
 
     def __init__(self, name, folder, store_port):
         self.name = name
@@ -21,6 +25,7 @@
         self._log_path = folder / f"{name}.log"
         self._process = None
         self._is_restarting = False
+        self.incarnation = 0
         settings = {
             "name": name,
             "data_centre": "dc-1",
@@ -35,6 +40,7 @@
 
     async def start(self):
         """Start the process; append its output to its log file."""
+        self.incarnation += 1
         arguments = (sys.executable, "-m", "wharf_gateway", "--settings", self._path)
         with self._log_path.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
@@ -60,6 +66,18 @@
         await self.start()
         self._is_restarting = False
 
+    async def until_listening(self, seconds):
+        """Wait until the process accepts connections, for at most `seconds`."""
+        host, _, port = self.address.rpartition(":")
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                while True:
+                    with suppress(OSError):
+                        _, writer = await asyncio.open_connection(host, int(port))
+                        writer.close()
+                        return
+                    await asyncio.sleep(0.1)
+
     def output(self, size=4000):
         """Return the last `size` characters that the process has logged."""
         return self._log_path.read_text(errors="replace")[-size:]
--- a/packages/standins/src/wharf_standins/soak/store.py
+++ b/packages/standins/src/wharf_standins/soak/store.py
@@ -50,11 +50,11 @@
         site = web.TCPSite(self._runner, "127.0.0.1", 0)
         await site.start()
         self.port = site._server.sockets[0].getsockname()[1]
-        self._copier = asyncio.create_task(self._keep_copies())
 
     async def stop(self):
         """Close all connections."""
-        self._copier.cancel()
+        if self._copier is not None:
+            self._copier.cancel()
         await self._runner.cleanup()
 
     async def put(self, kind, name, spec):
@@ -87,6 +87,10 @@
         while self.mode == "away":
             await asyncio.sleep(POLL_SECONDS)
 
+    def keep_copies(self):
+        """Keep copies from now on."""
+        self._copier = asyncio.create_task(self._keep_copies())
+
     def copy(self):
         """Keep a copy of the objects and the history."""
         now = asyncio.get_running_loop().time()
--- a/packages/standins/src/wharf_standins/soak/wire.py
+++ b/packages/standins/src/wharf_standins/soak/wire.py
@@ -21,6 +21,7 @@
 RESPONSE_BYTES = 300
 ENGINES = "engines"
 STEP_SERVICE = "encoders"
+KEYED_ROUTE = "keyed"
 # Pieces of the two steps; the second needs the results of the first.
 STEP_PIECES = (2, 1)
 RESULT_BYTES = 1000
@@ -46,29 +47,51 @@
     return request_line.split()[1], fields, body
 
 
-def request_head(request_id, kind, length):
+def request_head(request, length):
     """Return the request line and header of a client's request."""
+    kind, feature = request.kind, request.feature or ""
     fields = {
         "Host": HOST,
-        names.ATTEMPT_ID: request_id,
+        names.ATTEMPT_ID: request.id,
         names.DEADLINE: str(int(kind.deadline_seconds * 1000)),
         "Content-Length": str(length),
     }
     if kind is RequestKind.STEPS:
         fields[names.CHUNKS] = ",".join(map(str, STEP_PIECES))
-        fields[names.CHUNK_KEY] = request_id
-    lines = [f"POST /{kind}/x HTTP/1.1", *(f"{k}: {v}" for k, v in fields.items())]
+        fields[names.CHUNK_KEY] = request.id
+    path = f"/{feature or kind}/x"
+    if feature.startswith("key-"):
+        path = f"/{KEYED_ROUTE}/x"
+        fields["Authorization"] = f"Bearer {feature}"
+    lines = [f"POST {path} HTTP/1.1", *(f"{k}: {v}" for k, v in fields.items())]
     return "\r\n".join((*lines, "", "")).encode()
 
 
-def configuration(version, call_seconds=0.05):
-    """Return a configuration with a route for each kind of request.
+def configuration(
+    number,
+    call_seconds=0.05,
+    features=frozenset(),
+    timeout_factor=1.0,
+    idle_seconds=30.0,
+):
+    """Return the document of a version of the configuration.
 
+    It has a route for each kind of request, and the routes and keys of `features`.
     `call_seconds` is the duration of a call that runs pieces of steps.
     """
+    keys = sorted(f for f in features if f.startswith("key-"))
+    added = sorted(frozenset(features).difference(keys))
+    routes = [
+        *(_route(kind, kind) for kind in DIRECT_KINDS),
+        *(_route(name, RequestKind.SAFE) for name in added),
+        _route(KEYED_ROUTE, RequestKind.SAFE) | {"isPublic": False},
+        _route_with_steps(),
+    ]
+    for route in routes:
+        route["timeoutMs"] *= timeout_factor
     return {
-        "version": version,
-        "routes": [*map(_route, DIRECT_KINDS), _route_with_steps()],
+        "version": number,
+        "routes": routes,
         "services": [
             {"name": ENGINES, "healthPath": "/healthz", "maxConns": 200},
             {
@@ -87,6 +110,8 @@
                 },
             },
         ],
+        "tenants": [{"name": "acme", "apiKeys": keys}],
+        "limits": {"idleTimeoutMs": idle_seconds * 1000},
     }
 
 
@@ -105,22 +130,23 @@
     }
 
 
-def _route(kind):
+def _route(name, kind):
     return {
-        "name": kind,
+        "name": name,
         "hostname": HOST,
-        "pathPrefix": f"/{kind}/",
+        "pathPrefix": f"/{name}/",
         "routeKind": kind,
         "timeoutMs": kind.deadline_seconds * 1000,
         "sloMs": 500,
         "service": ENGINES,
         "maxAttempts": 2,
+        "isPublic": True,
     }
 
 
 def _route_with_steps():
     step = {"service": STEP_SERVICE, "byteCount": RESULT_BYTES}
-    return _route(RequestKind.STEPS) | {
+    return _route(RequestKind.STEPS, RequestKind.STEPS) | {
         "routeKind": RequestKind.STREAM,
         "sloMs": STEPS_TARGET_SECONDS * 1000,
         "stages": [step | {"after": []}, step | {"after": [0]}],
--- a/packages/standins/tests/test_soak.py
+++ b/packages/standins/tests/test_soak.py
@@ -1,12 +1,19 @@
 """The soak test reports each kind of violation, and a short run has no findings."""
 
 import asyncio
+import signal
+from unittest.mock import patch
 
 import pytest
 
 from wharf_standins.soak.checks import check_requests
+from wharf_standins.soak.fault import Fault, schedule
+from wharf_standins.soak.gateway_process import GatewayProcess
+from wharf_standins.soak.operator import SoakOperator
 from wharf_standins.soak.request import RequestKind, ResponseState, SoakRequest
 from wharf_standins.soak.run import SoakRun
+from wharf_standins.soak.step_upstream import StepUpstream
+from wharf_standins.soak.store import SoakStore
 from wharf_standins.soak.wire import EVENTS, event, response_body
 
 STREAM = b"".join(event("r1", number) for number in range(EVENTS))
@@ -83,6 +90,65 @@
     assert check_requests([truncated]) == []
 
 
+def test_each_kind_of_seed_has_its_series():
+    kinds = [{fault.kind for fault in schedule(seed, 6.0)} for seed in range(30)]
+    assert all(found & {"stop", "stops"} for found in kinds[0::3])
+    assert all("restored" in found for found in kinds[1::3])
+    assert sum("stops" in found for found in kinds) > 1
+    times = [f.at for f in schedule(4, 6.0) if f.kind == "restored"]
+    assert len(times) == 2
+
+
+async def _kill(gateway, signal_number, pause=0.0):
+    gateway.send_signal(signal.SIGKILL)
+
+
+async def _ignore(operator, name, entry):
+    """Write no entry of a leaving upstream."""
+    if entry["state"] != "draining":
+        await PUT_UPSTREAM(operator, name, entry)
+
+
+async def _lose(operator, kind):
+    """Write no version of the configuration after the first."""
+    operator.versions.append(operator.next_version(kind))
+
+
+def _mix(upstream, piece):
+    result = RUN_PIECE(upstream, piece)
+    upstream.owner_by_result[result["handle"]] = "another"
+    return result
+
+
+PUT_UPSTREAM, RUN_PIECE = SoakOperator.put_upstream, StepUpstream.run_piece
+
+
+# A run whose checks are given no requests, times or versions would find nothing.
+def test_faults_put_in_on_purpose_are_found():
+    soak_run = SoakRun(1, 5.0)
+    soak_run.faults = [
+        Fault(0.2, "leave", 0, 0.0),
+        Fault(0.2, "route", 0, 0.0),
+        Fault(3.5, "stop", 0, 0.0),
+    ]
+    with (
+        patch.object(GatewayProcess, "restart", _kill),
+        patch.object(SoakOperator, "put_upstream", _ignore),
+        patch.object(SoakOperator, "configure", _lose),
+        patch.object(StepUpstream, "run_piece", _mix),
+        patch.object(SoakStore, "names", lambda store, kind: set()),
+    ):
+        findings = asyncio.run(soak_run.run())
+    assert {finding.guarantee for finding in findings} == {
+        "configuration in time",
+        "gateways registered",
+        "leaving upstreams",
+        "own whole answer",
+        "planned work cuts nothing",
+        "served after faults",
+    }
+
+
 @pytest.mark.parametrize("seed", [3, 4, 12])
 def test_short_run_has_no_findings(seed):
     assert asyncio.run(SoakRun(seed, 3.0).run()) == []
