Show that the soak finds a gateway that goes back

check_configuration was shown made-up requests only. In this run the store is restored to a copy before a change of routes and written again 4 s later, and a gateway that is killed in between follows the copy, as it may; counted as the incarnation before, it has gone back, and the soak finds that.

--- a/packages/standins/tests/test_soak.py
+++ b/packages/standins/tests/test_soak.py
@@ -149,6 +149,24 @@
     }
 
 
+# A store that isn't restored, or gateways that aren't asked, would show no way back.
+def test_gateway_that_goes_back_after_a_restoration_is_found():
+    soak_run = SoakRun(1, 4.0)
+    soak_run.faults = [
+        Fault(0.2, "route", 0, 0.0),
+        Fault(2.5, "restored", 999, 0.3),
+        Fault(2.7, "kill", 0, 0.2),
+    ]
+    # A process that starts before the operator writes again knows the copy alone.
+    one_incarnation = property(lambda gateway: 1, lambda gateway, count: None)
+    with (
+        patch("wharf_standins.soak.run.WRITE_AGAIN_SECONDS", 4.0),
+        patch.object(GatewayProcess, "incarnation", one_incarnation, create=True),
+    ):
+        findings = asyncio.run(soak_run.run())
+    assert "configuration goes back" in {finding.guarantee for finding in findings}
+
+
 @pytest.mark.parametrize("seed", [3, 4, 12])
 def test_short_run_has_no_findings(seed):
     assert asyncio.run(SoakRun(seed, 3.0).run()) == []
