Never compare revisions of two eras of the store

Seen: none of it yet by callers.

Cause: watchers, news between gateways and what feeders vouch for compared positions in the store's history by the revision alone. A watch or a feeder of the history that was lost was taken for one of the history that followed.

Change: - A position is an era with a revision (`StorePosition`). It has no order; `includes` is false across eras. Listings, changes, news and vouched revisions carry the era. - The client records the era of each answer, errors included. An answer of an earlier era than the newest, or pages of two eras, are `StoreUnavailable`. - When any answer names a later era, the watchers of the process leave what they wait for and list anew, spread over 6 ms for each gateway, and count it as a return of the store, so that the grace for missing upstreams begins. - Each notice to a peer names the era. A peer that hears of a later one lists anew from the store; news and vouched revisions of another era are of no use to it. Messages of gateways without the field are still read. - Log events `store_restored`, `store_era_heard`, the gauges `wharf_store_era` and `wharf_store_restorations`, and `store_era` in the state.

The tests that changed only follow the new types: a listing is a page with a position, a notice has an era, here None.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -29,6 +29,7 @@
 from wharf_gateway.stages.piece_client import PieceClient
 from wharf_gateway.store.outage import Outage
 from wharf_gateway.store.store_client import StoreClient
+from wharf_gateway.store.store_eras import StoreEras
 from wharf_gateway.store.store_feed import StoreFeed
 from wharf_gateway.store.store_kind import StoreKind
 from wharf_gateway.store.store_watcher import StoreWatcher
@@ -70,8 +71,10 @@
             )
         )
         self._store_pool = ConnectionPool(limits=STORE_LIMITS)
+        self._eras = StoreEras()
+        self._eras.callbacks.append(self._on_restoration)
         self._store = StoreClient(
-            settings.store, self._dialect, self._store_pool, self._clock
+            settings.store, self._dialect, self._store_pool, self._clock, self._eras
         )
         self._outage = Outage()
         self.fleet.removal_callbacks.append(
@@ -123,6 +126,7 @@
             self._store,
             lambda: len(self._registry.entry_by_name),
             self._clock,
+            self._eras,
         )
         self.peers.feed = self.feed
         self.pause_guard = PauseGuard(self._clock(), self._ask_again, self._is_current)
@@ -259,6 +263,7 @@
             "stopping": self.server.closing,
             "busy": self.server.busy_count,
             "out_data_centres": sorted(self.fleet.out_data_centres),
+            "store_era": self._eras.current,
             "store_away_kinds": [f.kind for f in self._watchers if f.unavailable_since],
             "upstreams": self.fleet.dump(now),
             "preparers": self.preparation_router.dump(now),
@@ -280,6 +285,8 @@
         meter = self.meter
         meter.gauge("wharf_busy_connections", lambda: {(): self.server.busy_count})
         meter.gauge("wharf_store_calls", lambda: {(): self._store.calls})
+        meter.gauge("wharf_store_era", lambda: {(): self._eras.current or 0})
+        meter.gauge("wharf_store_restorations", lambda: {(): self._eras.restorations})
         meter.gauge("wharf_upstream_connections", lambda: {(): self._pool.opened})
         meter.gauge(
             "wharf_preparing", lambda: {(): self.preparation_router.pending_count}
@@ -316,6 +323,7 @@
             self._rng,
             coalesces=kind in COALESCED_KINDS,
             feed=self.feed,
+            eras=self._eras,
         )
 
     def _watch_upstreams(self):
@@ -338,11 +346,15 @@
             task.cancel()
         self._store_pool.close()
         for watcher in self._watchers:
-            watcher.revision = None
+            watcher.position = None
         self._watch_tasks = [asyncio.create_task(f.run()) for f in self._watchers]
 
     def _is_current(self):
-        return all(watcher.revision is not None for watcher in self._watchers)
+        return all(watcher.position is not None for watcher in self._watchers)
+
+    def _on_restoration(self, now):
+        """Leave the connections to the store as it was before it was restored."""
+        self._store_pool.close()
 
     async def _tick(self):
         while True:
--- a/packages/gateway/src/wharf_gateway/peers/messages.py
+++ b/packages/gateway/src/wharf_gateway/peers/messages.py
@@ -37,6 +37,7 @@
 MAX_SUSPECTS = 64
 MAX_AGE_SECONDS = 86_400.0
 Age = Annotated[float, Field(ge=0, le=MAX_AGE_SECONDS)]
+Era = Annotated[int, Field(ge=0)] | None
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,13 +114,15 @@
 
     The message also serves as a heartbeat. A sender that is not `ready` accepts no
     preparations. It sends the next notice well within `valid_seconds`. If it watches
-    the store for others, it has handed on all changes up to `revision_by_kind`.
+    the store for others, it has handed on all changes up to `revision_by_kind`, which
+    are revisions of `store_era`, the newest era that the store has named to it.
     """
 
     ready: bool
     backlog_by_pool: dict[str, float]
     valid_seconds: float = 0.5
     revision_by_kind: dict[str, int] = Field(default_factory=dict)
+    store_era: Era = None
     kind: Literal["load"] = "load"
 
 
@@ -158,7 +161,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreNews:
-    """Hand on the changes of a kind of objects between two revisions of the store.
+    """Hand on the changes of a kind of objects between two revisions of a store's era.
 
     Each change has the object's name, revision, spec and status, and whether it is
     deleted.
@@ -168,6 +171,7 @@
     since: int
     revision: int
     changes: tuple[tuple[str, int, Any, Any, bool], ...]
+    era: Era = None
     kind: Literal["news"] = "news"
 
 
--- a/packages/gateway/src/wharf_gateway/peers/peer_link.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_link.py
@@ -183,12 +183,13 @@
 
     def _handle(self, message):
         match message:
-            case LoadNotice(ready, backlogs, valid_seconds, revision_by_kind):
+            case LoadNotice(ready, backlogs, valid_seconds, revision_by_kind, era):
                 self.is_ready = ready
                 self.backlog_by_pool = backlogs
                 self._valid_seconds = valid_seconds
-                if revision_by_kind:
-                    self._feed.handle_notice(self.name, revision_by_kind, self._clock())
+                if revision_by_kind or era is not None:
+                    now = self._clock()
+                    self._feed.handle_notice(self.name, era, revision_by_kind, now)
             case Prepare():
                 task = asyncio.create_task(self._prepare(message))
                 self._task_by_number[message.number] = task
--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -212,16 +212,20 @@
     def _load_notice(self):
         ready, backlog_by_pool = self._load()
         vouched = self.feed.vouched_revisions(self._clock()) if self.feed else {}
+        era = self.feed.era if self.feed else None
         is_candidate = self._settings.name in self.candidates
         valid_seconds = PEER_TIMEOUT_SECONDS if is_candidate else IDLE_VALID_SECONDS
-        return LoadNotice(ready, backlog_by_pool, valid_seconds, vouched)
+        return LoadNotice(ready, backlog_by_pool, valid_seconds, vouched, era)
 
     def _notice_intervals(self, notice, last):
         """Return after how many intervals a notice follows the last one sent."""
+        is_first = last is None
+        if not is_first and notice.store_era != last.store_era:
+            return 1
         if self._settings.name not in self.candidates:
             return IDLE_INTERVALS
         is_needed = notice.backlog_by_pool or notice.revision_by_kind
-        has_changed = last is None or notice.ready != last.ready
+        has_changed = is_first or notice.ready != last.ready
         return 1 if is_needed or has_changed else STANDBY_INTERVALS
 
     async def _send_load_notices(self):
--- a/packages/gateway/src/wharf_gateway/store/store_changes.py
+++ b/packages/gateway/src/wharf_gateway/store/store_changes.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from wharf_gateway.store.store_position import StorePosition
 from wharf_gateway.store.stored_object import StoredObject
 
 __all__ = ["StoreChanges"]
@@ -9,7 +10,7 @@
 
 @dataclass(frozen=True, slots=True)
 class StoreChanges:
-    """Changed objects, and the revision from which to continue the watch."""
+    """Changed objects, and the position from which to continue the watch."""
 
     objects: tuple[StoredObject, ...]
-    revision: int
+    position: StorePosition
--- a/packages/gateway/src/wharf_gateway/store/store_client.py
+++ b/packages/gateway/src/wharf_gateway/store/store_client.py
@@ -6,7 +6,10 @@
 
 from wharf_gateway.http.http_call_error import HttpCallError
 from wharf_gateway.request_head import request_head
+from wharf_gateway.store.store_answer import StoreAnswer
+from wharf_gateway.store.store_eras import StoreEras
 from wharf_gateway.store.store_error import HistoryGone, StoreUnavailable
+from wharf_gateway.store.store_page import StorePage
 
 __all__ = ["StoreClient"]
 
@@ -19,31 +22,40 @@
     """List, watch and write objects, without retries.
 
     Errors are returned as values. After `StoreUnavailable` a write may have been done
-    or not. `calls` counts the calls.
+    or not. `calls` counts the calls. `eras` records the era of each answer; one of an
+    earlier era than the newest may tell of what is lost, and is `StoreUnavailable`.
     """
 
-    def __init__(self, address, dialect, pool, clock):
+    def __init__(self, address, dialect, pool, clock, eras=None):
         self._address = address
         self._dialect = dialect
         self._pool = pool
         self._clock = clock
+        self._eras = eras or StoreEras()
         self.calls = 0
 
-    async def list(self, kind):
-        """Return all objects of a kind and the revision at which they were read."""
-        objects, after = [], None
+    async def list(self, kind, on_page=lambda page: None):
+        """Return all objects of a kind as one page, which may be read as several.
+
+        `on_page(page)` is called with each of these. Pages of different eras are
+        `StoreUnavailable`.
+        """
+        objects, after, last = [], None, None
         while True:
             path = self._dialect.list_path(kind, after)
             answer = await self._call("GET", path, b"", CALL_TIMEOUT_SECONDS)
-            page = answer.and_then(lambda body: self._decode(body, "read_page"))
-            match page:
-                case Err():
-                    return page
-                case Ok(found):
-                    objects.extend(found.objects)
-                    if not found.has_more or not found.objects:
-                        return Ok((objects, found.revision))
-                    after = found.objects[-1].name
+            match answer.and_then(lambda found: self._decode(found, "read_page")):
+                case Err() as error:
+                    return error
+                case Ok(page):
+                    eras = {page.position.era, (last or page).position.era}
+                    if len(eras) > 1:
+                        return Err(StoreUnavailable(f"pages of the eras {eras}"))
+                    on_page(page)
+                    objects.extend(page.objects)
+                    if not page.has_more or not page.objects:
+                        return Ok(StorePage(tuple(objects), False, page.position))
+                    after, last = page.objects[-1].name, page
 
     async def watch(self, kind, revision, wait_seconds):
         """Return the changes of a kind after `revision`.
@@ -53,7 +65,7 @@
         path = self._dialect.watch_path(kind, revision, wait_seconds)
         seconds = wait_seconds + WATCH_MARGIN_SECONDS
         answer = await self._call("GET", path, b"", seconds)
-        return answer.and_then(lambda body: self._decode(body, "read_changes"))
+        return answer.and_then(lambda found: self._decode(found, "read_changes"))
 
     async def probe(self, seconds):
         """Ask the store for a sign of life, by its cheapest call."""
@@ -82,8 +94,9 @@
         body = self._dialect.object_body(name, None, revision, status)
         return await self._call("PUT", path, body, CALL_TIMEOUT_SECONDS)
 
-    def _decode(self, body, reader):
-        return getattr(self._dialect, reader)(body).map_err(StoreUnavailable)
+    def _decode(self, answer, reader):
+        read = getattr(self._dialect, reader)
+        return read(answer.body, answer.era).map_err(StoreUnavailable)
 
     async def _call(self, method, path, body, seconds):
         self.calls += 1
@@ -95,6 +108,8 @@
                 head = request_head(method, path, self._address, (), len(body))
                 connection.send(head, body, lambda headers: True)
                 reply = await connection.head()
+                era = self._dialect.read_era(reply.headers)
+                self._eras.record(era, self._clock())
                 data = await connection.body()
         except (HttpCallError, TimeoutError) as error:
             return Err(StoreUnavailable(repr(error)))
@@ -102,8 +117,11 @@
             # The pool closes a connection whose response was not read completely.
             if connection:
                 self._pool.release(self._address, connection, self._clock())
+        if self._eras.is_past(era):
+            detail = f"answer of era {era} after one of {self._eras.current}"
+            return Err(StoreUnavailable(detail))
         if reply.status == HISTORY_GONE:
             return Err(HistoryGone())
         if reply.status not in (200, 201):
             return Err(StoreUnavailable(f"status {reply.status}", reply.status))
-        return Ok(data)
+        return Ok(StoreAnswer(era, data))
--- a/packages/gateway/src/wharf_gateway/store/store_feed.py
+++ b/packages/gateway/src/wharf_gateway/store/store_feed.py
@@ -7,6 +7,7 @@
 
 from wharf_coordination.rendezvous import ranked
 from wharf_gateway.peers.messages import StoreNews
+from wharf_gateway.store.store_position import StorePosition
 from wharf_gateway.store.stored_object import StoredObject
 
 __all__ = ["StoreFeed"]
@@ -31,11 +32,17 @@
 
 @dataclass(frozen=True, slots=True)
 class _Source:
-    """What a feeder vouches for: revisions by kind, and when it last did so."""
+    """What a feeder vouches for: revisions of an era by kind, and when it did so."""
 
+    era: int | None
     revision_by_kind: dict
     heard_at: float
 
+    def position(self, kind):
+        """Return the position of a kind, or None."""
+        revision = self.revision_by_kind.get(kind)
+        return None if revision is None else StorePosition(self.era, revision)
+
 
 class StoreFeed:
     """Decide who watches the store, and exchange what the watchers see.
@@ -43,16 +50,19 @@
     The feeders are chosen by rendezvous among the gateways that are linked to all
     others. They hand each change on and tell ten times a second up to which revision
     they have done so, while the store answers them. A gateway that no feeder vouches
-    to, or that misses a change, calls the store itself. `gateway_count()` returns the
-    number of registered gateways. Times are those of the event loop, in seconds.
+    to, or that misses a change, calls the store itself. Feeders of another era of the
+    store vouch for nothing, and one of a later era makes a gateway list anew.
+    `gateway_count()` returns the number of registered gateways. Times are those of the
+    event loop, in seconds.
     """
 
-    def __init__(self, settings, peers, store, gateway_count, clock):
+    def __init__(self, settings, peers, store, gateway_count, clock, eras):
         self._settings = settings
         self._peers = peers
         self._store = store
-        self._gateway_count = gateway_count
+        self.gateway_count = gateway_count
         self._clock = clock
+        self._eras = eras
         self._started_at = clock()
         self._source_by_name = {}
         self._probed_at = float("-inf")
@@ -87,22 +97,25 @@
         )
         return [first, *others[: FEEDER_COUNT - 1]]
 
-    def covers(self, kind, revision, now):
-        """Return whether a feeder vouches that `revision` of a kind is the newest."""
+    def covers(self, kind, position, now):
+        """Return whether a feeder vouches that `position` of a kind is the newest."""
         follows = self._is_large() and not self.is_feeder(now)
-        return follows and self._is_vouched(kind, revision, now)
+        return follows and self._is_vouched(kind, position, now)
 
-    def _is_vouched(self, kind, revision, now):
-        revisions = [
-            source.revision_by_kind.get(kind)
+    def _is_vouched(self, kind, position, now):
+        if not self._eras.is_newest(position.era):
+            return False
+        vouched = [
+            source.position(kind)
             for source in self._source_by_name.values()
             if now - source.heard_at < NOTICE_VALID_SECONDS
+            and source.era == position.era
         ]
-        known = [value for value in revisions if value is not None]
-        return bool(known) and max(known) <= revision
+        known = [other for other in vouched if other is not None]
+        return bool(known) and all(map(position.includes, known))
 
     async def wait_uncovered(self, kind):
-        """Wait until no feeder vouches for this gateway's revision of a kind."""
+        """Wait until no feeder vouches for this gateway's position of a kind."""
         future = asyncio.get_running_loop().create_future()
         self._waiter_by_kind[kind] = future
         try:
@@ -115,16 +128,23 @@
         is_feeder = self.is_feeder(now)
         follows = self._is_large() and not is_feeder
         for kind, future in self._waiter_by_kind.items():
-            revision = self.watcher_by_kind[kind].revision
-            is_covered = follows and self._is_vouched(kind, revision, now)
+            watcher = self.watcher_by_kind[kind]
+            if not watcher.is_in_newest_era:
+                continue  # it lists anew by itself
+            is_covered = follows and self._is_vouched(kind, watcher.position, now)
             if not future.done() and not is_covered:
                 future.set_result(None)
         if is_feeder != self._was_feeder:
             self._was_feeder = is_feeder
             log.info("store_feeder", feeding=is_feeder)
 
+    @property
+    def era(self):
+        """Return the newest era of the store that it has named itself, or None."""
+        return self._eras.current
+
     def vouched_revisions(self, now):
-        """Return up to which revisions this gateway vouches for each kind to others.
+        """Return up to which revisions of `era` this gateway vouches for to others.
 
         This is empty unless it is a feeder whose last probe was answered just now.
         """
@@ -132,9 +152,9 @@
         if not is_sure or not self.is_feeder(now):
             return {}
         return {
-            str(kind): watcher.revision
+            str(kind): watcher.position.revision
             for kind, watcher in self.watcher_by_kind.items()
-            if watcher.is_watching
+            if watcher.is_watching and watcher.position.era == self.era
         }
 
     async def probe(self):
@@ -147,14 +167,15 @@
                 if answer.is_ok():
                     self._probed_at = now
 
-    def publish(self, kind, since, revision, objects):
-        """As a feeder, hand on the changes of a kind after the revision `since`."""
+    def publish(self, kind, since, position, objects):
+        """As a feeder, hand on the changes of a kind after the position `since`."""
         if not self.is_feeder(self._clock()):
             return
         changes = tuple(
             (o.name, o.revision, o.spec, o.status, o.is_deleted) for o in objects
         )
-        news = StoreNews(kind, since, revision, changes)
+        revision, era = position.revision, position.era
+        news = StoreNews(kind, since.revision, revision, changes, era)
         self._peers.post_all(news, MAX_NEWS_BYTES)
 
     def handle_news(self, message, now):
@@ -167,11 +188,18 @@
         watcher = self.watcher_by_kind.get(message.store_kind)
         if watcher is not None:
             objects = tuple(StoredObject(*change) for change in message.changes)
-            watcher.apply_news(message.since, message.revision, objects, now)
-
-    def handle_notice(self, name, revision_by_kind, now):
-        """Record up to which revisions a feeder has handed on changes."""
-        self._source_by_name[name] = _Source(revision_by_kind, now)
+            since = StorePosition(message.era, message.since)
+            position = StorePosition(message.era, message.revision)
+            watcher.apply_news(since, position, objects, now)
+
+    def handle_notice(self, name, era, revision_by_kind, now):
+        """Record a peer's era of the store and what it vouches for as a feeder."""
+        if revision_by_kind:
+            self._source_by_name[name] = _Source(era, revision_by_kind, now)
+        if self._eras.hear(era):
+            log.info("store_era_heard", peer=name, era=era)
+            for watcher in self.watcher_by_kind.values():
+                watcher.list_anew(now)
 
     def dump(self, now):
         """Return who watches the store and what they vouch for, for operators."""
@@ -180,6 +208,7 @@
             "sources": {
                 name: {
                     "heard_seconds_ago": round(now - source.heard_at, 3),
+                    "era": source.era,
                     "revisions": source.revision_by_kind,
                 }
                 for name, source in self._source_by_name.items()
@@ -187,4 +216,4 @@
         }
 
     def _is_large(self):
-        return self._gateway_count() >= MIN_FLEET_SIZE
+        return self.gateway_count() >= MIN_FLEET_SIZE
--- a/packages/gateway/src/wharf_gateway/store/store_page.py
+++ b/packages/gateway/src/wharf_gateway/store/store_page.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from wharf_gateway.store.store_position import StorePosition
 from wharf_gateway.store.stored_object import StoredObject
 
 __all__ = ["StorePage"]
@@ -9,8 +10,8 @@
 
 @dataclass(frozen=True, slots=True)
 class StorePage:
-    """Objects, whether more pages follow, and the revision of the store."""
+    """Objects, whether more pages follow, and the position at which they were read."""
 
     objects: tuple[StoredObject, ...]
     has_more: bool
-    revision: int
+    position: StorePosition
--- a/packages/gateway/src/wharf_gateway/store/store_watcher.py
+++ b/packages/gateway/src/wharf_gateway/store/store_watcher.py
@@ -6,7 +6,9 @@
 from result import Err, Ok
 
 from wharf_coordination.backoff import Backoff
+from wharf_gateway.store.store_eras import StoreEras
 from wharf_gateway.store.store_error import HistoryGone
+from wharf_gateway.store.store_kind import StoreKind
 
 __all__ = ["StoreWatcher"]
 
@@ -21,6 +23,10 @@
 MAX_RETRY_SECONDS = 1.0  # between calls while the store is unavailable
 START_POLL_SECONDS = 0.1
 RETRY_BACKOFF = Backoff(first=0.1, longest=MAX_RETRY_SECONDS)
+# After a restoration of the store, calls that are under way may still be answered for
+# this long. Then all gateways list all kinds, at half the rate that the store allows.
+ANSWER_SECONDS = 0.05
+LISTINGS_PER_SECOND = 1000.0
 
 
 class StoreWatcher:
@@ -30,9 +36,10 @@
     with the changed ones. With `coalesces`, the watch after a change is delayed, so
     that it returns several changes at once. `unavailable_since` is the time of the
     first failed call of an outage, None while the store answers; `recovered_at` is the
-    time at which the last outage ended. All watchers of a process share an `outage`.
-    While a feeder of `feed` vouches for this gateway's revision, the store isn't
-    called.
+    time at which the last outage ended, or at which a restoration of the store was
+    noticed. All watchers of a process share an `outage` and the `eras` of the store,
+    and list anew when a later era begins. While a feeder of `feed` vouches for this
+    gateway's position, the store isn't called.
     """
 
     def __init__(
@@ -47,6 +54,7 @@
         *,
         coalesces=False,
         feed=None,
+        eras=None,
     ):
         self._store = store
         self.kind = kind
@@ -59,13 +67,45 @@
         self._feed = feed
         if feed is not None:
             feed.watcher_by_kind[kind] = self
+        self._eras = eras or StoreEras()
+        self._eras.callbacks.append(self._on_restoration)
         self._has_changed = False
-        self.revision = None
+        self._scope = None
+        self.position = None
         self.unavailable_since = None
         self.recovered_at = None
 
     async def run(self):
         """List and watch until cancelled."""
+        while True:
+            try:
+                # Its deadline is the time at which to list anew, whatever is awaited.
+                async with asyncio.timeout(None) as scope:
+                    self._scope = scope
+                    await self._list_and_watch()
+            except TimeoutError:
+                self.position = None
+            finally:
+                if self._scope is scope:
+                    self._scope = None
+
+    def list_anew(self, now):
+        """List all objects again soon, instead of what is being waited for.
+
+        Gateways do so at different times, so that the store can answer all.
+        """
+        if self._scope is None or self._scope.when() is not None:
+            return
+        gateways = self._feed.gateway_count() if self._feed is not None else 1
+        spread = gateways * len(StoreKind) / LISTINGS_PER_SECOND
+        delay = ANSWER_SECONDS + self._rng.uniform(0.0, spread)
+        self._scope.reschedule(now + delay)
+
+    def _on_restoration(self, now):
+        self.recovered_at = now
+        self.list_anew(now)
+
+    async def _list_and_watch(self):
         failures = 0
         while True:
             answer = await self._next()
@@ -74,79 +114,96 @@
                     failures = 0
                 case Err(HistoryGone()):
                     log.info("store_history_gone", kind=self.kind)
-                    self.revision = None
+                    self.position = None
                 case Err(error):
                     # List again: a watch from the old revision may miss changes if
                     # the store is dropping the history after it.
-                    self.revision = None
+                    self.position = None
                     self._record_failure(error)
                     failures += 1
                     seconds = RETRY_BACKOFF.delay(failures, self._rng)
                     await self._outage.wait_turn(self.kind, seconds)
 
     async def _next(self):
-        if self.revision is None:
-            answer = await self._store.list(self.kind)
+        if self.position is None:
+            self._scope.reschedule(None)
+            answer = await self._store.list(self.kind, self._check_page)
             return answer.map(self._apply_listing)
         if self._has_changed and self._gathers:
             await asyncio.sleep(COALESCE_SECONDS)
         if self._feed is not None and await self._follow_feed():
             # The store may have dropped the history since this revision.
-            self.revision = None
+            self.position = None
             return Ok(None)
-        answer = await self._store.watch(self.kind, self.revision, WATCH_SECONDS)
-        return answer.map(self._apply_changes)
+        revision = self.position.revision
+        answer = await self._store.watch(self.kind, revision, WATCH_SECONDS)
+        return answer.and_then(self._apply_changes)
 
     async def _follow_feed(self):
-        """Wait while a feeder vouches for this revision; return whether it waited."""
+        """Wait while a feeder vouches for this position; return whether it waited."""
         has_waited = False
         while self._feed.is_starting(self._clock()):
             await asyncio.sleep(START_POLL_SECONDS)
             has_waited = True
-        if self._feed.covers(self.kind, self.revision, self._clock()):
+        if self._feed.covers(self.kind, self.position, self._clock()):
             await self._feed.wait_uncovered(self.kind)
             await asyncio.sleep(COALESCE_SECONDS)
             has_waited = True
         return has_waited
 
+    def _check_page(self, page):
+        """Go on with a listing that was under way when its era was noticed."""
+        if self._eras.is_newest(page.position.era):
+            self._scope.reschedule(None)
+
     def _apply_listing(self, listing):
-        objects, self.revision = listing
+        self.position = listing.position
         self._record_answer()
-        self._on_listing(objects, self._clock())
+        self._on_listing(listing.objects, self._clock())
 
     def _apply_changes(self, changes):
         self._record_answer()
+        since, position = self.position, changes.position
+        if position.era != since.era:
+            return Err(HistoryGone())
         self._has_changed = bool(changes.objects)
-        since = self.revision
-        self._advance_to(changes.revision, changes.objects, self._clock())
+        self._advance_to(position, changes.objects, self._clock())
         if self._feed is not None:
-            self._feed.publish(self.kind, since, changes.revision, changes.objects)
+            self._feed.publish(self.kind, since, position, changes.objects)
+        return Ok(None)
 
-    def apply_news(self, since, revision, objects, now):
-        """Apply the changes that a feeder saw after the revision `since`.
+    def apply_news(self, since, position, objects, now):
+        """Apply the changes that a feeder saw after the position `since`.
 
-        They are of no use if this watcher lacks some before them.
+        They are of no use if this watcher lacks some before them, or if the store has
+        begun another era.
         """
-        if self.revision is not None and since <= self.revision:
-            self._advance_to(revision, objects, now)
+        if self.is_in_newest_era and self.position.includes(since):
+            self._advance_to(position, objects, now)
 
     @property
     def is_watching(self):
-        """Return whether all changes are known up to `revision`."""
-        return self.revision is not None and self.unavailable_since is None
+        """Return whether all changes are known up to `position`."""
+        return self.is_in_newest_era and self.unavailable_since is None
+
+    @property
+    def is_in_newest_era(self):
+        """Return whether the objects were listed in the newest known era."""
+        return self.position is not None and self._eras.is_newest(self.position.era)
 
-    def _advance_to(self, revision, objects, now):
-        """Apply changes up to a revision, unless they are known already.
+    def _advance_to(self, position, objects, now):
+        """Apply changes up to a position, unless they are known already.
 
         News and an own watch may return the same changes, in any order.
         """
-        if revision <= self.revision:
+        known = self.position
+        if known.includes(position):
             return
-        known, self.revision = self.revision, revision
+        self.position = position
         objects = tuple(
             changed
             for changed in objects
-            if changed.is_deleted or changed.revision > known
+            if changed.is_deleted or changed.revision > known.revision
         )
         if objects:
             self._on_changes(objects, now)
--- a/packages/gateway/tests/test_adapter_dialect.py
+++ b/packages/gateway/tests/test_adapter_dialect.py
@@ -185,6 +185,16 @@
     assert dialect.read_page(body).is_err()
 
 
+@pytest.mark.parametrize(
+    ("value", "era"),
+    [("7", 7), (" 12 ", 12), ("0", 0), ("", None), ("-1", None), ("x", None)]
+    + [("1.0", None), ("9" * 5000, None), ("\u0661", None)],
+)
+def test_an_answers_era_is_a_number_or_missing(dialect, value, era):
+    assert dialect.read_era(Headers((("store-era", value),))) == era
+    assert dialect.read_era(Headers()) is None
+
+
 def test_a_customers_priority_outranks_a_routes(dialect):
     """Between customers of equal priority the route's priority must still count."""
     route = {"hostname": "h", "routeKind": "safe", "timeoutMs": 1, "service": "s"}
--- a/packages/gateway/tests/test_peer_link.py
+++ b/packages/gateway/tests/test_peer_link.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field
 
+import cbor2
 import pytest
 from result import Err, Ok
 
@@ -15,6 +16,7 @@
     LoadNotice,
     Prepare,
     Prepared,
+    StoreNews,
 )
 from wharf_gateway.peers.peer_link import PEER_TIMEOUT_SECONDS, PeerLink
 from wharf_gateway.stages.preparation import Preparation
@@ -95,3 +97,47 @@
 
     assert any(isinstance(message, Prepare) for message in socket.sent)
     assert socket.sent[-1] == Free("everywhere", ("h1", "h2"))
+
+
+class Feed:
+    """Record notices."""
+
+    def __init__(self):
+        self.notices = []
+
+    def handle_notice(self, name, era, revision_by_kind, now):
+        self.notices.append((name, era, revision_by_kind))
+
+
+async def test_the_feed_hears_of_each_peers_era(socket, clock):
+    feed = Feed()
+    link = PeerLink(socket, None, None, lambda: clock[0], feed=feed)
+    task = asyncio.create_task(link.run(Greeting("me", "dc-1"), lambda link: None))
+    await socket.receive(
+        Greeting("other", "dc-2"),
+        LoadNotice(True, {}),
+        LoadNotice(True, {}, store_era=4),
+        LoadNotice(True, {}, 0.5, {"entries": 9}),
+    )
+    task.cancel()
+
+    assert feed.notices == [("other", 4, {}), ("other", None, {"entries": 9})]
+
+
+# Guards against links that break while gateways are restarted with a new version.
+@pytest.mark.parametrize(
+    ("message", "field"),
+    [
+        (LoadNotice(True, {}, 0.5, {"entries": 9}, 4), "store_era"),
+        (StoreNews("entries", 7, 9, (), 4), "era"),
+    ],
+)
+def test_gateways_without_eras_are_understood(message, field):
+    fields = cbor2.loads(encode(message))
+    assert fields.pop(field) == 4
+
+    older = decode(cbor2.dumps(fields)).unwrap()
+    newer = decode(cbor2.dumps(fields | {"unknown_field": 1})).unwrap()
+
+    assert getattr(older, field) is None
+    assert older == newer
--- a/packages/gateway/tests/test_peer_set.py
+++ b/packages/gateway/tests/test_peer_set.py
@@ -8,7 +8,8 @@
 import pytest
 
 from wharf_gateway.peers.gateway_entry import GatewayEntry
-from wharf_gateway.peers.peer_set import PeerSet
+from wharf_gateway.peers.messages import LoadNotice
+from wharf_gateway.peers.peer_set import IDLE_INTERVALS, PeerSet
 from wharf_gateway.settings import GatewaySettings
 
 
@@ -92,3 +93,12 @@
     await _wait_until(lambda: _is_linked(peer_sets))
     await asyncio.sleep(0.7)
     assert _is_linked(peer_sets)
+
+
+# Guards against a restoration of the store that is told on late.
+async def test_a_later_era_of_the_store_is_told_at_once(peer_sets):
+    last, notice = LoadNotice(True, {}, store_era=4), LoadNotice(True, {}, store_era=5)
+
+    assert peer_sets["a"]._notice_intervals(last, None) == IDLE_INTERVALS
+    assert peer_sets["a"]._notice_intervals(last, last) == IDLE_INTERVALS
+    assert peer_sets["a"]._notice_intervals(notice, last) == 1
--- a/packages/standins/tests/test_store_feed.py
+++ b/packages/standins/tests/test_store_feed.py
@@ -15,9 +15,12 @@
 from wharf_gateway.peers.messages import StoreNews
 from wharf_gateway.store.outage import Outage
 from wharf_gateway.store.store_changes import StoreChanges
+from wharf_gateway.store.store_eras import StoreEras
 from wharf_gateway.store.store_error import StoreUnavailable
 from wharf_gateway.store.store_feed import StoreFeed
 from wharf_gateway.store.store_kind import StoreKind
+from wharf_gateway.store.store_page import StorePage
+from wharf_gateway.store.store_position import StorePosition
 from wharf_gateway.store.store_watcher import StoreWatcher
 from wharf_gateway.store.stored_object import StoredObject
 from wharf_standins.virtual_time import VirtualTimeLoop
@@ -39,6 +42,10 @@
         self.cut = set()
         self.history_from = 0
 
+    @property
+    def position(self):
+        return StorePosition(None, self.revision)
+
     def write(self, name):
         self.revision += 1
         self.changes.append(StoredObject(name, self.revision))
@@ -64,9 +71,10 @@
     async def probe(self, seconds):
         return await self._call(seconds)
 
-    async def list(self, kind):
+    async def list(self, kind, on_page):
         answer = await self._call(1.5)
-        return answer.map(lambda _: (list(self._store.changes), self._store.revision))
+        objects = tuple(self._store.changes)
+        return answer.map(lambda _: StorePage(objects, False, self._store.position))
 
     async def watch(self, kind, revision, wait_seconds):
         answer = await self._call(wait_seconds)
@@ -81,7 +89,7 @@
                 await asyncio.sleep(wait_seconds)
                 return Err(StoreUnavailable("silent"))
             if found:
-                return Ok(StoreChanges(found, self._store.revision))
+                return Ok(StoreChanges(found, self._store.position))
             await self._store.changed.wait()
         return answer
 
@@ -129,7 +137,10 @@
         peers = Peers(name, self.names, self.data_centre_of, self._deliver)
         settings = SimpleNamespace(name=name, data_centre=self.data_centre_of(name))
         client = Client(self.store, name)
-        feed = StoreFeed(settings, peers, client, lambda: len(self.names), self.clock)
+        feed = StoreFeed(
+            *(settings, peers, client, lambda: len(self.names), self.clock),
+            StoreEras(),
+        )
 
         def on_changes(objects, now):
             for changed in objects:
@@ -157,7 +168,7 @@
             case StoreNews():
                 handle, args = feed.handle_news, (message,)
             case revisions:
-                handle, args = feed.handle_notice, (sender, revisions)
+                handle, args = feed.handle_notice, (sender, None, revisions)
         self._loop.call_later(LINK_SECONDS, lambda: handle(*args, self._loop.time()))
 
     async def _tick(self):
@@ -295,14 +306,15 @@
         watcher = feed.watcher_by_kind[KIND]
         fleet.store.write("upstream")
         await asyncio.sleep(1.0)
-        known, seen = watcher.revision, dict(fleet.seen_by_name[name])
+        position, seen = watcher.position, dict(fleet.seen_by_name[name])
+        known = position.revision
         stale = StoreNews(KIND, 0, known - 1, (("old", known - 1, None, None, False),))
         feed.handle_news(stale, fleet.clock())
         after_a_gap = StoreNews(
             KIND, known + 5, known + 6, (("new", known + 6, None, None, False),)
         )
         feed.handle_news(after_a_gap, fleet.clock())
-        return watcher.revision == known and fleet.seen_by_name[name] == seen
+        return watcher.position == position and fleet.seen_by_name[name] == seen
 
     assert played(receive)
 
