Watch from the first page of a listing

Seen: nothing by callers so far; found by reading while eras were added.

Cause: a listing of several pages had the revision of its last page. An object of the first page that changed while the others were read was missed until its next change, as the watch began after it.

Change: the position of a listing is that of its first page. Objects that a later page already shows changed come once more with the watch, which changes nothing.

Measured: test_a_listing_has_the_position_of_its_first_page had revision 11 instead of 9 before, and passes.

--- a/packages/gateway/src/wharf_gateway/store/store_client.py
+++ b/packages/gateway/src/wharf_gateway/store/store_client.py
@@ -37,10 +37,11 @@
     async def list(self, kind, on_page=lambda page: None):
         """Return all objects of a kind as one page, which may be read as several.
 
-        `on_page(page)` is called with each of these. Pages of different eras are
+        `on_page(page)` is called with each of these. The position is that of the first,
+        since its objects may change while others are read. Pages of different eras are
         `StoreUnavailable`.
         """
-        objects, after, last = [], None, None
+        objects, after, position = [], None, None
         while True:
             path = self._dialect.list_path(kind, after)
             answer = await self._call("GET", path, b"", CALL_TIMEOUT_SECONDS)
@@ -48,14 +49,15 @@
                 case Err() as error:
                     return error
                 case Ok(page):
-                    eras = {page.position.era, (last or page).position.era}
+                    position = position or page.position
+                    eras = {position.era, page.position.era}
                     if len(eras) > 1:
                         return Err(StoreUnavailable(f"pages of the eras {eras}"))
                     on_page(page)
                     objects.extend(page.objects)
                     if not page.has_more or not page.objects:
-                        return Ok(StorePage(tuple(objects), False, page.position))
-                    after, last = page.objects[-1].name, page
+                        return Ok(StorePage(tuple(objects), False, position))
+                    after = page.objects[-1].name
 
     async def watch(self, kind, revision, wait_seconds):
         """Return the changes of a kind after `revision`.
--- a/packages/gateway/tests/test_store_client.py
+++ b/packages/gateway/tests/test_store_client.py
@@ -120,5 +120,14 @@
     assert [stored.name for stored in page.objects] == ["a", "b"]
 
 
+# Guards against a change of an object of the first page while the second is read.
+async def test_a_listing_has_the_position_of_its_first_page(client_of):
+    client = client_of(
+        (3, 200, _page(9, ("a", 4), has_more=True)), (3, 200, _page(11, ("b", 5)))
+    )
+
+    assert (await client.list(KIND)).unwrap().position == StorePosition(3, 9)
+
+
 async def test_a_write_returns_the_answer(client_of):
     assert isinstance(await client_of((3, 201, {})).create(KIND, "u", {}), Ok)
