Test restorations that the feeders miss

With the feeders cut off from the store, or frozen, while it is restored, the others watch for themselves and are right within 4 s, and so are the feeders once they are back.

--- a/packages/standins/tests/test_restored_store.py
+++ b/packages/standins/tests/test_restored_store.py
@@ -431,6 +431,27 @@
     assert played(cut, size) < RIGHT_SECONDS[size]
 
 
+# Guards against gateways that trust feeders which miss the restoration.
+@pytest.mark.parametrize("is_frozen", [False, True])
+def test_gateways_are_right_though_their_feeders_are_cut_off(played, is_frozen):
+    async def cut(fleet):
+        copy = await _lose(fleet)
+        feeders = fleet.gateway_by_name[fleet.names[-1]].feed.feeders(fleet.clock())
+        fleet.store.cut.update(feeders)
+        freezes = [fleet.freeze(name, 5.0) for name in feeders if is_frozen]
+        tasks = [asyncio.create_task(freeze) for freeze in freezes]
+        course = await _restored(fleet, copy=copy, besides=set(feeders))
+        fleet.store.cut.clear()
+        await asyncio.gather(*tasks)
+        return course, await fleet.right_after(4.5)
+
+    course, feeders_wrong_seconds = played(cut, LARGE, keeps_watches=True)
+
+    assert course.wrong_seconds < RIGHT_SECONDS[LARGE]
+    assert course.busiest_second < READS_PER_SECOND
+    assert feeders_wrong_seconds < RIGHT_SECONDS[LARGE]
+
+
 # Guards against a gateway whose first listing is of the era that ends.
 @pytest.mark.parametrize("size", [SMALL, LARGE])
 @pytest.mark.parametrize("before_seconds", [-0.2, 0.0, 0.003, 0.005, 0.05])
