--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -80,8 +80,9 @@
         self._store_pool = ConnectionPool(limits=STORE_LIMITS)
         self._eras = StoreEras()
         self.fleet.eras = self._eras
+        self._eras.callbacks.append(self._on_restoration)
         self._store = StoreClient(
-            settings.store, self._dialect, self._store_pool, self._clock
+            settings.store, self._dialect, self._store_pool, self._clock, self._eras
         )
         self._outage = Outage()
         self.fleet.removal_callbacks.append(
@@ -145,6 +146,7 @@
             self._store,
             lambda: len(self._registry.entry_by_name),
             self._clock,
+            self._eras,
         )
         self.peers.feed = self.feed
         self.pause_guard = PauseGuard(self._clock(), self._ask_again, self._is_current)
@@ -297,6 +299,7 @@
             "stopping": self.server.closing,
             "busy": self.server.busy_count,
             "out_data_centres": sorted(self.fleet.out_data_centres),
+            "store_era": self._eras.current,
             "store_away_kinds": [f.kind for f in self._watchers if f.unavailable_since],
             "upstreams": self.fleet.dump(now),
             "preparers": self.preparation_router.dump(now),
@@ -318,6 +321,8 @@
         meter = self.meter
         meter.gauge("wharf_busy_connections", lambda: {(): self.server.busy_count})
         meter.gauge("wharf_store_calls", lambda: {(): self._store.calls})
+        meter.gauge("wharf_store_era", lambda: {(): self._eras.current or 0})
+        meter.gauge("wharf_store_restorations", lambda: {(): self._eras.restorations})
         meter.gauge("wharf_upstream_connections", lambda: {(): self._pool.opened})
         meter.gauge(
             "wharf_preparing", lambda: {(): self.preparation_router.pending_count}
@@ -376,6 +381,7 @@
             self._rng,
             coalesces=kind in COALESCED_KINDS,
             feed=self.feed,
+            eras=self._eras,
         )
 
     def _watch_upstreams(self):
@@ -398,11 +404,15 @@
             task.cancel()
         self._store_pool.close()
         for watcher in self._watchers:
-            watcher.revision = None
+            watcher.position = None
         self._watch_tasks = [asyncio.create_task(f.run()) for f in self._watchers]
 
     def _is_current(self):
-        return all(watcher.revision is not None for watcher in self._watchers)
+        return all(watcher.position is not None for watcher in self._watchers)
+
+    def _on_restoration(self, now):
+        """Leave the connections to the store as it was before it was restored."""
+        self._store_pool.close()
 
     def _apply_configuration(self, configuration):
         if self.server.limits is not configuration.limits:
