Start a gateway's tasks again that end by an error

Found by reading while the ways to lose a request were listed: an unexpected error in the tick, a watcher, the registration, the probe, the load notices or a link's dialling ended that task for good, without a line, while the gateway went on serving by old knowledge; without the tick, limits and preparations no longer advance.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -38,6 +38,7 @@
 from wharf_gateway.store.store_feed import StoreFeed
 from wharf_gateway.store.store_kind import StoreKind
 from wharf_gateway.store.store_watcher import StoreWatcher
+from wharf_gateway.supervision import supervised
 from wharf_gateway.telemetry.exposition import expose
 from wharf_gateway.telemetry.meter import Meter
 
@@ -232,10 +233,12 @@
                 self._quarantine_keeper.update_documents,
             ),
         ]
-        self._watch_tasks = [asyncio.create_task(f.run()) for f in self._watchers]
-        self._tasks.append(asyncio.create_task(self._tick()))
-        self._tasks.append(asyncio.create_task(self._registry.register()))
-        self._tasks.append(asyncio.create_task(self.feed.probe()))
+        self._start_watching()
+        self._tasks = [
+            supervised("tick", self._tick),
+            supervised("register", self._registry.register),
+            supervised("probe the store", self.feed.probe),
+        ]
 
     async def stop(self):
         """Report not ready, finish requests in progress, and return in time."""
@@ -405,7 +408,12 @@
         self._store_pool.close()
         for watcher in self._watchers:
             watcher.position = None
-        self._watch_tasks = [asyncio.create_task(f.run()) for f in self._watchers]
+        self._start_watching()
+
+    def _start_watching(self):
+        self._watch_tasks = [
+            supervised(f"watch {f.kind}", f.run) for f in self._watchers
+        ]
 
     def _is_current(self):
         return all(watcher.position is not None for watcher in self._watchers)
--- a/packages/gateway/src/wharf_gateway/peers/peer_set.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_set.py
@@ -1,6 +1,7 @@
 """The links of a gateway to the other gateways."""
 
 import asyncio
+from functools import partial
 
 import structlog
 from websockets.asyncio.client import connect
@@ -13,6 +14,7 @@
 from wharf_gateway.peers.codec import MAX_FRAME_BYTES, encode
 from wharf_gateway.peers.messages import Greeting, LoadNotice
 from wharf_gateway.peers.peer_link import PEER_TIMEOUT_SECONDS, PeerLink
+from wharf_gateway.supervision import supervised
 
 __all__ = ["PeerSet"]
 
@@ -72,7 +74,7 @@
         """Listen for peers and start to send load notices."""
         host, port = self._settings.host, self._settings.peer_port
         self._server = await serve(self._accept, host, port, **_OPTIONS)
-        self._notice_task = asyncio.create_task(self._send_load_notices())
+        self._notice_task = supervised("load notices", self._send_load_notices)
 
     def stop(self):
         """Close all links."""
@@ -105,8 +107,9 @@
         for name, address in address_by_name.items():
             if name != own.name and name not in self._dial_task_by_name:
                 delay = 0.0 if name > own.name else FALLBACK_DIAL_SECONDS
-                task = asyncio.create_task(self._dial(name, address, delay))
-                self._dial_task_by_name[name] = task
+                self._dial_task_by_name[name] = supervised(
+                    f"link to {name}", partial(self._dial, name, address, delay)
+                )
 
     def available(self, now):
         """Return the links to peers that accept preparations, by name."""
