--- a/packages/gateway/src/wharf_gateway/peers/peer_link.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_link.py
@@ -28,7 +28,10 @@
     StoreNews,
 )
 from wharf_gateway.stages.preparation import Preparation
-from wharf_gateway.stages.preparation_failure import PreparationFailure
+from wharf_gateway.stages.preparation_failure import (
+    PREPARER_FAILED,
+    PreparationFailure,
+)
 
 __all__ = ["PeerLink"]
 
@@ -257,7 +260,11 @@
             now + message.useful_seconds,
             message.near,
         )
-        answer = await self._preparers.preparer(message.pool).run(preparation)
+        try:
+            answer = await self._preparers.preparer(message.pool).run(preparation)
+        except Exception:  # the peer's caller must not wait until its deadline
+            log.exception("preparation_failed_inside", request=message.call_id)
+            answer = Err(PreparationFailure(PREPARER_FAILED))
         match answer:
             case Ok(handles):
                 self.post(Prepared(message.number, tuple(handles)))
--- a/packages/gateway/src/wharf_gateway/stages/preparation_failure.py
+++ b/packages/gateway/src/wharf_gateway/stages/preparation_failure.py
@@ -2,10 +2,12 @@
 
 from dataclasses import dataclass
 
-__all__ = ["PREPARER_STOPS", "PreparationFailure"]
+__all__ = ["PREPARER_FAILED", "PREPARER_STOPS", "PreparationFailure"]
 
 # The reason if the preparer stops; another one may prepare the request.
 PREPARER_STOPS = "preparer stops"
+# The reason if an error in the preparer ended the preparation.
+PREPARER_FAILED = "preparer failed"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/tests/test_peer_link.py
+++ b/packages/gateway/tests/test_peer_link.py
@@ -16,10 +16,12 @@
     LoadNotice,
     Prepare,
     Prepared,
+    Refused,
     StoreNews,
 )
 from wharf_gateway.peers.peer_link import PEER_TIMEOUT_SECONDS, PeerLink
 from wharf_gateway.stages.preparation import Preparation
+from wharf_gateway.stages.preparation_failure import PREPARER_FAILED
 
 PREPARATION = Preparation("r1", (Step("s", (), 10),), (1,), "k", 0, 9.0, 9.0)
 
@@ -141,3 +143,28 @@
 
     assert getattr(older, field) is None
     assert older == newer
+
+
+class FailingPreparers:
+    """Preparers in which each preparation ends by an error."""
+
+    def preparer(self, pool):
+        return self
+
+    async def run(self, preparation):
+        raise KeyError("service")
+
+
+# Guards against a request that waits until its deadline for a preparer in which an
+# error has ended its preparation.
+async def test_preparation_that_ends_by_an_error_is_refused_at_once(socket, clock):
+    link = PeerLink(socket, FailingPreparers(), None, lambda: clock[0])
+    task = asyncio.create_task(link.run(Greeting("me", "dc-1"), lambda link: None))
+    step = Step("s", (), 10)
+    await socket.receive(
+        Greeting("other", "dc-2"),
+        Prepare(7, "everywhere", "r1", (step,), (1,), "k", 0, 9.0, 9.0, ""),
+    )
+    task.cancel()
+
+    assert socket.sent[-1] == Refused(7, PREPARER_FAILED, 0.5)
