Describe how soon a restored store is followed

The figures are those of test_restored_store.py. A fleet too small for feeders asks the store for nothing on its own, and test_small_fleets_watch_for_themselves holds it to that: if neither an answer, a broken watch nor a peer tells of the restoration, the end of a watch does, within 25.5 s by the new test. Operators read that a store that is set up anew with a smaller era is not followed by gateways that run.

--- a/packages/standins/tests/test_restored_store.py
+++ b/packages/standins/tests/test_restored_store.py
@@ -24,7 +24,7 @@
 from wharf_gateway.store.store_eras import StoreEras
 from wharf_gateway.store.store_feed import StoreFeed
 from wharf_gateway.store.store_kind import StoreKind
-from wharf_gateway.store.store_watcher import StoreWatcher
+from wharf_gateway.store.store_watcher import WATCH_SECONDS, StoreWatcher
 from wharf_standins.restorable_store import RestorableStore
 from wharf_standins.virtual_time import VirtualTimeLoop
 
@@ -401,6 +401,17 @@
     assert set(course.listings.values()) == {1}
 
 
+# Guards against watches that are renewed in a history that is gone.
+def test_a_watch_that_ends_shows_a_restoration(played):
+    async def wait(fleet):
+        copy = await _lose(fleet)
+        fleet.store.is_mute = True
+        fleet.store.restore(copy)
+        return await fleet.right_after(WATCH_SECONDS + 2.0)
+
+    assert played(wait, SMALL, keeps_watches=True) < WATCH_SECONDS + 0.5
+
+
 # Guards against what a suspended gateway knew of the lost history, and against answers
 # of it that are read late.
 @pytest.mark.parametrize("size", [SMALL, LARGE])
