Show that fed gateways ignore changes after a restoration

From 13 gateways on, two watch the store and hand changes on. The store came back from a copy after 0.1 s; the feeders read it again, the others didn't, as the revision that was vouched for was lower than theirs. The next version of the configuration got a revision that had been given out before and was ignored by them: routes and keys that it dropped were served, those that it added got 404 and 401, for the 3 s of the run that were left after the bound. Callers of a change that had been confirmed would have seen CONFIG.

Ruled out: gateways that watch for themselves.

--- a/packages/standins/src/wharf_standins/soak/fault.py
+++ b/packages/standins/src/wharf_standins/soak/fault.py
@@ -18,6 +18,7 @@
 CONFIGURATION_KINDS = frozenset(("configure", "route", "timeout", "idle"))
 PLANNED_KINDS = frozenset(("stop", "stops", "hup", "leave")) | CONFIGURATION_KINDS
 MAX_FAULT_SECONDS = 1.5
+MIN_AWAY_SECONDS, MAX_AWAY_SECONDS = 0.05, 0.8
 MAX_TARGET = 1000
 
 
@@ -95,14 +96,20 @@
     times = [first, first + rng.uniform(0.3, 3.0)][: rng.randint(1, 2)]
     changes = [("route", rng.uniform(0.2, first)) for _ in range(2)]
     changes.append(("leave", rng.uniform(0.2, first)))
+    changes.append(("route", times[-1] + rng.uniform(0.5, 3.0)))
     partner = rng.choice(("pause", "kill", "stop", "route"))
     return [
-        *(_fault(rng, at, "restored") for at in times),
+        *(_restoration(rng, at) for at in times),
         *(_fault(rng, at, kind) for kind, at in changes),
         _fault(rng, max(0.2, first + rng.uniform(-1.0, 1.0)), partner),
     ]
 
 
+def _restoration(rng, at):
+    away_seconds = rng.uniform(MIN_AWAY_SECONDS, MAX_AWAY_SECONDS)
+    return Fault(at, "restored", rng.randrange(MAX_TARGET), away_seconds)
+
+
 def _fault(rng, at, kind):
     return Fault(
         at, kind, rng.randrange(MAX_TARGET), rng.uniform(0.2, MAX_FAULT_SECONDS)
--- a/packages/standins/src/wharf_standins/soak/run.py
+++ b/packages/standins/src/wharf_standins/soak/run.py
@@ -45,8 +45,7 @@
 # Of calls that run pieces: preparations wait for some calls of others.
 MIN_CALL_SECONDS, MAX_CALL_SECONDS = 0.25, 0.5
 START_SECONDS = 30.0  # importing the modules takes 1 s, more on a busy machine
-# After its return from a copy, and until what it lost is written again.
-AWAY_SECONDS = 0.6
+# After the store's return from a copy, until what it lost is written again.
 WRITE_AGAIN_SECONDS = 1.0
 MIN_COPY_SECONDS, MAX_COPY_SECONDS = 0.5, 8.0
 ENTRIES = "wharf-entries"  # the gateways' own, in the store
@@ -149,13 +148,18 @@
         await asyncio.gather(*probes)
 
     def _clients(self, gateway):
-        yield from (self._client(gateway) for _ in range(CLIENTS_PER_GATEWAY))
         steps = (RequestKind.STEPS,)
-        for _ in range(STEP_CLIENTS_PER_GATEWAY):
+        for _ in range(self._share(CLIENTS_PER_GATEWAY)):
+            yield self._client(gateway)
+        for _ in range(self._share(STEP_CLIENTS_PER_GATEWAY)):
             yield self._client(gateway, steps)
-        for _ in range(SLOW_CLIENTS_PER_GATEWAY):
+        for _ in range(self._share(SLOW_CLIENTS_PER_GATEWAY)):
             yield self._client(gateway, (RequestKind.SAFE, *steps), SLOW_PAUSE_SECONDS)
 
+    def _share(self, clients):
+        """Return how many of a gateway's clients there are, fewer for many gateways."""
+        return max(1, clients * GATEWAY_COUNT // self._gateway_count)
+
     def _check_configuration(self):
         return check_configuration(
             self._request_by_id.values(),
@@ -283,7 +287,7 @@
 
     async def _restore_store(self, fault):
         self._store.mode = "away"
-        await asyncio.sleep(min(fault.seconds, AWAY_SECONDS))
+        await asyncio.sleep(fault.seconds)
         share = fault.target / MAX_TARGET
         spread = MAX_COPY_SECONDS - MIN_COPY_SECONDS
         self._store.restore(MIN_COPY_SECONDS + share * spread)
--- a/packages/standins/tests/test_soak.py
+++ b/packages/standins/tests/test_soak.py
@@ -2,10 +2,12 @@
 
 import asyncio
 import signal
+from collections import Counter
 from unittest.mock import patch
 
 import pytest
 
+from wharf_gateway.store.store_feed import MIN_FLEET_SIZE
 from wharf_standins.soak.checks import check_requests
 from wharf_standins.soak.fault import Fault, schedule
 from wharf_standins.soak.gateway_process import GatewayProcess
@@ -170,3 +172,16 @@
 @pytest.mark.parametrize("seed", [3, 4, 12])
 def test_short_run_has_no_findings(seed):
     assert asyncio.run(SoakRun(seed, 3.0).run()) == []
+
+
+# Gateways that are fed by others ignored changes with revisions given out before.
+def test_many_gateways_follow_changes_after_a_restoration():
+    soak_run = SoakRun(1, 6.0, MIN_FLEET_SIZE)
+    soak_run.faults = [
+        *(Fault(0.3 * number, "route", 0, 0.0) for number in range(1, 7)),
+        Fault(3.0, "restored", 367, 0.1),
+        Fault(5.0, "route", 0, 0.0),
+    ]
+    findings = asyncio.run(soak_run.run())
+    found = Counter(finding.guarantee for finding in findings)
+    assert not findings, f"{found}, the first {findings[0]}"
