Answer requests that arrive while an entry closes its connections

Callers: a request that reached a kept connection just as the entry had become idle and closed it got neither an answer nor a refusal; one that was sent behind another on the same connection (pipelined) lost it with the answer of the first. Cause: aiohttp drops what it reads on a connection that is to be closed, and Connection: close was set on the first response although another request was there. Change: after the last request the entry refuses new ones as not run for 0.1 s before it stops listening, and closes the connections 0.1 s later; a connection with another request stays open for it. The wait for the last request also ended when another had been admitted meanwhile, which was then cut before the grace was spent: it looks again. Before: of the three new tests, kept connections got [200] in place of [200, 503] on all 20, and the pipelined request got nothing; the one for requests sent with the signal passed and stays as the guard. After: test_entry_stops.py passes 5 runs of 5. With the change but the old wait the pipelined request got 504 in 3 runs of 3. test_entry_links, test_planned_stops and test_changed_pools: 2 runs of 3 clean; in one a process of test_planned_stops ended with code 3 at its start (an address it couldn't bind; the log wasn't kept), see the known fault of ports that are taken meanwhile. What remains: a request that is sent in the very moment of the close finds a closed connection, as with any HTTP server; it wasn't read.

--- a/packages/daemon/src/wharf_daemon/entry/caller_api.py
+++ b/packages/daemon/src/wharf_daemon/entry/caller_api.py
@@ -139,7 +139,7 @@
 
     async def _close_if_stopping(self, http, response):
         # Otherwise callers would reuse a connection that the stop then resets.
-        if self._entry.stopping:
+        if self._entry.stopping and not _has_pipelined_request(http):
             response.force_close()
             response.headers["Connection"] = "close"
 
@@ -149,3 +149,8 @@
 
     def _count(self, pipeline, code):
         self._entry.metrics.requests.labels(pipeline, code.label).inc()
+
+
+def _has_pipelined_request(http):
+    # aiohttp has no public attribute for the requests behind the current one.
+    return bool(http.protocol._messages)
--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -42,6 +42,7 @@
 
 # Time to send the answers of requests that the stop has ended.
 LAST_ANSWERS_SECONDS = 1.0
+LAST_REQUESTS_SECONDS = 0.1
 
 log = structlog.get_logger(__name__)
 
@@ -116,10 +117,12 @@
         if not await self.requests.wait_until_idle(grace):
             log.warning("stop_grace_spent", running=len(self.requests))
         self.requests.end()
+        # Requests that are on their way get a refusal rather than a closed connection.
+        await asyncio.sleep(LAST_REQUESTS_SECONDS)
         await self.requests.wait_until_idle(LAST_ANSWERS_SECONDS)
         for request_id in self.requests:
             self.count_unanswered(request_id)
-        await self._callers.stop()
+        await self._callers.stop(LAST_REQUESTS_SECONDS)
         await self._claim_service.stop(self.settings.stop_grace)
         self._store_watcher.cancel()
         self._admission_task.cancel()
--- a/packages/daemon/src/wharf_daemon/entry/running_requests.py
+++ b/packages/daemon/src/wharf_daemon/entry/running_requests.py
@@ -76,7 +76,10 @@
     async def wait_until_idle(self, seconds):
         """Return whether no request is under way within `seconds`."""
         try:
-            await asyncio.wait_for(self._idle.wait(), seconds)
+            async with asyncio.timeout(seconds):
+                # Another request may be admitted before this task continues.
+                while self._ids:
+                    await self._idle.wait()
         except TimeoutError:
             return False
         return True
--- a/packages/daemon/src/wharf_daemon/http_server.py
+++ b/packages/daemon/src/wharf_daemon/http_server.py
@@ -1,5 +1,7 @@
 """HTTP server of one aiohttp application."""
 
+import asyncio
+
 from aiohttp import web
 
 __all__ = ["HttpServer", "split_address"]
@@ -41,6 +43,9 @@
         """Return the actual port, which differs if the address has port 0."""
         return self._runner.addresses[0][1]
 
-    async def stop(self):
-        """Stop listening and close all connections."""
+    async def stop(self, delay=0.0):
+        """Stop listening and close all connections `delay` seconds later."""
+        for site in tuple(self._runner.sites):
+            await site.stop()
+        await asyncio.sleep(delay)
         await self._runner.cleanup()
--- a/packages/standins/tests/test_entry_stops.py
+++ b/packages/standins/tests/test_entry_stops.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import socket
 
 import aiohttp
 import pytest
@@ -15,6 +16,8 @@
         "max_deadline": 60,
     }
 }
+HEAD = b"POST /v1/pipelines/ask HTTP/1.1\r\nHost: e\r\nCustomer: acme\r\n"
+REQUEST = HEAD + b"Content-Length: 1\r\n\r\n1"
 CUSTOMER = {"Customer": "acme"}
 STREAM = CUSTOMER | {"Accept": "text/event-stream"}
 LONG_SECONDS = 40.0
@@ -22,6 +25,7 @@
 GRACE_SECONDS = 1.0
 ANSWER_SECONDS = 4.0
 COLD_LIMIT = 2
+CONNECTIONS = 20
 
 
 @pytest_asyncio.fixture
@@ -133,8 +137,7 @@
 # refusal.
 async def test_body_left_at_the_end_is_refused(entry, stop):
     reader, writer = await asyncio.open_connection("127.0.0.1", entry.port)
-    head = b"POST /v1/pipelines/ask HTTP/1.1\r\nHost: e\r\nCustomer: acme\r\n"
-    writer.write(head + b"Content-Length: 2\r\n\r\n1")
+    writer.write(HEAD + b"Content-Length: 2\r\n\r\n1")
     await until(lambda: entry.dump()["running"])
     stopped = stop()
     answer = await asyncio.wait_for(reader.read(), ANSWER_SECONDS)
@@ -166,3 +169,62 @@
     assert not stopped.done()
     await asyncio.wait_for(stopped, ANSWER_SECONDS)
     assert len(engine.runs) == 1
+
+
+def connect(entry):
+    """Return a socket that is connected before the entry accepts it."""
+    caller = socket.create_connection(("127.0.0.1", entry.port))
+    caller.setblocking(False)
+    return caller
+
+
+async def read_statuses(caller):
+    """Return the statuses of all responses until the connection closes."""
+    reader, writer = await asyncio.open_connection(sock=caller)
+    async with asyncio.timeout(ANSWER_SECONDS):
+        text = await reader.read()
+    writer.close()
+    heads = text.split(b"HTTP/1.1 ")[1:]
+    return [int(head.split()[0]) for head in heads]
+
+
+# Guards against requests that arrive with the signal to stop and get no answer.
+async def test_requests_sent_with_the_signal_are_answered(entry, stop):
+    callers = [connect(entry) for _ in range(CONNECTIONS)]
+    for caller in callers:
+        caller.send(REQUEST)
+    stopped = stop()
+    answers = await asyncio.gather(*map(read_statuses, callers))
+    assert {len(statuses) for statuses in answers} == {1}
+    assert {*sum(answers, [])} <= {200, 503}
+    await asyncio.wait_for(stopped, ANSWER_SECONDS)
+
+
+# Guards against requests on kept connections that arrive while the entry closes them.
+async def test_requests_on_kept_connections_are_answered(entry, stop):
+    callers = [connect(entry) for _ in range(CONNECTIONS)]
+    for caller in callers:
+        caller.send(REQUEST)
+    await until(lambda: entry.metrics.requests.labels("ask", "ok")._value.get() == 20)
+    stopped = stop()
+    await until(lambda: entry.requests.is_ended)
+    for caller in callers:
+        caller.send(REQUEST)
+    answers = await asyncio.gather(*map(read_statuses, callers))
+    assert answers == [[200, 503]] * CONNECTIONS
+    await asyncio.wait_for(stopped, ANSWER_SECONDS)
+
+
+# Guards against a pipelined request that gets no answer behind one that ends during
+# the stop.
+async def test_pipelined_request_is_answered(entry, engine, stop):
+    engine.batch.service_time = RUN_SECONDS
+    caller = connect(entry)
+    caller.send(REQUEST * 2)
+    await until(lambda: engine.runs)
+    stopped = stop(grace=2 * GRACE_SECONDS)
+    statuses = await read_statuses(caller)
+    assert len(statuses) == 2
+    assert statuses[0] == 200
+    assert statuses[1] in (200, 503)
+    await asyncio.wait_for(stopped, ANSWER_SECONDS)
