--- a/packages/standins/src/wharf_standins/daemon_process.py
+++ b/packages/standins/src/wharf_standins/daemon_process.py
@@ -42,6 +42,10 @@
         self._process.send_signal(signal.SIGTERM)
         return await asyncio.wait_for(self._process.wait(), STOP_SECONDS)
 
+    def signal(self, number):
+        """Send a signal."""
+        self._process.send_signal(number)
+
     def processor_seconds(self):
         """Return the processor time used so far, in seconds."""
         stat = Path(f"/proc/{self._process.pid}/stat").read_text()
--- a/packages/standins/src/wharf_standins/process_fleet.py
+++ b/packages/standins/src/wharf_standins/process_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import signal
 import sys
 from contextlib import AsyncExitStack
 from pathlib import Path
@@ -104,6 +105,15 @@
         """Stop a process in a planned way and return its exit code."""
         return await self._process_by_name.pop(name).stop()
 
+    async def freeze(self, name, seconds):
+        """Suspend a process for some seconds."""
+        process = self._process_by_name[name]
+        process.signal(signal.SIGSTOP)
+        try:
+            await asyncio.sleep(seconds)
+        finally:
+            process.signal(signal.SIGCONT)
+
     def processor_seconds(self, name):
         """Return the processor time that a process has used, in seconds."""
         return self._process_by_name[name].processor_seconds()
