Answer a call at once when an error in its sidecar ends it

Callers: an unexpected exception in a sidecar's call sent no frame, so that the request waited for its deadline and ended as 504 deadline_passed; the operators saw no log line. Change: RunningCall logs call_failed and sends the failure as internal, may have run. Before: the new test got nothing in 5 s (the default deadline is 7 s). After: 500 internal at once; test_broken_answers and test_sidecar_links pass. It was answered in the end, so it isn't a case of LOST.

--- a/packages/daemon/src/wharf_daemon/sidecar/running_call.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/running_call.py
@@ -3,6 +3,7 @@
 import asyncio
 from contextlib import suppress
 
+import structlog
 from websockets.exceptions import ConnectionClosed
 
 from wharf_coordination import Code, Refusal
@@ -12,6 +13,8 @@
 
 __all__ = ["RunningCall"]
 
+log = structlog.get_logger(__name__)
+
 UPSTREAM_FAILURE_CODES = (
     Code.UPSTREAM_CRASHED,
     Code.UPSTREAM_FAILED,
@@ -81,6 +84,11 @@
             return failure.refusal
         except TimeoutError:
             return Refusal.unknown(Code.DEADLINE_PASSED)
+        except ConnectionClosed:
+            raise
+        except Exception:
+            log.exception("call_failed", attempt=self._call.attempt)
+            return Refusal.unknown(Code.INTERNAL)
         return None
 
     async def _fail(self, refusal):
--- a/packages/standins/tests/test_broken_answers.py
+++ b/packages/standins/tests/test_broken_answers.py
@@ -127,3 +127,19 @@
     status, text = await asked
     refusal = json.loads(text)
     assert (status, refusal["error"], refusal["ran"]) == (502, "link_lost", "unknown")
+
+
+# Guards against a call that an error in its sidecar leaves without a frame until the
+# deadline.
+async def test_call_that_an_error_ends_is_answered_at_once(system):
+    sidecar = system.sidecar_by_name["model-0"]
+
+    async def fail(call):
+        raise RuntimeError(call.attempt)
+        yield
+
+    sidecar.upstream.run = fail
+    status, text = await ask(system)
+    refusal = json.loads(text)
+    assert (status, refusal["error"], refusal["ran"]) == (500, "internal", "unknown")
+    assert sidecar.limiter.in_flight == 0
