Take over from a silent upstream only with what the other one needs

A reviewer who hadn't seen the work ran tests against Takeover that failed: - a silent upstream that broke, or steps that outlasted the caller's patience, while steps ran again: KeyError, the stream was reset. The cancelled preparation wasn't awaited and removed the interruption scope of the next one. - three streams stalled at once with one retry left: two were cut for nothing, as the retry was looked at when the upstream was given up and spent afterwards. - the other upstream left while steps ran again: the sound stream was reset. - an upstream that came later was never used while a head was awaited.

The cancelled preparation is awaited; a takeover checks for the other upstream again and spends its retry in the moment in which it gives the silent one up; a late head is looked at every half second, as a stalled stream is. One test's router refuses several times now, since steps are asked for again each half second; its assertions stay.

--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -204,7 +204,7 @@
             refusal = self._crash_guard.refusal_at(context, service, self._clock())
             if refusal is not None:
                 return answer if context.may_have_run else refusal
-            if context.sends and not self._budgets.spend(service):
+            if context.sends and not self._has_retry(context, service):
                 return answer
             context.sends += 1
             splitter.discard_partial()
@@ -229,6 +229,11 @@
             )
         return answer
 
+    def _has_retry(self, context, service):
+        """Return whether a retry is left; one that takes over has spent its own."""
+        has_retry, context.has_retry = context.has_retry, False
+        return has_retry or self._budgets.spend(service)
+
     async def _wait_sure(self):
         if self._pause_guard is not None:
             await self._pause_guard.wait_sure(self._clock)
--- a/packages/gateway/src/wharf_gateway/takeover.py
+++ b/packages/gateway/src/wharf_gateway/takeover.py
@@ -16,10 +16,11 @@
 class Takeover:
     """Wait for an upstream as long as no other one can take over.
 
-    `selector` and `budgets` tell whether one can. `prepare(context)` runs the steps of
-    a request again and returns a refusal or None; `drop_inputs(context)` frees their
-    results. `is_too_late(context)` returns whether this process stops before another
-    upstream would have answered.
+    `selector` and `budgets` tell whether one can. A takeover spends its retry at once,
+    and says so in `context.has_retry`. `prepare(context)` runs the steps of a request
+    again and returns a refusal or None; `drop_inputs(context)` frees their results.
+    `is_too_late(context)` returns whether this process stops before another upstream
+    would have answered.
     """
 
     def __init__(self, selector, budgets, prepare, drop_inputs, is_too_late, clock):
@@ -33,52 +34,75 @@
     async def head(self, context, state, connection):
         """Return the response's head; raise `TimeoutError` to try another upstream."""
         seconds = response_timeout(context.route, state.latency)
-        try:
-            async with asyncio.timeout(seconds):
-                return await connection.head()
-        except TimeoutError:
-            if self._is_possible(context):
-                raise
-        return await connection.head()
+        while True:
+            try:
+                async with asyncio.timeout(seconds):
+                    return await connection.head()
+            except TimeoutError:
+                if self._takes_over(context):
+                    raise
+            seconds = CHECK_SECONDS
 
     async def next_part(self, context, pace, connection):
         """Return the next bytes; raise `TimeoutError` if another upstream takes over.
 
         While none can, a stalled stream is kept until its caller has given it up.
         """
-        given_up_at = pace.last_at + caller_patience(context.route)
-        until = pace.stalled_at
-        while True:
-            try:
-                async with asyncio.timeout_at(until):
-                    return await connection.next_part()
-            except TimeoutError:
-                now = self._clock()
-                if now >= given_up_at:
-                    raise
-                if self._is_possible(context):
-                    async with asyncio.timeout_at(given_up_at):
-                        return await self._part_or_takeover(context, connection)
-                until = min(now + CHECK_SECONDS, given_up_at)
-
-    async def _part_or_takeover(self, context, connection):
-        """Return the next bytes; raise `TimeoutError` once another could take over."""
-        is_prepared = context.inputs is not None or not context.route.steps
+        try:
+            async with asyncio.timeout_at(pace.stalled_at):
+                return await connection.next_part()
+        except TimeoutError:
+            given_up_at = pace.last_at + caller_patience(context.route)
+            if self._clock() >= given_up_at:
+                raise
         part = asyncio.ensure_future(connection.next_part())
-        refusal = asyncio.ensure_future(
-            asyncio.sleep(0) if is_prepared else self._prepare(context)
-        )
         try:
-            await asyncio.wait((part, refusal), return_when=asyncio.FIRST_COMPLETED)
-            if not part.done() and refusal.result() is None:
+            return await self._part_of_stalled(context, part, given_up_at)
+        finally:
+            await _cancel(part)
+
+    async def _part_of_stalled(self, context, part, given_up_at):
+        while not part.done():
+            if self._clock() >= given_up_at:
+                raise TimeoutError
+            is_ready = await self._is_ready_elsewhere(context, part, given_up_at)
+            if is_ready and self._takes_over(context):
                 raise TimeoutError
-            data = await part
-            if not is_prepared:
-                self._drop_inputs(context)
-            return data
+            left = given_up_at - self._clock()
+            await asyncio.wait((part,), timeout=max(0.0, min(CHECK_SECONDS, left)))
+        return part.result()
+
+    async def _is_ready_elsewhere(self, context, part, given_up_at):
+        """Run the request's steps again; return whether an upstream could go on.
+
+        This ends when the silent upstream sends a part, or its caller gives up.
+        """
+        if not self._is_possible(context):
+            return False
+        if context.inputs is not None or not context.route.steps:
+            return True
+        refusal = asyncio.ensure_future(self._prepare(context))
+        try:
+            await asyncio.wait(
+                (part, refusal),
+                timeout=max(0.0, given_up_at - self._clock()),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            is_prepared = refusal.done() and refusal.result() is None
         finally:
-            part.cancel()
-            refusal.cancel()
+            await _cancel(refusal)
+        if part.done() or not self._is_possible(context):
+            self._drop_inputs(context)
+            return False
+        return is_prepared
+
+    def _takes_over(self, context):
+        """Spend a retry if another upstream can take over; return whether it does."""
+        service = context.route.targets[0].service
+        if not self._is_possible(context) or not self._budgets.spend(service):
+            return False
+        context.has_retry = True
+        return True
 
     def _is_possible(self, context):
         """Return whether an upstream may take over from one that is silent."""
@@ -91,3 +115,10 @@
             and self._selector.has_alternative(context, now)
             and self._budgets.has_retry(route.targets[0].service)
         )
+
+
+async def _cancel(task):
+    """Cancel a task and wait for its end."""
+    if not task.done():
+        task.cancel()
+        await asyncio.wait((task,))
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -159,6 +159,7 @@
         cold_rate=0.0,
         steps=(),
         router=None,
+        budgets=None,
     ):
         loop = asyncio.get_running_loop()
         route = Route(
@@ -185,7 +186,7 @@
             pool,
             router,
             RolloutManager(upstreams.fleet, None, None, None, None, loop.time),
-            RetryBudgets(0.2, 50, lambda: 1),
+            budgets or RetryBudgets(0.2, 50, lambda: 1),
             loop.time,
             Random(1),
             meter,
@@ -641,8 +642,8 @@
     assert (caller.body, caller.ending) == (b"id: 1\n\nid: 2\n\n", "whole")
 
 
-class OnceRouter:
-    """A preparation router that prepares once and then refuses after a while."""
+class ScriptedRouter:
+    """A preparation router with pairs of seconds and answer for each preparation."""
 
     def __init__(self, outcomes):
         self._outcomes = iter(outcomes)
@@ -665,7 +666,8 @@
 async def test_silent_stream_goes_on_if_its_steps_cannot_be_run_again(upstreams, ask):
     await upstreams.add(STREAM, _event(1), *_silence(2.8), _event(2), LAST_CHUNK)
     await upstreams.add(STREAM, _event(3), LAST_CHUNK)
-    router = OnceRouter([(0.0, Ok(["h1"])), (0.1, Err(PreparationFailure("no room")))])
+    refused = (0.1, Err(PreparationFailure("no room")))
+    router = ScriptedRouter([(0.0, Ok(["h1"])), *[refused] * 5])
 
     caller = await ask(
         "stream", resumable=True, seconds=6.0, steps=STEPS, router=router
@@ -680,7 +682,7 @@
 ):
     await upstreams.add(STREAM, _event(1), silent=True)
     await upstreams.add(STREAM, _event(2), LAST_CHUNK)
-    router = OnceRouter([(0.0, Ok(["h1"])), (0.3, Ok(["h2"]))])
+    router = ScriptedRouter([(0.0, Ok(["h1"])), (0.3, Ok(["h2"]))])
 
     caller = await ask(
         "stream", resumable=True, seconds=6.0, steps=STEPS, router=router
@@ -696,7 +698,7 @@
     await upstreams.add(STREAM, _event(1), *_silence(2.2), _event(2), LAST_CHUNK)
     await upstreams.add(STREAM, _event(3), LAST_CHUNK)
     router = WaitingRouter()
-    first = OnceRouter([(0.0, Ok(["h1"]))])
+    first = ScriptedRouter([(0.0, Ok(["h1"]))])
     routers = iter([first, router])
 
     class Router:
@@ -721,3 +723,102 @@
     caller = await ask("safe")
 
     assert (caller.status, caller.body) == (200, b"ok")
+
+
+# Guards against an error when a silent upstream breaks while another one is being
+# prepared for: the caller's stream was reset.
+async def test_stream_moves_on_if_its_upstream_breaks_while_steps_run_again(
+    upstreams, ask, raw_server
+):
+    async def break_off(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(STREAM + _event(1))
+        await asyncio.sleep(2.4)
+        writer.close()
+
+    await upstreams.add_at(await raw_server(break_off))
+    await upstreams.add(STREAM, _event(2), LAST_CHUNK)
+    router = ScriptedRouter([(0.0, Ok(["h1"])), (1.5, Ok(["h2"])), (0.2, Ok(["h3"]))])
+
+    caller = await ask(
+        "stream", resumable=True, seconds=8.0, steps=STEPS, router=router
+    )
+
+    assert (caller.body, caller.ending) == (b"id: 1\n\nid: 2\n\n", "whole")
+    assert router.freed == ["h1", "h3"]
+
+
+# The same if the steps take longer than the caller of the stream waits for an event.
+async def test_stream_moves_on_if_its_steps_outlast_the_callers_patience(
+    upstreams, ask
+):
+    await upstreams.add(STREAM, _event(1), silent=True)
+    await upstreams.add(STREAM, _event(2), LAST_CHUNK)
+    router = ScriptedRouter([(0.0, Ok(["h1"])), (2.5, Ok(["h2"])), (0.1, Ok(["h3"]))])
+
+    caller = await ask(
+        "stream", resumable=True, seconds=8.0, steps=STEPS, router=router
+    )
+
+    assert caller.ending == "whole"
+
+
+# Guards against streams that are all given up for the one retry that is left.
+@pytest.mark.parametrize("steps", [(), STEPS])
+async def test_streams_of_a_silent_upstream_share_the_retries_that_are_left(
+    upstreams, ask, steps
+):
+    await upstreams.add(STREAM, _event(1), *_silence(3.0), _event(2), LAST_CHUNK)
+    await upstreams.add(STREAM, _event(2), LAST_CHUNK)
+    budgets = RetryBudgets(0.2, 1.25, lambda: 1)  # one retry
+
+    def router():
+        return ScriptedRouter([(0.0, Ok(["h1"])), *[(0.2, Ok(["h2"]))] * 5])
+
+    callers = await asyncio.gather(
+        *(
+            ask(
+                "stream",
+                resumable=True,
+                seconds=8.0,
+                steps=steps,
+                router=router(),
+                budgets=budgets,
+            )
+            for _ in range(3)
+        )
+    )
+
+    assert [caller.ending for caller in callers] == ["whole"] * 3
+
+
+# Guards against giving up a sound stream for an upstream that has left meanwhile.
+async def test_silent_stream_is_kept_if_the_other_upstream_leaves_meanwhile(
+    upstreams, ask
+):
+    await upstreams.add(STREAM, _event(1), *_silence(3.2), _event(2), LAST_CHUNK)
+    await upstreams.add(STREAM, _event(2), LAST_CHUNK)
+    router = ScriptedRouter([(0.0, Ok(["h1"])), (0.6, Ok(["h2"]))])
+    asyncio.get_running_loop().call_later(2.4, upstreams.fleet.remove, "u1", "gone")
+
+    caller = await ask(
+        "stream", resumable=True, seconds=8.0, steps=STEPS, router=router
+    )
+
+    assert (caller.body, caller.ending) == (b"id: 1\n\nid: 2\n\n", "whole")
+    assert router.freed == ["h1", "h2"]
+
+
+# Guards against waiting for a silent upstream until the deadline, though another one
+# has come meanwhile.
+async def test_upstream_that_comes_later_takes_over_from_a_silent_one(upstreams, ask):
+    await upstreams.add(silent=True)
+
+    async def add_later():
+        await asyncio.sleep(1.0)
+        await upstreams.add(SIGNED)
+
+    task = asyncio.create_task(add_later())
+    caller = await ask("safe", seconds=3.0)
+
+    assert (caller.status, task.done()) == (200, True)
