--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -204,6 +204,8 @@
             refusal = self._crash_guard.refusal_at(context, service, self._clock())
             if refusal is not None:
                 return answer if context.may_have_run else refusal
+            if self._is_too_late_to_send(context):
+                return answer if context.sends else GatewayResponse.stopping()
             if context.sends and not self._has_retry(context, service):
                 return answer
             context.sends += 1
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -809,6 +809,20 @@
     assert router.freed == ["h1", "h2"]
 
 
+# Guards against a request that is sent just before the exit, as the stop began while it
+# waited for an upstream's limit.
+async def test_request_is_not_sent_if_a_stop_began_while_it_waited_for_a_limit(
+    upstreams, ask, shutdown
+):
+    await upstreams.add(silent=True)
+    _limit_all(upstreams, 2.0)  # it waits for 0.5 s
+    _stop_in(shutdown, 0.1, 0.5)
+
+    caller = await ask("unsafe", attempts=1, seconds=4.0)
+
+    assert (caller.status, upstreams.seen) == (503, [])
+
+
 # Guards against waiting for a silent upstream until the deadline, though another one
 # has come meanwhile.
 async def test_upstream_that_comes_later_takes_over_from_a_silent_one(upstreams, ask):
