Hand waiting preparations over once another gateway is ready

The hand-over of a stopping preparer happened once, at SIGTERM. It is now tried again at each tick as long as the gateway stops.

--- a/packages/gateway/src/wharf_gateway/preparation_router.py
+++ b/packages/gateway/src/wharf_gateway/preparation_router.py
@@ -43,6 +43,7 @@
         self._unreported_by_pool = {}
         self._cached_pools = []
         self._pools_until = float("-inf")
+        self._is_handing_over = False
         self.peers = None
         self.is_ready = lambda: True
 
@@ -169,13 +170,19 @@
         return self.is_ready(), backlogs
 
     def hand_over(self):
-        """Let other gateways prepare what waits here, as this one stops."""
+        """Let other gateways prepare what waits here, as this one stops.
+
+        What others can't take now is handed over once one of them is ready.
+        """
+        self._is_handing_over = True
         for preparer in list(self.preparer_by_pool.values()):
             preparer.hand_over()
 
     def advance(self, now):
         """Advance this gateway's preparers."""
         for preparer in list(self.preparer_by_pool.values()):
+            if self._is_handing_over and self.owner(preparer.pool, now) is not None:
+                preparer.hand_over()
             preparer.advance(now)
 
     def _backlog(self, pool, now):
--- a/packages/gateway/tests/test_preparation_router.py
+++ b/packages/gateway/tests/test_preparation_router.py
@@ -196,7 +196,9 @@
         task.cancel()
 
 
-async def test_without_another_gateway_waiting_preparations_stay(make_router, fleet):
+async def test_waiting_preparations_stay_until_another_gateway_is_ready(
+    make_router, fleet
+):
     router = make_router("large-1", [], ["large-1"], fleet)
     router._client = BusyClient()
     preparation = Preparation(
@@ -208,7 +210,14 @@
     router.is_ready = lambda: False
     router.hand_over()
     await asyncio.sleep(0.01)
-
+    running = router.preparer("everywhere").dump(0.0)["running"]
     assert router.pending_count == len(tasks)
+
+    # Guards against requests that wait at a stopping gateway beside one that is ready.
+    router.peers.names = ["large-2"]
+    router.peers.candidates = frozenset(["large-1", "large-2"])
+    router.advance(0.0)
+    await asyncio.sleep(0.01)
+    assert router.pending_count == running < len(tasks)
     for task in tasks:
         task.cancel()
