Wait in a stop for callers that were answered early and still send

A connection in its lingering close counted as idle, so that a stopping gateway could exit and reset it: a caller that was refused while it uploaded lost the refusal (found by the reviewer; the new test failed before: busy_count 0). Those whose request had been read whole still don't hold the stop.

--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -128,7 +128,13 @@
     def is_idle(self):
         """Return whether no request is being read or answered, and all is sent."""
         is_working = self._task or self._reading or self._is_in_head
-        return not is_working and not self._is_sending
+        return not is_working and not self._is_sending and not self._is_draining
+
+    @property
+    def _is_draining(self):
+        """Return whether a caller that was answered early may still be sending."""
+        is_read = self._request is not None and self._request.is_read
+        return self._closing is not None and not is_read
 
     @property
     def is_last_response(self):
--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -277,6 +277,19 @@
             await asyncio.sleep(0.01)
 
 
+async def test_caller_that_is_answered_early_and_still_sends_counts_as_work(site, call):
+    # Guards against a stopping gateway whose exit resets the connection, so that the
+    # caller loses the answer.
+    reader, writer = await call(b"POST /early HTTP/1.1\r\nContent-Length: 90\r\n\r\n")
+    await receive(reader, 500)
+
+    assert site.server.busy_count == 1
+    writer.close()
+    async with asyncio.timeout(1):
+        while site.server.busy_count:
+            await asyncio.sleep(0.01)
+
+
 async def test_response_that_is_not_sent_as_the_process_ends_is_reported(site, call):
     _, writer = await call(b"")
     writer.transport.pause_reading()
