--- a/packages/gateway/src/wharf_gateway/event_pace.py
+++ b/packages/gateway/src/wharf_gateway/event_pace.py
@@ -22,16 +22,20 @@
     >>> pace.record(10.5, 10.5)
     >>> pace.stalled_at
     12.5
+
+    `blocked` are the seconds in which the caller took what had been received.
     """
 
     allowed: float
     last_at: float
     longest: float = 0.0
+    blocked: float = 0.0
 
     def record(self, received_at, passed_on_at):
         """Record an event, and when the caller had taken it."""
         self.longest = max(self.longest, received_at - self.last_at)
         self.last_at = passed_on_at
+        self.blocked += passed_on_at - received_at
 
     @property
     def stalled_at(self):
--- a/packages/gateway/src/wharf_gateway/request_context.py
+++ b/packages/gateway/src/wharf_gateway/request_context.py
@@ -25,6 +25,7 @@
     response or, for a stream, to its first event; None until then. `response_began`
     says whether the current attempt's upstream has sent the head of its response.
     `is_suspect` says that an upstream was lost as it began to answer the request.
+    `began_at` is when the request had been read and its run began.
     `has_retry` says that the retry which follows has been taken from the budget.
     `features_by_service` holds what `request_features` has worked out.
     """
@@ -47,4 +48,5 @@
     response_began: bool = False
     is_suspect: bool = False
     has_retry: bool = False
+    began_at: float = 0.0
     features_by_service: dict[str, tuple[str, ...]] = field(default_factory=dict)
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -81,6 +81,7 @@
 
     async def run(self, context, responder):
         """Answer the request within its deadline and before the process exits."""
+        context.began_at = self._clock()
         try:
             async with asyncio.timeout_at(context.deadline) as scope:
                 with self._shutdown.bounding(scope, 0.0):
@@ -398,7 +399,7 @@
         if not responder.is_started:
             responder.begin(head.status, _forwarded_headers(head.headers))
         responder.end()
-        self._log_answer(context, state, head.status, started)
+        self._log_answer(context, state, head.status, started, pace.blocked)
         return AttemptResult()
 
     def _not_run_result(self, context, state, head):
@@ -446,12 +447,16 @@
         self._meter.observe("wharf_request_seconds", seconds, kind)
         return seconds
 
-    def _log_answer(self, context, state, status, started):
+    def _log_answer(self, context, state, status, started, blocked=0.0):
+        """Log an answered request; its caller took `blocked` seconds to read."""
         now = self._clock()
         seconds = self._measure(context, status, "ok", now)
         kind = context.route.kind.value
         self._meter.observe("wharf_upstream_seconds", now - started, kind)
-        self._route_times.record(context.route.name, seconds, now - started)
+        read_at = now - blocked
+        self._route_times.record(
+            context.route.name, read_at - context.began_at, read_at - started
+        )
         log.info(
             "answered",
             request=context.details.id,
--- a/packages/gateway/src/wharf_gateway/routing/route_times.py
+++ b/packages/gateway/src/wharf_gateway/routing/route_times.py
@@ -17,8 +17,8 @@
 class RouteTimes:
     """Estimate from answered requests how long the next one of a route takes.
 
-    Requests are timed from their head to the end of their answer, upstreams from the
-    sending of the request.
+    Requests are timed from the end of their body to the end of their answer, upstreams
+    from the sending of the request, without what callers take to read.
     """
 
     _request_by_route: dict[str, DurationEstimate] = field(default_factory=dict)
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -836,3 +836,21 @@
     caller = await ask("safe", seconds=3.0)
 
     assert (caller.status, task.done()) == (200, True)
+
+
+# Guards against a caller that reads slowly and so makes a gateway that stops refuse the
+# requests of the whole route.
+async def test_times_of_a_route_do_not_include_what_its_callers_take_to_read(
+    upstreams, ask, route_times, monkeypatch
+):
+    await upstreams.add(STREAM, _event(1), LAST_CHUNK)
+
+    async def read_slowly(self, data):
+        await asyncio.sleep(1.0)
+        self.body += data
+
+    monkeypatch.setattr(Caller, "send", read_slowly)
+    await ask("stream", resumable=True, seconds=8.0)
+
+    assert route_times.upstream_seconds("r") < 0.5
+    assert route_times.request_seconds("r") < 0.5
