End the wait for sure knowledge with the process, and report after the answers

Two findings of the reviewer in Gateway: a request that waited after a pause of the process, with the store away, was bound by no stop, and could be left unanswered (the new test failed before); and a process that was suspended across the end of its stop named requests as unanswered that it answered in the same moment (seen once with a real process: three lines, all twelve callers were answered). It now looks again after a tick's half.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from contextlib import suppress
 from importlib import import_module
 from random import Random
 
@@ -260,6 +261,9 @@
         ):
             await asyncio.sleep(TICK_SECONDS / 2)
             self.server.close_idle()
+        if self.server.busy_count:
+            # A process that was suspended meanwhile answers only now.
+            await asyncio.sleep(TICK_SECONDS / 2)
         self.server.report_unanswered()
         log.info("stopped", busy=self.server.busy_count)
         for task in (*self._tasks, *self._watch_tasks):
@@ -334,7 +338,7 @@
 
     async def handle(self, request, responder):
         """Serve one request of a caller."""
-        await self.pause_guard.wait_sure(self._clock)
+        await self._wait_sure()
         match await self._admission.admit(request):
             case Err(answer):
                 log.info(
@@ -351,6 +355,13 @@
             case Ok(context):
                 await self._runner.run(context, responder)
 
+    async def _wait_sure(self):
+        """Wait until decisions may be made, at most until the process stops."""
+        with suppress(TimeoutError):
+            async with asyncio.timeout(None) as scope:
+                with self._shutdown.bounding(scope, 0.0):
+                    await self.pause_guard.wait_sure(self._clock)
+
     def record_unanswered(self, request, reason):
         """Count a request whose connection ended without a response, and log it."""
         self.meter.count("wharf_unanswered_requests", reason)
--- a/packages/gateway/tests/test_gateway.py
+++ b/packages/gateway/tests/test_gateway.py
@@ -6,6 +6,8 @@
 import pytest
 
 from wharf_gateway.gateway import Gateway
+from wharf_gateway.http.headers import Headers
+from wharf_gateway.http.inbound_request import InboundRequest
 from wharf_gateway.settings import GatewaySettings
 from wharf_gateway.telemetry.exposition import expose
 
@@ -59,3 +61,27 @@
     shown = expose(gateway.meter).decode()
     assert "wharf_store_era 5" in shown
     assert "wharf_store_restorations 1" in shown
+
+
+class Responder:
+    """A responder that records the status."""
+
+    status = None
+
+    def answer(self, status, headers=None, body=b""):
+        self.status = status
+
+
+# Guards against a request that waits until the process is sure of what it knows, and is
+# still waiting when the process exits.
+async def test_request_that_waits_after_a_pause_is_refused_before_a_stop_ends(gateway):
+    now = asyncio.get_running_loop().time()
+    gateway.pause_guard._doubtful_until = now + 1.0
+    gateway.pause_guard._is_current = lambda: False
+    gateway._shutdown.begin(now + 0.2, now - 1.0)
+    request = InboundRequest("GET", "/", Headers((("Host", "h"),)), now)
+    responder = Responder()
+
+    await asyncio.wait_for(gateway.handle(request, responder), 0.5)
+
+    assert responder.status == 503
