--- a/packages/standins/src/wharf_standins/soak/upstream.py
+++ b/packages/standins/src/wharf_standins/soak/upstream.py
@@ -38,7 +38,10 @@
         """Answer one request."""
         path, fields, _ = await read_request(reader)
         is_stream = path.startswith(STREAM_PATHS)
-        request_id = owner = fields[names.ATTEMPT_ID.lower()]
+        request_id = owner = fields.get(names.ATTEMPT_ID.lower())
+        if request_id is None:
+            self._refuse(writer, "400 No id")
+            return
         if fields.get(names.EXPECTED_UPSTREAM.lower()) != self.name:
             self._refuse(writer, "421 Other")
             return
