Count long pauses of the soak's own process as disturbances

The trace: no request ended at either gateway from 40.6 to 42.5 s of the minute other than by time-outs and the stop that was planned; the last event of upstream-4 came just before. The clients, the store and all upstreams of a run are one process, which got no processor, so that its upstreams were silent for 2 s; a gateway gives up a stream that may not be resumed after 2 s without an event, as its callers do by the users' pages.

Ruled out: a fault of the gateway; it logged "no response within 2.10 s, served" for both.

--- a/packages/standins/tests/test_soak.py
+++ b/packages/standins/tests/test_soak.py
@@ -9,6 +9,7 @@
 
 from wharf_gateway.store.store_feed import MIN_FLEET_SIZE
 from wharf_standins.soak.checks import check_requests
+from wharf_standins.soak.disturbances import Disturbances
 from wharf_standins.soak.fault import Fault, schedule
 from wharf_standins.soak.gateway_process import GatewayProcess
 from wharf_standins.soak.operator import SoakOperator
@@ -82,6 +83,22 @@
     assert len(check_requests([unread])) == 1
 
 
+# Seed 315: the upstreams' process got no processor for 2 s, longer than any gateway
+# waits for an event, and two streams were cut.
+async def test_pause_of_the_soak_itself_is_a_disturbance():
+    times = iter([0.0, 1.2, 10.0, 11.8])
+    disturbances = Disturbances(lambda: next(times, 20.0))
+    with patch("wharf_standins.soak.disturbances.WATCH_INTERVAL_SECONDS", 0):
+        watch = asyncio.create_task(disturbances.watch_pauses("gateways"))
+        for _ in range(10):
+            await asyncio.sleep(0)
+    watch.cancel()
+    assert [round(seconds, 1) for seconds in disturbances.pauses] == [1.8]
+    assert disturbances.is_calm(("gateways",), 0.0, 9.9)
+    assert not disturbances.is_calm(("gateways",), 11.0, 12.0)
+    assert disturbances.is_calm(("store",), 11.0, 12.0)
+
+
 def test_truncated_response_after_unplanned_fault_is_allowed():
     truncated = _request(
         RequestKind.STREAM,
@@ -118,7 +135,8 @@
 
 def _mix(upstream, piece):
     result = RUN_PIECE(upstream, piece)
-    upstream.owner_by_result[result["handle"]] = "another"
+    if "handle" in result:
+        upstream.owner_by_result[result["handle"]] = "another"
     return result
 
 
