Keep a configuration in force when the store comes back from an older copy

Operators of wharfd: after the store had lost acknowledged changes, a new change was adopted nowhere until its revision had passed the lost ones, a watch from a version that was given out again or isn't there (410) saw nothing, and the lost change stayed in force only in memory: the store kept the older one for whoever starts next. Cause: documents are ranked by a number that the store's copy takes back. Change: ObjectClient reads Store-Era. A watch begins anew after an error or 410, and reads the document in a later era though its version is the same. An entry that finds an older document in the store than its own writes its own again, once among them; the leader of a rollout writes on nothing older than it knows. Platform.restore plays the loss.

--- a/packages/control/src/wharf_control/document_change.py
+++ b/packages/control/src/wharf_control/document_change.py
@@ -43,7 +43,7 @@
         fields = self.fields(document)
         if isinstance(fields, Invalid):
             return Err(fields)
-        return self._encode(document, fields)
+        return self._encode(document, stored.era, fields)
 
     def is_applied(self, stored: StoredObject) -> bool:
         """Return whether the stored document includes this change."""
@@ -51,9 +51,9 @@
             return False
         return self.operation in self._read_document(stored).operations
 
-    def _encode(self, document, fields):
+    def _encode(self, document, era, fields):
         try:
-            text = document.successor(self.operation, **fields).to_json()
+            text = document.successor(self.operation, era, **fields).to_json()
         except ValidationError as error:
             return Err(Invalid("configuration", str(error)))
         if len(text) > MAX_DOCUMENT_BYTES:
--- a/packages/daemon/src/wharf_daemon/configuration_feed.py
+++ b/packages/daemon/src/wharf_daemon/configuration_feed.py
@@ -16,6 +16,7 @@
 
 FIRST_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 2.0
+WRITE_AGAIN_SECONDS = 1.0
 
 log = structlog.get_logger(__name__)
 
@@ -81,19 +82,56 @@
         return Ok(True)
 
     async def watch_store(self, client, rng):
-        """Watch the store for newer documents, with backoff, until cancelled."""
-        version, failures = 0, 0
+        """Watch the store for newer documents, with backoff, until cancelled.
+
+        A store that has come back from a copy, with an older document, gets the current
+        one again.
+        """
+        version, era, failures = 0, None, 0
         while True:
             match await client.watch(CONFIGURATION_KEY, version):
-                case Ok(StoredObject(version=newer, value=value)):
+                case Ok(StoredObject(version=newer, value=value) as stored):
                     failures = 0
-                    if newer != version and value:
+                    if (newer, stored.era) != (version, era) and value:
                         self.adopt(value, "store")
                     elif newer == version == 0:
                         await asyncio.sleep(FIRST_RETRY_SECONDS)
-                    version = newer
+                    version, era = newer, stored.era
+                    if self._is_outdated(stored):
+                        await self._write_again(client, rng)
                 case Err():
                     failures += 1
+                    # The version may be given out again before the store answers.
+                    version = 0
                     bound = FIRST_RETRY_SECONDS * 2 ** min(failures, 10)
                     delay = rng.uniform(0.5, 1.0) * min(MAX_RETRY_SECONDS, bound)
                     await asyncio.sleep(delay)
+
+    def _is_outdated(self, stored):
+        if stored.era is None or not self.document.revision:
+            return False
+        if not stored.exists:
+            return True
+        try:
+            document = Document.from_json(stored.value)
+        except ValidationError:
+            return False
+        return document.revision < self.document.revision
+
+    async def _write_again(self, client, rng):
+        # One of the entries should write, and the others see that it has.
+        await asyncio.sleep(rng.uniform(0, WRITE_AGAIN_SECONDS))
+        read = await client.get(CONFIGURATION_KEY)
+        if read.is_err() or not self._is_outdated(stored := read.unwrap()):
+            return
+        operation = f"restored/{stored.era}/{self.document.revision}"
+        document = self.document.successor(operation, stored.era)
+        written = await client.put(
+            CONFIGURATION_KEY, document.to_json(), stored.version
+        )
+        log.warning(
+            "configuration_written_again",
+            era=stored.era,
+            revision=document.revision,
+            written=written.is_ok(),
+        )
--- a/packages/daemon/src/wharf_daemon/entry/rollout_controller.py
+++ b/packages/daemon/src/wharf_daemon/entry/rollout_controller.py
@@ -125,6 +125,10 @@
             return Err(Refusal.not_run(Code.STALE_FENCING, "lease no longer held"))
         if isinstance(action, Finish) and participant.decide(self._now()) != action:
             return Err(Refusal.not_run(Code.CONFLICT, "rollout may no longer finish"))
+        if document.revision < self._table.revision:
+            # The store has come back from a copy.
+            detail = f"the store has the older revision {document.revision}"
+            return Err(Refusal.not_run(Code.CONFLICT, detail))
         found = find_rollout(document, participant.rollout.pool)
         return found.and_then(lambda stored: self._apply(stored, participant, action))
 
--- a/packages/daemon/src/wharf_daemon/entry/rollout_table.py
+++ b/packages/daemon/src/wharf_daemon/entry/rollout_table.py
@@ -19,6 +19,7 @@
 
     def __init__(self, feed, facts):
         self.by_pool = {}
+        self.revision = 0
         self._facts = facts
         feed.documents.subscribe(self._on_document)
         facts.new_facts.subscribe(self._on_new_facts)
@@ -66,6 +67,7 @@
 
     def _on_document(self, document):
         now = self._now()
+        self.revision = document.revision
         for pool, rollout in document.rollouts.items():
             known = self.by_pool.get(pool)
             if known and known.rollout.id == rollout.id:
--- a/packages/platform/src/wharf_platform/object_client.py
+++ b/packages/platform/src/wharf_platform/object_client.py
@@ -20,8 +20,9 @@
 OBJECTS_PATH = "/v1/objects"
 DELETIONS_PATH = "/v1/deletions"
 HOSTS_PATH = "/v1/hosts"
-READ_STATUSES = (200, 404)
+READ_STATUSES = (200, 404, 410)
 VERSION_HEADER = "Object-Version"
+ERA_HEADER = "Store-Era"
 CONDITION_HEADER = "If-Object-Version"
 CALL_TIMEOUT_SECONDS = 2.0
 WATCH_SECONDS = 20.0
@@ -144,12 +145,18 @@
             return Err(Unavailable(subject, f"status {response.status}"))
         self.limiter.record_success()
         version = response.headers.get(VERSION_HEADER, "")
-        return Ok(ReadResponse(subject, response.status, version, body))
+        era = _parse_era(response)
+        return Ok(ReadResponse(subject, response.status, version, body, era))
 
     def _object_path(self, key):
         return f"{OBJECTS_PATH}/{key}"
 
 
+def _parse_era(response):
+    text = response.headers.get(ERA_HEADER, "")
+    return int(text) if text.isdecimal() else None
+
+
 def _parse_version(key, response) -> Result[int, StoreError]:
     text = response.headers.get(VERSION_HEADER, "")
     if text.isdecimal():
--- a/packages/platform/src/wharf_platform/read_response.py
+++ b/packages/platform/src/wharf_platform/read_response.py
@@ -12,6 +12,7 @@
 __all__ = ["ReadResponse"]
 
 NOT_FOUND = 404
+GONE = 410
 
 _VERSION_BY_KEY = TypeAdapter(dict[str, int])
 _HOSTS = TypeAdapter(list[PlatformHost])
@@ -25,16 +26,20 @@
     status: int
     version: str
     body: bytes
+    era: int | None = None
 
     def to_object(self) -> Result[StoredObject, StoreError]:
         """Return the object, or one with version ABSENT for status 404."""
         if self.status == NOT_FOUND:
-            return Ok(StoredObject.absent(self.subject))
+            return Ok(StoredObject.absent(self.subject, self.era))
+        if self.status == GONE:
+            detail = "the store has no such version to watch from"
+            return Err(Unavailable(self.subject, detail))
         if not self.version.isdecimal():
             return Err(
                 Unavailable(self.subject, f"invalid object version: {self.version!r}")
             )
-        return Ok(StoredObject(self.subject, int(self.version), self.body))
+        return Ok(StoredObject(self.subject, int(self.version), self.body, self.era))
 
     def to_versions(self) -> Result[dict[str, int], StoreError]:
         """Return the listed versions by key."""
--- a/packages/platform/src/wharf_platform/rollout_change.py
+++ b/packages/platform/src/wharf_platform/rollout_change.py
@@ -29,7 +29,9 @@
         try:
             document = self._read_document(stored)
             return self.change(document).map(
-                lambda rollout: self._with_rollout(document, rollout).to_json()
+                lambda rollout: self._with_rollout(
+                    document, rollout, stored.era
+                ).to_json()
             )
         except ValidationError as error:
             return Err(Refusal.not_run(Code.BAD_CONFIGURATION, str(error)))
@@ -40,9 +42,9 @@
             stored.exists and self.operation in self._read_document(stored).operations
         )
 
-    def _with_rollout(self, document, rollout):
+    def _with_rollout(self, document, rollout, era):
         rollouts = document.rollouts | {rollout.pool: rollout}
-        return document.successor(self.operation, rollouts=rollouts)
+        return document.successor(self.operation, era, rollouts=rollouts)
 
     def _read_document(self, stored):
         if not stored.exists:
--- a/packages/standins/src/wharf_standins/platform.py
+++ b/packages/standins/src/wharf_standins/platform.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from wharf_platform import CallKind
-from wharf_platform.object_client import CONDITION_HEADER, VERSION_HEADER
+from wharf_platform.object_client import CONDITION_HEADER, ERA_HEADER, VERSION_HEADER
 from wharf_standins.host_list import HostList
 from wharf_standins.rate_limit import RateLimit
 
@@ -26,7 +26,9 @@
 
     Faults to inject: `down` answers 503, `delay` and `delay_spread` slow each
     call (seconds), `lose_answers` is the probability that the response to a write
-    is lost after it took effect.
+    is lost after it took effect. `restore` puts a copy back, which begins the next
+    `era`: versions are given out again, and a watch from one that the copy doesn't
+    have gets 410.
     """
 
     down: bool = False
@@ -41,18 +43,20 @@
     calls_by_kind: Counter = field(default_factory=Counter)
     refused_by_kind: Counter = field(default_factory=Counter)
     written_bytes: int = 0
+    era: int = 0
 
     def __post_init__(self):
         self._changed = asyncio.Condition()
         self._rng = Random(self.seed)
         self._writes = RateLimit(self.writes_per_second)
         self._reads = RateLimit(self.reads_per_second)
-        # Versions never repeat, even if a key is deleted and created again.
+        # Versions never repeat within an era, even if a key is created again.
         self._last_version = 0
 
     def application(self):
         """Return the aiohttp application of the object API."""
         application = web.Application(client_max_size=MAX_VALUE_BYTES)
+        application.on_response_prepare.append(self._add_era)
         application.router.add_get("/v1/objects", self._list)
         application.router.add_get("/v1/objects/{key:.+}", self._get)
         application.router.add_post("/v1/objects/{key:.+}", self._put)
@@ -65,6 +69,20 @@
         async with self._changed:
             self._changed.notify_all()
 
+    def copy(self):
+        """Return a copy of all objects for `restore`."""
+        return self._last_version, dict(self.object_by_key)
+
+    async def restore(self, copy):
+        """Replace all objects by a copy, as a service does after a loss."""
+        self.era += 1
+        self._last_version, objects = copy
+        self.object_by_key = dict(objects)
+        await self.wake_watches()
+
+    async def _add_era(self, request, response):
+        response.headers[ERA_HEADER] = str(self.era)
+
     async def _get(self, request):
         key = request.match_info["key"]
         after = request.query.get("after")
@@ -72,6 +90,8 @@
         if refusal:
             return refusal
         if after is not None:
+            if int(after) > self._last_version:
+                return web.Response(status=410)
             seconds = min(float(request.query["wait"]), MAX_WATCH_SECONDS)
             await self._wait(key, int(after), seconds)
         if self.down:
