Number the holders of a lease by the era of the store

Operators of wharfd: after the store had come back from a copy, a lease's fencing number went back: orders of the new leader are refused as stale until the number has passed the highest one that sidecars have seen, and two holders can send under one number. Cause: a new holder counts on from the stored record, which the copy takes back. Change: the first number of a later era is above all of the earlier ones, as for the revisions of a configuration. Before: the new test saw the number 1 after 1, 2 and 3.

--- a/packages/coordination/src/wharf_coordination/lease.py
+++ b/packages/coordination/src/wharf_coordination/lease.py
@@ -6,15 +6,17 @@
 
 DURATION_SECONDS = 6.0
 RENEWALS_PER_DURATION = 3
+HOLDERS_PER_ERA = 1_000_000_000
 
 
 @dataclass(frozen=True, slots=True)
 class LeaseRecord:
     """The lease as stored.
 
-    `fencing` increases by one with each new holder; `renewals` changes with each
-    renewal, so that contenders see that the holder is alive. An empty `holder`
-    means that the lease was released.
+    `fencing` increases by one with each new holder, and to the first one of the era if
+    the store has come back from a copy. `renewals` changes with each renewal, so that
+    contenders see that the holder is alive. An empty `holder` means that the lease was
+    released.
     """
 
     holder: str = ""
@@ -69,14 +71,15 @@
             self._held_until = 0.0
         self.record, self._seen_at = record, now
 
-    def next_record(self, now) -> LeaseRecord | None:
+    def next_record(self, now, era=None) -> LeaseRecord | None:
         """Return the record to write now, or None if there is nothing to write.
 
+        `era` is that of the store at which the last record was read.
         The write must be conditional on the object version that was read. The lease
         is held once that record is observed, in the response to the write or, if
         the response was lost, in a later read.
         """
-        wanted = self._next_record(now)
+        wanted = self._next_record(now, era or 0)
         if wanted is not None:
             self._sent, self._sent_at = wanted, now
         return wanted
@@ -89,7 +92,7 @@
         self._held_until = 0.0
         return LeaseRecord("", self.fencing)
 
-    def _next_record(self, now):
+    def _next_record(self, now, era):
         record = self.record
         if record is None:
             return None
@@ -97,7 +100,8 @@
             return self._renewal(now)
         if record.holder and now < self._seen_at + self.duration:
             return None
-        return LeaseRecord(self.name, record.fencing + 1)
+        fencing = max(record.fencing + 1, era * HOLDERS_PER_ERA + 1)
+        return LeaseRecord(self.name, fencing)
 
     def _renewal(self, now):
         renew_at = self._held_until - self.duration * (1 - 1 / RENEWALS_PER_DURATION)
--- a/packages/platform/src/wharf_platform/lease_manager.py
+++ b/packages/platform/src/wharf_platform/lease_manager.py
@@ -58,7 +58,7 @@
         if read.is_err():
             return read
         stored = read.unwrap()
-        wanted = self.lease.next_record(self._now())
+        wanted = self.lease.next_record(self._now(), stored.era)
         if wanted is None:
             return Ok(None)
         return await self._write(stored, wanted)
--- a/packages/standins/tests/test_restored_store.py
+++ b/packages/standins/tests/test_restored_store.py
@@ -1,16 +1,19 @@
 """Configurations while the platform's store comes back from an older copy."""
 
 import asyncio
+from random import Random
 
 import pytest_asyncio
 
-from wharf_platform import Conflict
+from wharf_coordination import Lease
+from wharf_platform import ORDERS_SUBJECT, Conflict, LeaseManager
 from wharf_platform.configuration import CONFIGURATION_KEY, Document
 from wharf_standins.loopback import Loopback
 
 PIPELINES = {"ask": {"stages": [{"name": "answer", "pool": "model"}]}}
 IN_FORCE_SECONDS = 5.0
 SETTLE_SECONDS = 1.5
+LEASE_SECONDS = 0.3
 
 
 @pytest_asyncio.fixture
@@ -112,3 +115,25 @@
     system.platform.down = False
     await system.replace_entry(1)
     await until_in_force(system, "lost")
+
+
+async def take_lease(system, name):
+    """Acquire the lease on orders under `name`; return its fencing number."""
+    lease = Lease(name, LEASE_SECONDS)
+    manager = LeaseManager(system.store, ORDERS_SUBJECT, lease, Random(1))
+    async with asyncio.timeout(IN_FORCE_SECONDS):
+        while not manager.is_held():
+            await manager.step()
+            await asyncio.sleep(LEASE_SECONDS / 10)
+    fencing = lease.fencing
+    await manager.release()
+    return fencing
+
+
+# Guards against orders that are refused as stale, or that two holders send under one
+# fencing number, after a loss.
+async def test_fencing_numbers_rise_after_a_loss(system):
+    copy = system.platform.copy()
+    lost = [await take_lease(system, name) for name in ("a", "b", "c")]
+    await system.platform.restore(copy)
+    assert await take_lease(system, "d") > max(lost)
