End a request that is between two steps when its entry ends the rest

Callers: a request whose body had just been read when a stop's grace ended could begin its run after that and be cut without an answer a second later. Cause: the end reached only the steps that had begun. Change: a step that begins after the end is ended at once. Before: test_end_ends_each_step[True] failed, no error was raised; the other four new tests of RunningRequests passed. After: all five pass.

--- a/packages/daemon/src/wharf_daemon/entry/running_requests.py
+++ b/packages/daemon/src/wharf_daemon/entry/running_requests.py
@@ -58,6 +58,8 @@
         try:
             async with timeout:
                 self._timeouts.add(timeout)
+                if self.is_ended:
+                    timeout.reschedule(asyncio.get_running_loop().time())
                 yield
         except TimeoutError as error:
             if timeout.expired():
