Don't finish a version that is suspected while the old calls end

Once the last step is over, all requests go to the new version and the old one's calls get up to 2.5 s to end.

Now a suspicion in this time gives the old version its share back; the rollout goes on in its last step and is taken back at the deadline if the suspicion stays. Ruled out: that the old version's upstreams are stopped by then (this follows only on "finished").

test_a_version_suspected_while_old_calls_end_is_rolled_back fails before and passes after.

--- a/packages/coordination/src/wharf_coordination/rollout/judge.py
+++ b/packages/coordination/src/wharf_coordination/rollout/judge.py
@@ -107,7 +107,7 @@
             or self._first_slow(groups, self.doubt, self.gross_factor)
         )
         if suspected:
-            return Undecided(f"suspicion of {suspected.reason}")
+            return Undecided(f"suspicion of {suspected.reason}", is_suspected=True)
         if is_last and not self._is_shown_fast(evidence, now):
             return Undecided(f"not shown under {self.gross_factor} times the old time")
         # The first share is too small for a rare route to get a call in time.
--- a/packages/coordination/src/wharf_coordination/rollout/participant.py
+++ b/packages/coordination/src/wharf_coordination/rollout/participant.py
@@ -12,6 +12,7 @@
 from wharf_coordination.rollout.rollout import Rollout
 from wharf_coordination.rollout.rollout_view import RolloutView
 from wharf_coordination.rollout.sample import Sample
+from wharf_coordination.rollout.verdict import Bad, Undecided
 
 __all__ = ["Participant"]
 
@@ -82,6 +83,14 @@
         self.veto(regression.reason)
         return Fact(FactKind.VETO, self.rollout.veto_subject, regression.reason)
 
+    def is_suspected(self, now) -> bool:
+        """Return whether the evidence points to a bad version."""
+        match self.driver.verdict(self.view, self.evidence, now):
+            case Undecided(is_suspected=is_suspected):
+                return is_suspected
+            case verdict:
+                return isinstance(verdict, Bad)
+
     def decide(self, now) -> Action:
         """Return the change to write now; only the elected process may write it."""
         return self.driver.decide(self.view, self.evidence, now)
--- a/packages/coordination/src/wharf_coordination/rollout/verdict.py
+++ b/packages/coordination/src/wharf_coordination/rollout/verdict.py
@@ -19,9 +19,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Undecided:
-    """There is too little evidence; `missing` describes what is lacking."""
+    """There is too little evidence; `missing` describes what is lacking.
+
+    `is_suspected` says that the evidence points to a bad version.
+    """
 
     missing: str
+    is_suspected: bool = False
 
 
 Verdict = Good | Bad | Undecided
--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_driver.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_driver.py
@@ -30,7 +30,8 @@
     """Decide the share and the outcome from the samples of all gateways.
 
     `drained_at` is the time at which the old version's calls should have ended; it is
-    set once the new version gets all requests. `reason` is why it was rolled back.
+    set once the new version gets all requests, and unset if it is then suspected.
+    `reason` is why it was rolled back.
     """
 
     participant: Participant
@@ -82,6 +83,8 @@
             return
         self._evaluated_at = now
         self.participant.evaluate(now)
+        if self.drained_at is not None and self.participant.is_suspected(now):
+            self.drained_at = None
         match self.participant.decide(now):
             case TakeBack(reason):
                 if self.drained_at is None or self.participant.view.vetoed:
--- a/packages/gateway/tests/test_rollouts.py
+++ b/packages/gateway/tests/test_rollouts.py
@@ -244,3 +244,43 @@
 def test_good_versions_are_finished_with_few_calls():
     outcomes = [_simulate_few_calls(1.0, seed) for seed in range(1, 17)]
     assert outcomes.count(RolloutOutcome.FINISHED) >= 15
+
+
+def _add_answers(driver, version, count, now, *, seconds=0.2, failed=False):
+    for _ in range(count):
+        driver.add(RolloutSample("s", version, "r1", 1, failed, seconds), now)
+
+
+@pytest.fixture
+def draining():
+    """Return a driver that waits for the old version's calls, and the time."""
+    driver = RolloutDriver.begin(RolloutProgress(ORDER, 0.0), "v1", 0.0)
+    tick, now = 0, 0.0
+    while driver.drained_at is None:
+        tick += 1
+        now = tick * TICK_SECONDS
+        driver.advance(now)
+        _add_answers(driver, "v1", 1, now)
+        _add_answers(driver, "v2", tick % 4 == 0, now)
+    return driver, now
+
+
+def _advance_to_outcome(driver, now):
+    while driver.outcome is None:
+        now += TICK_SECONDS
+        driver.advance(now)
+        _add_answers(driver, "v2", 1, now)
+    return driver.outcome
+
+
+def test_a_rollout_is_finished_once_the_old_versions_calls_ended(draining):
+    assert _advance_to_outcome(*draining) is RolloutOutcome.FINISHED
+
+
+# Calls that were running when the last step ended came to their deadlines while the old
+# version's calls ended, and the rollout was finished all the same.
+def test_a_version_suspected_while_old_calls_end_is_rolled_back(draining):
+    driver, now = draining
+    _add_answers(driver, "v2", 5, now, seconds=1.5, failed=True)
+
+    assert _advance_to_outcome(driver, now) is RolloutOutcome.TAKEN_BACK
