Ignore a removal that is told again after the object was created again

Found by the reviewer of the restored store, an older fault: two feeders that hand on batches of different length made a fed gateway lose an object that had been removed and created again, since removals were applied whatever was known and the creation was not news any more. A watcher now keeps the revision of each object; a removal of an older one is no news. The test failed before.

--- a/packages/gateway/src/wharf_gateway/store/store_watcher.py
+++ b/packages/gateway/src/wharf_gateway/store/store_watcher.py
@@ -72,6 +72,7 @@
         self._has_changed = False
         self._scope = None
         self.position = None
+        self._revision_by_name = {}
         self.unavailable_since = None
         self.recovered_at = None
 
@@ -158,6 +159,7 @@
 
     def _apply_listing(self, listing):
         self.position = listing.position
+        self._revision_by_name = {o.name: o.revision for o in listing.objects}
         self._record_answer()
         self._on_listing(listing.objects, self._clock())
 
@@ -200,13 +202,26 @@
         if known.includes(position):
             return
         self.position = position
-        objects = tuple(
-            changed
-            for changed in objects
-            if changed.is_deleted or changed.revision > known.revision
-        )
-        if objects:
-            self._on_changes(objects, now)
+        changes = tuple(c for c in objects if self._is_news(c, known.revision))
+        if changes:
+            self._on_changes(changes, now)
+
+    def _is_news(self, changed, known_revision):
+        """Return whether a change isn't known yet, and record it.
+
+        A removal may have the revision of the object's last change. It is old if the
+        object has been created again since.
+        """
+        if changed.is_deleted:
+            revision = self._revision_by_name.get(changed.name)
+            if revision is None or changed.revision < revision:
+                return False
+            del self._revision_by_name[changed.name]
+            return True
+        if changed.revision <= known_revision:
+            return False
+        self._revision_by_name[changed.name] = changed.revision
+        return True
 
     def _record_failure(self, error):
         if self.unavailable_since is None:
--- a/packages/gateway/tests/test_store_watcher.py
+++ b/packages/gateway/tests/test_store_watcher.py
@@ -260,3 +260,40 @@
     watcher.apply_news(since, position, _object(9), 1.0)
 
     assert len(applied) == 1
+
+
+# Guards against an object that is lost to a gateway as two feeders tell of its removal
+# and creation in batches of different length.
+async def test_a_removal_that_is_told_again_does_not_remove_what_was_created_since():
+    revision_by_name = {}
+
+    def on_changes(objects, now):
+        for changed in objects:
+            revision_by_name.pop(changed.name, None)
+            if not changed.is_deleted:
+                revision_by_name[changed.name] = changed.revision
+
+    eras = StoreEras()
+    eras.record(1, 0.0)
+    watcher = StoreWatcher(
+        None,
+        StoreKind.UPSTREAMS,
+        None,
+        on_changes,
+        None,
+        lambda: 0.0,
+        Random(1),
+        eras=eras,
+    )
+    watcher.position = since = StorePosition(1, 40)
+    created, removed = StoredObject("x", 42), StoredObject("x", 42, is_deleted=True)
+    created_again, other = StoredObject("x", 48), StoredObject("y", 53)
+    batch = (created, removed, created_again)
+
+    watcher.apply_news(since, StorePosition(1, 50), batch, 0.0)
+    watcher.apply_news(since, StorePosition(1, 55), (*batch, other), 0.0)
+    assert revision_by_name == {"x": 48, "y": 53}
+
+    removed_again = StoredObject("x", 48, is_deleted=True)
+    watcher.apply_news(since, StorePosition(1, 60), (removed_again,), 0.0)
+    assert revision_by_name == {"y": 53}
