Let the last change of an evacuation in an answer hold

An evacuation that was written and deleted between two answers of a watch kept its data centre out (found by the reviewer, an older fault; the test failed before).

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -206,9 +206,9 @@
 
     def update_evacuations(self, objects, now):
         """Take data centres out of service, or bring them back."""
-        gone = {stored.name for stored in objects if stored.is_deleted}
-        added = {stored.name for stored in objects if not stored.is_deleted}
-        self._evacuations.update(added, gone)
+        last_by_name = {stored.name: stored for stored in objects}
+        gone = {name for name, last in last_by_name.items() if last.is_deleted}
+        self._evacuations.update(last_by_name.keys() - gone, gone)
         self._set_out()
 
     def advance_evacuations(self, now):
--- a/packages/gateway/tests/test_fleet.py
+++ b/packages/gateway/tests/test_fleet.py
@@ -156,3 +156,13 @@
     fleet.replace_evacuations([], 11.0)
 
     assert _names(fleet) == ["u1", "u2"]
+
+
+# Guards against a data centre that stays out if its evacuation was written and deleted
+# between two answers of a watch.
+def test_evacuation_that_was_deleted_in_the_same_answer_does_not_hold(fleet):
+    fleet.update_evacuations([_entry("dc-1"), _entry("dc-1", gone=True)], 1.0)
+    assert fleet.out_data_centres == frozenset()
+
+    fleet.update_evacuations([_entry("dc-1", gone=True), _entry("dc-1")], 2.0)
+    assert fleet.out_data_centres == {"dc-1"}
