--- a/packages/gateway/src/wharf_gateway/store/store_watcher.py
+++ b/packages/gateway/src/wharf_gateway/store/store_watcher.py
@@ -24,9 +24,10 @@
 START_POLL_SECONDS = 0.1
 RETRY_BACKOFF = Backoff(first=0.1, longest=MAX_RETRY_SECONDS)
 # After a restoration of the store, calls that are under way may still be answered for
-# this long. Then all gateways list all kinds, at half the rate that the store allows.
+# this long. Then all gateways list all kinds, at a quarter of the rate that the store
+# allows, since watchers that have lost it call as well.
 ANSWER_SECONDS = 0.05
-LISTINGS_PER_SECOND = 1000.0
+LISTINGS_PER_SECOND = 500.0
 
 
 class StoreWatcher:
