--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -7,6 +7,8 @@
 
 from wharf_gateway.model.batching import Batching
 from wharf_gateway.model.piece import Piece
+from wharf_gateway.routing.route_times import RouteTimes
+from wharf_gateway.shutdown import Shutdown
 from wharf_gateway.stages.piece_group import PieceGroup
 from wharf_gateway.stages.piece_job import PieceJob
 
@@ -40,6 +42,16 @@
     return make
 
 
+@pytest.fixture
+def shutdown():
+    return Shutdown()
+
+
+@pytest.fixture
+def route_times():
+    return RouteTimes()
+
+
 @pytest.fixture
 async def raw_server():
     """Start servers that pass the streams of each connection to a function."""
--- a/packages/gateway/tests/test_request_admission.py
+++ b/packages/gateway/tests/test_request_admission.py
@@ -9,8 +9,6 @@
 from wharf_gateway.http.headers import Headers
 from wharf_gateway.http.inbound_request import InboundRequest
 from wharf_gateway.request_admission import RequestAdmission
-from wharf_gateway.routing.route_times import RouteTimes
-from wharf_gateway.shutdown import Shutdown
 from wharf_gateway.store.stored_object import StoredObject
 
 SPEC = {
@@ -39,16 +37,6 @@
     return fleet
 
 
-@pytest.fixture
-def shutdown():
-    return Shutdown()
-
-
-@pytest.fixture
-def route_times():
-    return RouteTimes()
-
-
 @pytest.fixture
 async def admission(fleet, shutdown, route_times):
     clock = asyncio.get_running_loop().time
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -29,10 +29,8 @@
 from wharf_gateway.request_runner import RequestRunner
 from wharf_gateway.rollouts.rollout_manager import RolloutManager
 from wharf_gateway.routing.retry_budgets import RetryBudgets
-from wharf_gateway.routing.route_times import RouteTimes
 from wharf_gateway.routing.upstream_limit import UpstreamLimit
 from wharf_gateway.routing.upstream_limits import UpstreamLimits
-from wharf_gateway.shutdown import Shutdown
 from wharf_gateway.stages.preparation_failure import PreparationFailure
 from wharf_gateway.telemetry.meter import Meter
 
@@ -138,16 +136,6 @@
     return Upstreams(raw_server)
 
 
-@pytest.fixture
-def shutdown():
-    return Shutdown()
-
-
-@pytest.fixture
-def route_times():
-    return RouteTimes()
-
-
 @pytest.fixture
 def ask(upstreams, shutdown, route_times):
     async def run(
--- a/packages/gateway/tests/test_shutdown.py
+++ b/packages/gateway/tests/test_shutdown.py
@@ -5,12 +5,6 @@
 import pytest
 
 from wharf_gateway.routing.route_times import DEFAULT_SECONDS, RouteTimes
-from wharf_gateway.shutdown import Shutdown
-
-
-@pytest.fixture
-def shutdown():
-    return Shutdown()
 
 
 async def _seconds_waited(shutdown, timeout, margin):
