Apply a peer's outcome only to what a restoration lost

Operators would have seen a rollout end as completed while it ran: one OutcomeNotice of a peer was enough, without any restoration of the store, and the driving gateway wrote the outcome, on which the old upstreams are stopped.

Cause: the notice named neither an era nor a revision, and the receiver asked neither for a restoration nor for a listing. Ruled out: to keep the outcomes to the store alone, since a gateway that starts after the restoration has no other source for them.

An item now has the era and the revision at which the store showed the outcome. It is applied once this gateway has listed the store in a later era, and only to an order whose listed revision is lower and that has not been offered since, or if no order of the service is there. That a driver writes running doesn't make a later offer. Items without an era, as earlier versions send them, are not applied.

What is checked is what an honest peer tells: a notice with a past era and a high revision still ends an order that is only known from the listing.

--- a/packages/gateway/src/wharf_gateway/peers/messages.py
+++ b/packages/gateway/src/wharf_gateway/peers/messages.py
@@ -256,13 +256,19 @@
 
 @dataclass(frozen=True, slots=True)
 class OutcomeItem:
-    """An order of a rollout that has ended, and its outcome."""
+    """An order of a rollout that has ended, and its outcome.
+
+    The store showed the outcome at `revision` of its `era`. Without an era, as earlier
+    versions send it, the item isn't applied.
+    """
 
     name: Name
     service: Name
     target: Name
     duration: Annotated[float, Field(gt=0, allow_inf_nan=False)]
     outcome: Literal[RolloutOutcome.FINISHED, RolloutOutcome.TAKEN_BACK]
+    era: Era = None
+    revision: Annotated[int, Field(ge=0)] = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/gateway/src/wharf_gateway/rollouts/outcome_memory.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/outcome_memory.py
@@ -4,6 +4,7 @@
 
 from wharf_coordination.rollout_outcome import RolloutOutcome
 from wharf_gateway.restoration import GRACE_SECONDS
+from wharf_gateway.store.store_position import StorePosition
 
 __all__ = ["OutcomeMemory"]
 
@@ -15,10 +16,12 @@
     """An outcome, and whether the store has shown it since its last restoration.
 
     If it hasn't, an order without that outcome is the same one until `kept_until`.
+    `position` is where the store last showed the outcome.
     `is_anew` says that the order was offered again after it had ended.
     """
 
     outcome: RolloutOutcome | None
+    position: StorePosition
     is_stored: bool = True
     kept_until: float = float("-inf")
     is_anew: bool = False
@@ -61,18 +64,19 @@
             known.is_stored = False
             known.kept_until = now + GRACE_SECONDS
 
-    def record(self, order, now, *, is_listing=False):
+    def record(self, order, now, *, era=None, is_listing=False):
         """Record an order of the store; return it with the outcome that holds."""
         known = self._known_by_rollout.pop(_key(order), None)
         if known is not None and known.outlasts(order.outcome, is_listing, now):
             known.kept_until = float("inf")
         else:
             is_anew = known is not None and (known.is_closed or known.is_anew)
-            known = _Known(order.outcome, is_anew=is_anew)
+            position = StorePosition(era, order.revision)
+            known = _Known(order.outcome, position, is_anew=is_anew)
         self._add(order, known)
         return replace(order, outcome=known.outcome)
 
-    def learn(self, order, now) -> bool:
+    def learn(self, order, era, now) -> bool:
         """Record an outcome that a peer knows and the store has lost.
 
         Return whether it is new here; an order that was offered again has none yet.
@@ -80,7 +84,8 @@
         known = self._known_by_rollout.get(_key(order))
         if known is not None and (known.is_closed or known.is_anew):
             return False
-        self._add(order, _Known(order.outcome, False, now + GRACE_SECONDS))
+        position = StorePosition(era, order.revision)
+        self._add(order, _Known(order.outcome, position, False, now + GRACE_SECONDS))
         return True
 
     def knows(self, order):
@@ -92,6 +97,10 @@
         known = self._known_by_rollout.get(_key(order))
         return known is not None and known.is_lost(now)
 
+    def position(self, order):
+        """Return where the store last showed the outcome of an order that is known."""
+        return self._known_by_rollout[_key(order)].position
+
     def _add(self, order, known):
         self._known_by_rollout[_key(order)] = known
         if len(self._known_by_rollout) > MAX_ROLLOUTS:
--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
@@ -41,7 +41,8 @@
 
     A store that comes back from a copy may show an order without its outcome, not at
     all, or an earlier order of the service. What gateways know then holds, and what
-    they wrote is written again.
+    they wrote is written again. A peer's outcome only fills in what this gateway's
+    listing of the new era lacks.
     """
 
     def __init__(self, fleet, dialect, store, owner_of, peers, clock, eras=None):
@@ -54,6 +55,7 @@
         self.driver_by_service = {}
         self._outcomes = OutcomeMemory()
         self._held_by_service = {}
+        self._listed_era = None
         self._turns = Turns(NOTICE_INTERVAL_SECONDS, MAX_OUTCOMES)
         self._eras = eras or StoreEras()
         self._eras.callbacks.append(self._handle_restoration)
@@ -61,6 +63,7 @@
 
     def replace_orders(self, objects, now):
         """Apply the rollout orders of a complete listing."""
+        self._listed_era = self._eras.current
         for order in self._read_orders(objects):
             if self._is_superseded(order, now):
                 self._hold(order, now)
@@ -124,11 +127,18 @@
     def handle_outcomes(self, message, now):
         """Apply outcomes that the store lost before this gateway could read them."""
         for item in message.items:
+            if not self._is_gap(item):
+                continue
             order = RolloutOrder(
-                item.name, item.service, item.target, item.duration, item.outcome, 0
+                item.name,
+                item.service,
+                item.target,
+                item.duration,
+                item.outcome,
+                item.revision,
             )
             is_new = not self._outcomes.knows(order)
-            if self._outcomes.learn(order, now):
+            if self._outcomes.learn(order, item.era, now):
                 self._apply_outcome(order, is_new, now)
 
     def advance(self, now):
@@ -193,7 +203,7 @@
     def _hold(self, order, now):
         """Apply an open order later, unless the one that is known is written again."""
         log.info("rollout_held", service=order.service, target=order.target)
-        if self._outcomes.record(order, now, is_listing=True).is_open:
+        if self._record(order, now, is_listing=True).is_open:
             self._held_by_service[order.service] = order
 
     def _release_held(self, now):
@@ -201,6 +211,27 @@
             if not self._is_superseded(order, now):
                 self._apply_order(order, now, is_listing=True)
 
+    def _is_gap(self, item):
+        """Return whether a restoration may have lost an outcome that a peer tells.
+
+        Orders of the current era that were offered after the listing are later ones.
+        """
+        is_listed = self._listed_era == self._eras.current
+        if not is_listed or not self._eras.is_past(item.era):
+            return False
+        progress = self.progress_by_service.get(item.service)
+        if progress is None:
+            return True
+        if progress.stored is None:
+            is_ended = not progress.order.is_open
+            return is_ended and progress.order.revision < item.revision
+        listed = progress.listed_revision
+        return listed is not None and listed < item.revision
+
+    def _record(self, order, now, *, is_listing=False):
+        era = self._eras.current
+        return self._outcomes.record(order, now, era=era, is_listing=is_listing)
+
     def _apply_outcome(self, order, is_new, now):
         """Apply an outcome of a peer if it is later than what is known here."""
         progress = self.progress_by_service.get(order.service)
@@ -210,14 +241,14 @@
         elif not progress.order.is_open or not order.is_same_rollout(progress.order):
             return
         elif progress.stored is not None:
-            order = self._outcomes.record(progress.stored, now)
+            order = self._record(progress.stored, now)
         progress.order = order
         self._fleet.apply_order(order)
         self._log_order("rollout_learned", order)
 
     def _apply_order(self, stored, now, *, is_listing=False):
         self._held_by_service.pop(stored.service, None)
-        order = self._outcomes.record(stored, now, is_listing=is_listing)
+        order = self._record(stored, now, is_listing=is_listing)
         self._fleet.apply_order(order)
         progress = self.progress_by_service.get(order.service)
         is_same = progress is not None and order.is_same_rollout(progress.order)
@@ -225,6 +256,10 @@
             self.driver_by_service.pop(order.service, None)
             progress = RolloutProgress(order, now)
             self.progress_by_service[order.service] = progress
+        if is_listing:
+            progress.listed_revision = stored.revision
+        elif not _is_continued(progress.stored, stored):
+            progress.listed_revision = None
         progress.order, progress.stored = order, stored
         self._log_order("rollout", order)
 
@@ -241,14 +276,12 @@
     def _handle_restoration(self, now):
         self._outcomes.handle_restoration(now)
         for progress in self.progress_by_service.values():
-            progress.stored = None
+            progress.stored = progress.listed_revision = None
 
     def _lost_items(self, now):
         orders = [progress.order for progress in self.progress_by_service.values()]
         return [
-            OutcomeItem(
-                order.name, order.service, order.target, order.duration, order.outcome
-            )
+            _outcome_item(order, self._outcomes.position(order))
             for order in orders
             if self._outcomes.is_lost(order, now)
         ]
@@ -275,3 +308,25 @@
     def _write(self, progress, outcome, reason):
         if progress.stored is not None:
             self._writer.write(progress.stored, outcome, reason)
+
+
+def _outcome_item(order, position):
+    return OutcomeItem(
+        order.name,
+        order.service,
+        order.target,
+        order.duration,
+        order.outcome,
+        position.era,
+        position.revision,
+    )
+
+
+def _is_continued(before, after):
+    """Return whether a changed order is the one before, whose rollout has begun."""
+    return (
+        before is not None
+        and before.is_open
+        and before.is_same_rollout(after)
+        and after.outcome is RolloutOutcome.RUNNING
+    )
--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_progress.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_progress.py
@@ -18,11 +18,14 @@
     `received_at` is the time of the last share. Times are those of the event loop, in
     seconds. `stored` is the order as the store shows it; its outcome may be older. It
     is None while the store, since its last restoration, hasn't shown the order.
+    `listed_revision` is the order's in the last listing, None if the order has been
+    offered since.
     """
 
     order: RolloutOrder
     began_at: float
     stored: RolloutOrder | None = None
+    listed_revision: int | None = None
     share: float = 0.0
     received_at: float = float("-inf")
 
--- a/packages/gateway/tests/test_rollout_restoration.py
+++ b/packages/gateway/tests/test_rollout_restoration.py
@@ -11,7 +11,12 @@
 from wharf_gateway.model.rollout_order import RolloutOrder
 from wharf_gateway.model.upstream import Upstream
 from wharf_gateway.peers.codec import decode, encode
-from wharf_gateway.peers.messages import OutcomeNotice, RolloutSample, ShareNotice
+from wharf_gateway.peers.messages import (
+    OutcomeItem,
+    OutcomeNotice,
+    RolloutSample,
+    ShareNotice,
+)
 from wharf_gateway.restoration import GRACE_SECONDS
 from wharf_gateway.rollouts import outcome_writer
 from wharf_gateway.rollouts.rollout_manager import RolloutManager
@@ -430,3 +435,84 @@
 
     assert world.outcomes() == [RUNNING] * 3
     assert world.order.outcome is RUNNING
+
+
+def _notice(era, revision, target="v2", outcome=FINISHED):
+    item = OutcomeItem("s", "s", target, 16.0, outcome, era, revision)
+    return OutcomeNotice((item,))
+
+
+# Guards against a peer's notice that ends a running rollout without any restoration.
+@pytest.mark.parametrize("era", [None, 0, 1, 2])
+async def test_outcome_of_a_peer_does_not_end_an_order_of_this_era(world, era):
+    world.change(ORDER)
+    await world.advance(0.5)
+
+    for name in "abc":
+        world.post(name, _notice(era, 99))
+    await world.advance(0.5)
+
+    assert [outcome for outcome, _ in world.written] == [RUNNING]
+    assert world.outcomes() == [RUNNING] * 3
+
+
+# Guards against an outcome of the current era that is taken for one that was lost.
+@pytest.mark.parametrize("era", [None, 2, 3])
+async def test_outcome_that_no_restoration_lost_does_not_end_a_listed_order(world, era):
+    world.restore(replace(ORDER, outcome=RUNNING))
+    fresh = world.start("_")
+    world.post("_", _notice(era, 99))
+
+    assert fresh.dump(world.now)["s"]["outcome"] is RUNNING
+
+
+# Guards against a lost outcome that ends an order before the gateway has listed it.
+async def test_outcome_of_a_peer_waits_for_a_listing_of_the_new_era(world):
+    world.change(ORDER)
+    for manager in world.managers:
+        manager.eras.record(2, world.now)
+    for name in "abc":
+        world.post(name, _notice(1, 99))
+    assert world.outcomes() == [None] * 3
+
+    empty = world.start("_")
+    empty._listed_era = None
+    empty.progress_by_service.clear()
+    world.post("_", _notice(1, 99))
+    assert empty.dump(world.now) == {}
+
+
+# Guards against an earlier outcome that ends an order whose later offer was listed.
+async def test_outcome_of_a_peer_does_not_end_an_order_changed_later(world):
+    world.restore(replace(ORDER, outcome=RUNNING, revision=30))
+    fresh = world.start("_")
+    world.post("_", _notice(1, 30))
+    assert fresh.dump(world.now)["s"]["outcome"] is RUNNING
+
+    world.post("_", _notice(1, 31))
+    assert fresh.dump(world.now)["s"]["outcome"] is FINISHED
+
+
+# Guards against a lost outcome that ends what a just started gateway sees offered.
+@pytest.mark.parametrize("target", ["v2", "v3"])
+async def test_outcome_of_a_peer_does_not_end_an_order_offered_after_the_listing(
+    world, target
+):
+    world.restore(replace(ORDER, outcome=RUNNING))
+    fresh = world.start("_")
+    world.change(replace(ORDER, target=target))
+    world.change(replace(ORDER, target=target, outcome=RUNNING))
+    world.post("_", _notice(1, 99))
+
+    order = fresh.progress_by_service["s"].order
+    assert (order.target, order.outcome) == (target, RUNNING)
+
+
+# Guards against a lost outcome that is refused as the new driver has begun already.
+async def test_outcome_of_a_peer_holds_after_the_driver_has_written_running(world):
+    world.restore(ORDER)
+    fresh = world.start("_")
+    world.change(replace(ORDER, outcome=RUNNING))
+    world.post("_", _notice(1, ORDER.revision + 1))
+
+    assert fresh.dump(world.now)["s"]["outcome"] is FINISHED
