Don't end a new order by an outcome that a gateway no longer knows to hold

Operators would have seen a version that they offered again rolled back at once: v2 is taken back, the driving gateway freezes, v2 is offered again, the store comes back from a copy; the driver then wrote rolled_back over the new order.

Cause: after a restoration each outcome that a gateway knew was taken for the last one, also by a gateway that had missed changes before it. Ruled out: to compare revisions of all orders with that of the outcome, since what is written again after the restoration has any revision.

A gateway that was paused for a second, and hasn't listed the store since, forgets its outcomes when it notices the restoration; peers that were not paused tell it theirs. An order that is first listed with another outcome, at a later revision than the known outcome, was changed after it and holds. If in doubt an order runs anew and is judged again.

The two cases of test_missed_offer_that_the_copy_holds_goes_on and the four of test_paused_gateway_asserts_no_outcome failed before and pass now. Three cases that pass before and after check that outcomes still hold: peers that were not paused teach a paused driver, and a listing after the pause ends the doubt.

What remains: a gateway that runs but was cut off from the store before the restoration asserts its outcomes over an offer that it missed, unless the copy holds that offer as running or ended. A pause and an outage of the store can be told apart, an outage and a cut can't. Orders' creation times are not read.

--- a/packages/gateway/src/wharf_gateway/pause_guard.py
+++ b/packages/gateway/src/wharf_gateway/pause_guard.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-__all__ = ["PauseGuard"]
+__all__ = ["PAUSE_SECONDS", "PauseGuard"]
 
 log = structlog.get_logger(__name__)
 
--- a/packages/gateway/src/wharf_gateway/rollouts/outcome_memory.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/outcome_memory.py
@@ -33,10 +33,20 @@
     def is_lost(self, now):
         return self.is_closed and not self.is_stored and now < self.kept_until
 
-    def outlasts(self, outcome, is_listing, now):
+    def outlasts(self, order, is_listing, now):
         """Return whether the store shows an outcome older than this one."""
-        is_older = is_listing or outcome in (None, RolloutOutcome.RUNNING)
-        return self.is_lost(now) and is_older and outcome is not self.outcome
+        if not self.is_lost(now) or order.outcome is self.outcome:
+            return False
+        return not self._precedes(order) if is_listing else order.is_open
+
+    def _precedes(self, order):
+        """Return whether a copy holds an outcome that was written after this one.
+
+        An order without an outcome may be written again under any revision.
+        """
+        is_first_listed = self.kept_until != float("inf")
+        is_later = order.revision > self.position.revision
+        return is_first_listed and is_later and order.outcome is not None
 
 
 @dataclass(slots=True)
@@ -64,10 +74,14 @@
             known.is_stored = False
             known.kept_until = now + GRACE_SECONDS
 
+    def forget(self):
+        """Forget all outcomes, as later offers may have been missed."""
+        self._known_by_rollout.clear()
+
     def record(self, order, now, *, era=None, is_listing=False):
         """Record an order of the store; return it with the outcome that holds."""
         known = self._known_by_rollout.pop(_key(order), None)
-        if known is not None and known.outlasts(order.outcome, is_listing, now):
+        if known is not None and known.outlasts(order, is_listing, now):
             known.kept_until = float("inf")
         else:
             is_anew = known is not None and (known.is_closed or known.is_anew)
--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
@@ -6,6 +6,7 @@
 
 from wharf_coordination.rollout import RolloutOutcome
 from wharf_gateway.model.rollout_order import RolloutOrder
+from wharf_gateway.pause_guard import PAUSE_SECONDS
 from wharf_gateway.peers.messages import (
     MAX_OUTCOMES,
     OutcomeItem,
@@ -42,7 +43,8 @@
     A store that comes back from a copy may show an order without its outcome, not at
     all, or an earlier order of the service. What gateways know then holds, and what
     they wrote is written again. A peer's outcome only fills in what this gateway's
-    listing of the new era lacks.
+    listing of the new era lacks. A gateway that was paused, and hadn't listed the store
+    since, may have missed that an order was offered again and asserts no outcome.
     """
 
     def __init__(self, fleet, dialect, store, owner_of, peers, clock, eras=None):
@@ -56,6 +58,8 @@
         self._outcomes = OutcomeMemory()
         self._held_by_service = {}
         self._listed_era = None
+        self._advanced_at = None
+        self._is_behind = False
         self._turns = Turns(NOTICE_INTERVAL_SECONDS, MAX_OUTCOMES)
         self._eras = eras or StoreEras()
         self._eras.callbacks.append(self._handle_restoration)
@@ -64,6 +68,7 @@
     def replace_orders(self, objects, now):
         """Apply the rollout orders of a complete listing."""
         self._listed_era = self._eras.current
+        self._is_behind = False
         for order in self._read_orders(objects):
             if self._is_superseded(order, now):
                 self._hold(order, now)
@@ -143,6 +148,8 @@
 
     def advance(self, now):
         """Drive the open rollouts if this gateway is chosen, and send their shares."""
+        self._is_behind = self._is_paused(now)
+        self._advanced_at = now
         self._release_held(now)
         self._repeat_outcomes(now)
         for service, progress in self.progress_by_service.items():
@@ -224,7 +231,7 @@
             return True
         if progress.stored is None:
             is_ended = not progress.order.is_open
-            return is_ended and progress.order.revision < item.revision
+            return is_ended and progress.order.revision <= item.revision
         listed = progress.listed_revision
         return listed is not None and listed < item.revision
 
@@ -274,10 +281,18 @@
         )
 
     def _handle_restoration(self, now):
+        if self._is_paused(now):
+            log.warning("rollouts_forgotten")
+            self._outcomes.forget()
         self._outcomes.handle_restoration(now)
         for progress in self.progress_by_service.values():
             progress.stored = progress.listed_revision = None
 
+    def _is_paused(self, now):
+        """Return whether this gateway hasn't listed the store since a pause."""
+        last = now if self._advanced_at is None else self._advanced_at
+        return self._is_behind or now - last >= PAUSE_SECONDS
+
     def _lost_items(self, now):
         orders = [progress.order for progress in self.progress_by_service.values()]
         return [
--- a/packages/gateway/tests/test_rollout_restoration.py
+++ b/packages/gateway/tests/test_rollout_restoration.py
@@ -516,3 +516,75 @@
     world.post("_", _notice(1, ORDER.revision + 1))
 
     assert fresh.dump(world.now)["s"]["outcome"] is FINISHED
+
+
+# Guards against a gateway that missed a new offer and ends it by the former outcome.
+@pytest.mark.parametrize("outcome", [FINISHED, TAKEN_BACK])
+async def test_missed_offer_that_the_copy_holds_goes_on(world, outcome):
+    _end(world, outcome)
+    behind = world.manager_by_name.pop("a")
+    world.change(ORDER)
+    await world.advance(0.5)
+
+    world.manager_by_name["a"] = behind
+    world.restore(world.order)
+    await world.advance(2.0)
+
+    assert world.written == []
+    assert world.outcomes() == [RUNNING] * 3
+
+
+# Guards against a paused gateway that ends an order which was offered meanwhile.
+@pytest.mark.parametrize("has_offer", [True, False])
+@pytest.mark.parametrize("is_noticed", [True, False])
+async def test_paused_gateway_asserts_no_outcome(world, has_offer, is_noticed):
+    first = _end(world, TAKEN_BACK)
+    await world.advance(0.5)
+    paused = world.manager_by_name.pop("a")
+    await world.advance(2.0)
+    world.change(ORDER)
+    offer = world.order
+
+    if is_noticed:
+        paused.advance(world.now)
+    world.manager_by_name["a"] = paused
+    world.restore(offer if has_offer else first)
+    if not has_offer:
+        world.change(ORDER)
+    await world.advance(2.0)
+
+    assert {outcome for outcome, _ in world.written} == {RUNNING}
+    assert world.outcomes() == [RUNNING] * 3
+
+
+# Guards against an outcome that is lost for good as the driving gateway was paused.
+@pytest.mark.parametrize("has_order", [True, False])
+async def test_paused_gateway_learns_outcomes_of_its_peers(world, has_order):
+    running = _end(world, FINISHED)
+    await world.advance(0.5)
+    paused = world.manager_by_name.pop("a")
+    await world.advance(2.0)
+
+    world.manager_by_name["a"] = paused
+    world.restore(running if has_order else None)
+    await world.advance(1.5)
+    if not has_order:
+        world.change(ORDER)
+    await world.advance(1.0)
+
+    assert [outcome for outcome, _ in world.written] == [FINISHED]
+    assert world.outcomes() == [FINISHED] * 3
+
+
+async def test_gateway_that_listed_the_store_after_a_pause_keeps_outcomes(world):
+    running = _end(world, TAKEN_BACK)
+    await world.advance(0.5)
+    world.now += 5.0
+    await world.advance(0.2)
+    world.list_again()
+    await world.advance(0.2)
+
+    world.restore(running)
+    await world.advance(1.0)
+
+    assert world.outcomes() == [TAKEN_BACK] * 3
