Drop a held order with its era, or when the store lacks it

An earlier order that a restored copy showed waits five seconds. If the store was restored again meanwhile, to a copy without it, or if the operator deleted it, it was applied all the same: v2 replaced v3, which the operator had ordered last.

Cause: what is held was only dropped when an order of its service was applied. It is now dropped at a restoration, at each listing, which holds what it shows again, and at the deletion of its object.

--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
@@ -69,6 +69,7 @@
         """Apply the rollout orders of a complete listing."""
         self._listed_era = self._eras.current
         self._is_behind = False
+        self._held_by_service.clear()
         for order in self._read_orders(objects):
             if self._is_superseded(order, now):
                 self._hold(order, now)
@@ -77,6 +78,7 @@
 
     def update_orders(self, objects, now):
         """Apply rollout orders that were created or changed."""
+        self._drop_held({stored.name for stored in objects if stored.is_deleted})
         for order in self._read_orders(objects):
             self._apply_order(order, now)
 
@@ -213,6 +215,14 @@
         if self._record(order, now, is_listing=True).is_open:
             self._held_by_service[order.service] = order
 
+    def _drop_held(self, names):
+        """Drop the orders that wait although they are no longer in the store."""
+        self._held_by_service = {
+            service: order
+            for service, order in self._held_by_service.items()
+            if order.name not in names
+        }
+
     def _release_held(self, now):
         for order in list(self._held_by_service.values()):
             if not self._is_superseded(order, now):
@@ -287,6 +297,7 @@
         self._outcomes.handle_restoration(now)
         for progress in self.progress_by_service.values():
             progress.stored = progress.listed_revision = None
+        self._held_by_service.clear()
 
     def _is_paused(self, now):
         """Return whether this gateway hasn't listed the store since a pause."""
--- a/packages/gateway/tests/test_rollout_restoration.py
+++ b/packages/gateway/tests/test_rollout_restoration.py
@@ -588,3 +588,53 @@
     await world.advance(1.0)
 
     assert world.outcomes() == [TAKEN_BACK] * 3
+
+
+def _hold_earlier_order(world):
+    world.change(ORDER)
+    earlier = world.order
+    _end(world, FINISHED, target="v3")
+    world.restore(earlier)
+
+
+# Guards against an order of an ended era that is applied though the store lacks it.
+async def test_held_order_ends_with_its_era(world):
+    _hold_earlier_order(world)
+    await world.advance(1.0)
+
+    world.era += 1
+    world.order = None
+    for manager in world.managers:
+        manager.eras.record(world.era, world.now)
+    await world.advance(2 * GRACE_SECONDS)
+
+    assert {m.progress_by_service["s"].order.target for m in world.managers} == {"v3"}
+    assert world.written == []
+
+
+# Guards against a held order that is applied though a later listing lacks it.
+async def test_held_order_that_a_listing_lacks_is_not_applied(world):
+    _hold_earlier_order(world)
+    await world.advance(1.0)
+
+    world.order = None
+    world.list_again()
+    await world.advance(2 * GRACE_SECONDS)
+
+    assert {m.progress_by_service["s"].order.target for m in world.managers} == {"v3"}
+    assert world.written == []
+
+
+# Guards against a held order that is applied though it was deleted meanwhile.
+async def test_held_order_that_is_deleted_is_not_applied(world):
+    _hold_earlier_order(world)
+    await world.advance(1.0)
+
+    deleted = replace(_stored(world.order), is_deleted=True)
+    world.order = None
+    for manager in world.managers:
+        manager.update_orders([deleted], world.now)
+    await world.advance(2 * GRACE_SECONDS)
+
+    assert {m.progress_by_service["s"].order.target for m in world.managers} == {"v3"}
+    assert world.written == []
