Ignore lost outcomes of services that aren't configured

200 notices of a peer, with 64 services each that nobody knows, left 12,800 entries in the rollouts' states and in the table of versions, for good.

Cause: an outcome was applied to any service that it named. It is now applied to services of the configuration, and to those of which the store has shown an order; a gateway without a configuration waits for one, since the notices are repeated.

Both cases of test_outcomes_of_unknown_services_are_not_kept failed before and pass now. The gateways of these tests have a configuration now.

--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
@@ -238,7 +238,9 @@
             return False
         progress = self.progress_by_service.get(item.service)
         if progress is None:
-            return True
+            configuration = self._fleet.configuration
+            services = configuration.service_by_name if configuration else {}
+            return item.service in services
         if progress.stored is None:
             is_ended = not progress.order.is_open
             return is_ended and progress.order.revision <= item.revision
--- a/packages/gateway/tests/test_rollout_restoration.py
+++ b/packages/gateway/tests/test_rollout_restoration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 from result import Err, Ok
@@ -12,6 +13,7 @@
 from wharf_gateway.model.upstream import Upstream
 from wharf_gateway.peers.codec import decode, encode
 from wharf_gateway.peers.messages import (
+    MAX_OUTCOMES,
     OutcomeItem,
     OutcomeNotice,
     RolloutSample,
@@ -56,6 +58,7 @@
     def start(self, name):
         """Start a gateway, which lists the store and is linked to all others."""
         fleet = Fleet(None)
+        fleet.configuration = SimpleNamespace(service_by_name={"s": None})
         for number, version in enumerate(("v1", "v1", "v2", "v3")):
             fleet.add(
                 Upstream(f"u{number}", "s", f"a:{number}", "dc", version, 4, False, 1)
@@ -437,9 +440,13 @@
     assert world.order.outcome is RUNNING
 
 
-def _notice(era, revision, target="v2", outcome=FINISHED):
-    item = OutcomeItem("s", "s", target, 16.0, outcome, era, revision)
-    return OutcomeNotice((item,))
+def _notice(era, revision, services="s"):
+    return OutcomeNotice(
+        tuple(
+            OutcomeItem(service, service, "v2", 16.0, FINISHED, era, revision)
+            for service in services
+        )
+    )
 
 
 # Guards against a peer's notice that ends a running rollout without any restoration.
@@ -638,3 +645,21 @@
 
     assert {m.progress_by_service["s"].order.target for m in world.managers} == {"v3"}
     assert world.written == []
+
+
+# Guards against a memory that grows with each service that a peer names.
+@pytest.mark.parametrize("has_configuration", [True, False])
+async def test_outcomes_of_unknown_services_are_not_kept(world, has_configuration):
+    world.restore(None)
+    manager = world.manager_by_name["a"]
+    if not has_configuration:
+        manager.fleet.configuration = None
+
+    for number in range(200):
+        services = [f"x{number}-{index}" for index in range(MAX_OUTCOMES)]
+        world.post("a", _notice(1, 99, services))
+
+    assert manager.dump(world.now) == {}
+    assert manager.fleet._versions.order_by_service == {}
+    world.post("a", _notice(1, 99))
+    assert len(manager.dump(world.now)) == has_configuration
