Test each bound on outcomes that peers tell

Five of eight changes that were put into the code on trial, each of which removed one bound, failed no test of test_rollout_restoration; one of the five was no valid program. Cause of one: the case without a listing ran in a gateway that had seen the first era only. It is replaced by one that gets the listing, and only then applies the notice.

With the new cases five of six such changes fail one test each. The sixth leaves the listed revision at a restoration, where it isn't read before the order is listed or changed again.

--- a/packages/gateway/tests/test_rollout_restoration.py
+++ b/packages/gateway/tests/test_rollout_restoration.py
@@ -482,11 +482,16 @@
         world.post(name, _notice(1, 99))
     assert world.outcomes() == [None] * 3
 
-    empty = world.start("_")
-    empty._listed_era = None
-    empty.progress_by_service.clear()
-    world.post("_", _notice(1, 99))
-    assert empty.dump(world.now) == {}
+
+async def test_outcome_of_a_peer_waits_for_a_listing_without_any_order(world):
+    manager = world.manager_by_name["a"]
+    manager.eras.record(2, world.now)
+    world.post("a", _notice(1, 99))
+    assert manager.dump(world.now) == {}
+
+    manager.replace_orders([], world.now)
+    world.post("a", _notice(1, 99))
+    assert manager.dump(world.now)["s"]["outcome"] is FINISHED
 
 
 # Guards against an earlier outcome that ends an order whose later offer was listed.
@@ -663,3 +668,37 @@
     assert manager.fleet._versions.order_by_service == {}
     world.post("a", _notice(1, 99))
     assert len(manager.dump(world.now)) == has_configuration
+
+
+# Guards against a peer that ends a running order which the copy lacks.
+async def test_outcome_of_a_peer_does_not_end_a_running_order_that_is_missing(world):
+    world.change(ORDER)
+    await world.advance(0.5)
+    world.restore(None)
+    for name in "abc":
+        world.post(name, _notice(1, 99))
+
+    assert world.outcomes() == [RUNNING] * 3
+
+
+# Guards against a peer whose earlier outcome replaces the last one that is known.
+async def test_earlier_outcome_of_a_peer_does_not_replace_a_later_one(world):
+    _end(world, FINISHED, target="v3")
+    last = world.order.revision
+    world.restore(None)
+    for name in "abc":
+        world.post(name, _notice(1, last - 1))
+
+    assert {m.progress_by_service["s"].order.target for m in world.managers} == {"v3"}
+
+
+# Guards against a late write of the copy's state that a second listing takes for new.
+async def test_outcome_that_holds_is_not_lost_to_a_second_listing(world):
+    running = _end(world, TAKEN_BACK)
+    world.held_writes = asyncio.Event()
+    world.restore(running)
+    world.change(replace(running, outcome=RUNNING))
+    world.change(replace(running, outcome=RUNNING))
+    world.list_again()
+
+    assert world.outcomes() == [TAKEN_BACK] * 3
