--- a/packages/gateway/tests/test_rollout_restoration.py
+++ b/packages/gateway/tests/test_rollout_restoration.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from dataclasses import replace
+from types import SimpleNamespace
 
 import pytest
 from result import Err, Ok
@@ -11,7 +12,13 @@
 from wharf_gateway.model.rollout_order import RolloutOrder
 from wharf_gateway.model.upstream import Upstream
 from wharf_gateway.peers.codec import decode, encode
-from wharf_gateway.peers.messages import OutcomeNotice, RolloutSample, ShareNotice
+from wharf_gateway.peers.messages import (
+    MAX_OUTCOMES,
+    OutcomeItem,
+    OutcomeNotice,
+    RolloutSample,
+    ShareNotice,
+)
 from wharf_gateway.restoration import GRACE_SECONDS
 from wharf_gateway.rollouts import outcome_writer
 from wharf_gateway.rollouts.rollout_manager import RolloutManager
@@ -51,6 +58,7 @@
     def start(self, name):
         """Start a gateway, which lists the store and is linked to all others."""
         fleet = Fleet(None)
+        fleet.configuration = SimpleNamespace(service_by_name={"s": None})
         for number, version in enumerate(("v1", "v1", "v2", "v3")):
             fleet.add(
                 Upstream(f"u{number}", "s", f"a:{number}", "dc", version, 4, False, 1)
@@ -430,3 +438,267 @@
 
     assert world.outcomes() == [RUNNING] * 3
     assert world.order.outcome is RUNNING
+
+
+def _notice(era, revision, services="s"):
+    return OutcomeNotice(
+        tuple(
+            OutcomeItem(service, service, "v2", 16.0, FINISHED, era, revision)
+            for service in services
+        )
+    )
+
+
+# Guards against a peer's notice that ends a running rollout without any restoration.
+@pytest.mark.parametrize("era", [None, 0, 1, 2])
+async def test_outcome_of_a_peer_does_not_end_an_order_of_this_era(world, era):
+    world.change(ORDER)
+    await world.advance(0.5)
+
+    for name in "abc":
+        world.post(name, _notice(era, 99))
+    await world.advance(0.5)
+
+    assert [outcome for outcome, _ in world.written] == [RUNNING]
+    assert world.outcomes() == [RUNNING] * 3
+
+
+# Guards against an outcome of the current era that is taken for one that was lost.
+@pytest.mark.parametrize("era", [None, 2, 3])
+async def test_outcome_that_no_restoration_lost_does_not_end_a_listed_order(world, era):
+    world.restore(replace(ORDER, outcome=RUNNING))
+    fresh = world.start("_")
+    world.post("_", _notice(era, 99))
+
+    assert fresh.dump(world.now)["s"]["outcome"] is RUNNING
+
+
+# Guards against a lost outcome that ends an order before the gateway has listed it.
+async def test_outcome_of_a_peer_waits_for_a_listing_of_the_new_era(world):
+    world.change(ORDER)
+    for manager in world.managers:
+        manager.eras.record(2, world.now)
+    for name in "abc":
+        world.post(name, _notice(1, 99))
+    assert world.outcomes() == [None] * 3
+
+
+async def test_outcome_of_a_peer_waits_for_a_listing_without_any_order(world):
+    manager = world.manager_by_name["a"]
+    manager.eras.record(2, world.now)
+    world.post("a", _notice(1, 99))
+    assert manager.dump(world.now) == {}
+
+    manager.replace_orders([], world.now)
+    world.post("a", _notice(1, 99))
+    assert manager.dump(world.now)["s"]["outcome"] is FINISHED
+
+
+# Guards against an earlier outcome that ends an order whose later offer was listed.
+async def test_outcome_of_a_peer_does_not_end_an_order_changed_later(world):
+    world.restore(replace(ORDER, outcome=RUNNING, revision=30))
+    fresh = world.start("_")
+    world.post("_", _notice(1, 30))
+    assert fresh.dump(world.now)["s"]["outcome"] is RUNNING
+
+    world.post("_", _notice(1, 31))
+    assert fresh.dump(world.now)["s"]["outcome"] is FINISHED
+
+
+# Guards against a lost outcome that ends what a just started gateway sees offered.
+@pytest.mark.parametrize("target", ["v2", "v3"])
+async def test_outcome_of_a_peer_does_not_end_an_order_offered_after_the_listing(
+    world, target
+):
+    world.restore(replace(ORDER, outcome=RUNNING))
+    fresh = world.start("_")
+    world.change(replace(ORDER, target=target))
+    world.change(replace(ORDER, target=target, outcome=RUNNING))
+    world.post("_", _notice(1, 99))
+
+    order = fresh.progress_by_service["s"].order
+    assert (order.target, order.outcome) == (target, RUNNING)
+
+
+# Guards against a lost outcome that is refused as the new driver has begun already.
+async def test_outcome_of_a_peer_holds_after_the_driver_has_written_running(world):
+    world.restore(ORDER)
+    fresh = world.start("_")
+    world.change(replace(ORDER, outcome=RUNNING))
+    world.post("_", _notice(1, ORDER.revision + 1))
+
+    assert fresh.dump(world.now)["s"]["outcome"] is FINISHED
+
+
+# Guards against a gateway that missed a new offer and ends it by the former outcome.
+@pytest.mark.parametrize("outcome", [FINISHED, TAKEN_BACK])
+async def test_missed_offer_that_the_copy_holds_goes_on(world, outcome):
+    _end(world, outcome)
+    behind = world.manager_by_name.pop("a")
+    world.change(ORDER)
+    await world.advance(0.5)
+
+    world.manager_by_name["a"] = behind
+    world.restore(world.order)
+    await world.advance(2.0)
+
+    assert world.written == []
+    assert world.outcomes() == [RUNNING] * 3
+
+
+# Guards against a paused gateway that ends an order which was offered meanwhile.
+@pytest.mark.parametrize("has_offer", [True, False])
+@pytest.mark.parametrize("is_noticed", [True, False])
+async def test_paused_gateway_asserts_no_outcome(world, has_offer, is_noticed):
+    first = _end(world, TAKEN_BACK)
+    await world.advance(0.5)
+    paused = world.manager_by_name.pop("a")
+    await world.advance(2.0)
+    world.change(ORDER)
+    offer = world.order
+
+    if is_noticed:
+        paused.advance(world.now)
+    world.manager_by_name["a"] = paused
+    world.restore(offer if has_offer else first)
+    if not has_offer:
+        world.change(ORDER)
+    await world.advance(2.0)
+
+    assert {outcome for outcome, _ in world.written} == {RUNNING}
+    assert world.outcomes() == [RUNNING] * 3
+
+
+# Guards against an outcome that is lost for good as the driving gateway was paused.
+@pytest.mark.parametrize("has_order", [True, False])
+async def test_paused_gateway_learns_outcomes_of_its_peers(world, has_order):
+    running = _end(world, FINISHED)
+    await world.advance(0.5)
+    paused = world.manager_by_name.pop("a")
+    await world.advance(2.0)
+
+    world.manager_by_name["a"] = paused
+    world.restore(running if has_order else None)
+    await world.advance(1.5)
+    if not has_order:
+        world.change(ORDER)
+    await world.advance(1.0)
+
+    assert [outcome for outcome, _ in world.written] == [FINISHED]
+    assert world.outcomes() == [FINISHED] * 3
+
+
+async def test_gateway_that_listed_the_store_after_a_pause_keeps_outcomes(world):
+    running = _end(world, TAKEN_BACK)
+    await world.advance(0.5)
+    world.now += 5.0
+    await world.advance(0.2)
+    world.list_again()
+    await world.advance(0.2)
+
+    world.restore(running)
+    await world.advance(1.0)
+
+    assert world.outcomes() == [TAKEN_BACK] * 3
+
+
+def _hold_earlier_order(world):
+    world.change(ORDER)
+    earlier = world.order
+    _end(world, FINISHED, target="v3")
+    world.restore(earlier)
+
+
+# Guards against an order of an ended era that is applied though the store lacks it.
+async def test_held_order_ends_with_its_era(world):
+    _hold_earlier_order(world)
+    await world.advance(1.0)
+
+    world.era += 1
+    world.order = None
+    for manager in world.managers:
+        manager.eras.record(world.era, world.now)
+    await world.advance(2 * GRACE_SECONDS)
+
+    assert {m.progress_by_service["s"].order.target for m in world.managers} == {"v3"}
+    assert world.written == []
+
+
+# Guards against a held order that is applied though a later listing lacks it.
+async def test_held_order_that_a_listing_lacks_is_not_applied(world):
+    _hold_earlier_order(world)
+    await world.advance(1.0)
+
+    world.order = None
+    world.list_again()
+    await world.advance(2 * GRACE_SECONDS)
+
+    assert {m.progress_by_service["s"].order.target for m in world.managers} == {"v3"}
+    assert world.written == []
+
+
+# Guards against a held order that is applied though it was deleted meanwhile.
+async def test_held_order_that_is_deleted_is_not_applied(world):
+    _hold_earlier_order(world)
+    await world.advance(1.0)
+
+    deleted = replace(_stored(world.order), is_deleted=True)
+    world.order = None
+    for manager in world.managers:
+        manager.update_orders([deleted], world.now)
+    await world.advance(2 * GRACE_SECONDS)
+
+    assert {m.progress_by_service["s"].order.target for m in world.managers} == {"v3"}
+    assert world.written == []
+
+
+# Guards against a memory that grows with each service that a peer names.
+@pytest.mark.parametrize("has_configuration", [True, False])
+async def test_outcomes_of_unknown_services_are_not_kept(world, has_configuration):
+    world.restore(None)
+    manager = world.manager_by_name["a"]
+    if not has_configuration:
+        manager.fleet.configuration = None
+
+    for number in range(200):
+        services = [f"x{number}-{index}" for index in range(MAX_OUTCOMES)]
+        world.post("a", _notice(1, 99, services))
+
+    assert manager.dump(world.now) == {}
+    assert manager.fleet._versions.order_by_service == {}
+    world.post("a", _notice(1, 99))
+    assert len(manager.dump(world.now)) == has_configuration
+
+
+# Guards against a peer that ends a running order which the copy lacks.
+async def test_outcome_of_a_peer_does_not_end_a_running_order_that_is_missing(world):
+    world.change(ORDER)
+    await world.advance(0.5)
+    world.restore(None)
+    for name in "abc":
+        world.post(name, _notice(1, 99))
+
+    assert world.outcomes() == [RUNNING] * 3
+
+
+# Guards against a peer whose earlier outcome replaces the last one that is known.
+async def test_earlier_outcome_of_a_peer_does_not_replace_a_later_one(world):
+    _end(world, FINISHED, target="v3")
+    last = world.order.revision
+    world.restore(None)
+    for name in "abc":
+        world.post(name, _notice(1, last - 1))
+
+    assert {m.progress_by_service["s"].order.target for m in world.managers} == {"v3"}
+
+
+# Guards against a late write of the copy's state that a second listing takes for new.
+async def test_outcome_that_holds_is_not_lost_to_a_second_listing(world):
+    running = _end(world, TAKEN_BACK)
+    world.held_writes = asyncio.Event()
+    world.restore(running)
+    world.change(replace(running, outcome=RUNNING))
+    world.change(replace(running, outcome=RUNNING))
+    world.list_again()
+
+    assert world.outcomes() == [TAKEN_BACK] * 3
