Remember upstreams that lapse after a restoration, and that they drained

What callers saw: an upstream that was draining and left while the store was away, or within two seconds of its return, got requests again after a second restoration whose copy still had its entry.

Cause: only upstreams removed as "entry removed" were recorded. Those whose grace period ended were dropped without a trace, with their draining. A held upstream whose entry didn't expire became ready even if it had been draining.

Change: record an upstream that lapses if it was draining, or if a restored store lacks it. One that was ready and lapsed in an outage without a restoration stays unrecorded, as an existing test says. A held upstream that was draining is released as draining, until its entry is written again.

Measured: four new tests in test_upstream_restoration failed before and pass after, with the tests that were there.

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -186,11 +186,12 @@
         """Remove upstreams whose grace period has ended, and use held ones."""
         for name, until in list(self._grace_end_by_id.items()):
             if now >= until:
+                self._record_lapsed(name, until)
                 self._remove(name, "entry lapsed")
         if self._held_by_id and now - self.eras.restored_at >= HELD_SECONDS:
             held, self._held_by_id = self._held_by_id, {}
             for upstream in held.values():
-                self._add_or_update(upstream)
+                self._add_or_update(self._left.last_known(upstream))
 
     def decay_paces(self, seconds):
         """Lower the pace of slow idle upstreams, so that they are tried again."""
@@ -284,6 +285,13 @@
         self._left.record(self.state_by_id[name].upstream)
         self._remove(name, "entry removed")
 
+    def _record_lapsed(self, name, until):
+        """Record an upstream that drained, or that a restored store lacks."""
+        state = self.state_by_id.get(name)
+        is_restored = until - self.eras.restored_at < HELD_SECONDS
+        if state is not None and (state.upstream.is_draining or is_restored):
+            self._left.record(state.upstream)
+
     def _remove(self, name, reason):
         self._grace_end_by_id.pop(name, None)
         state = self._drop(name)
--- a/packages/gateway/src/wharf_gateway/routing/upstream_memory.py
+++ b/packages/gateway/src/wharf_gateway/routing/upstream_memory.py
@@ -32,3 +32,11 @@
         """Return whether an entry is no later than the one that was removed."""
         known = self._upstream_by_id.get(upstream.id)
         return known is not None and not upstream.is_later_than(known)
+
+    def last_known(self, upstream):
+        """Return an entry's upstream, or what is known of it if it was draining."""
+        known = self._upstream_by_id.get(upstream.id)
+        if known is None or not known.is_draining:
+            return upstream
+        is_same = known.started_ms == upstream.started_ms
+        return known if is_same and self.has_left(upstream) else upstream
--- a/packages/gateway/tests/test_upstream_restoration.py
+++ b/packages/gateway/tests/test_upstream_restoration.py
@@ -35,8 +35,12 @@
 
 
 def _restore(fleet, *entries):
-    fleet.eras.record(fleet.eras.current + 1, RESTORED_AT)
-    fleet.replace_upstreams(entries, RESTORED_AT)
+    _restore_again(fleet, RESTORED_AT, *entries)
+
+
+def _restore_again(fleet, now, *entries):
+    fleet.eras.record(fleet.eras.current + 1, now)
+    fleet.replace_upstreams(entries, now)
 
 
 def _names(fleet):
@@ -166,3 +170,47 @@
     _restore(fleet, _entry("u1", 5), _entry("u2", 5))
 
     assert _names(fleet) == ["u1"]
+
+
+# Guards against requests to an upstream that drained and left with the first copy.
+def test_draining_upstream_that_lapsed_is_held_in_a_second_restoration(fleet):
+    fleet.update_upstreams([_entry("u1", 8, "draining")], 10.0)
+    _restore(fleet, _entry("u2", 5))
+    fleet.remove_expired(RESTORED_AT + EXPIRY_GRACE_SECONDS)
+    assert "u1" not in fleet.state_by_id
+
+    _restore_again(fleet, 23.0, _entry("u1", 5), _entry("u2", 5))
+    assert _names(fleet) == ["u2"]
+
+
+# Guards against requests to an upstream that left within the grace period.
+def test_upstream_that_left_in_the_grace_period_is_held_afterwards(fleet):
+    _restore(fleet, _entry("u1", 5), _entry("u2", 5))
+    fleet.update_upstreams([_entry("u1", 5, gone=True)], 21.0)
+    fleet.remove_expired(RESTORED_AT + EXPIRY_GRACE_SECONDS)
+    _restore_again(fleet, 23.0, _entry("u1", 5), _entry("u2", 5))
+
+    assert _names(fleet) == ["u2"]
+
+
+# Guards against an upstream that lapsed in an outage and is ready again by a copy.
+def test_draining_upstream_that_lapsed_in_an_outage_is_held(fleet):
+    fleet.update_upstreams([_entry("u1", 8, "draining")], 9.0)
+    fleet.replace_upstreams([_entry("u2", 5)], 10.0, recovered_at=10.0)
+    fleet.remove_expired(10.0 + EXPIRY_GRACE_SECONDS)
+    _restore(fleet, _entry("u1", 5), _entry("u2", 5))
+
+    assert _names(fleet) == ["u2"]
+
+
+# Guards against a held upstream whose draining is forgotten once it is released.
+def test_held_upstream_that_was_draining_does_not_become_ready(fleet):
+    fleet.update_upstreams([_entry("u1", 8, "draining")], 10.0)
+    fleet.update_upstreams([_entry("u1", 8, gone=True)], 11.0)
+    _restore(fleet, _entry("u1", 5), _entry("u2", 5))
+    fleet.remove_expired(RESTORED_AT + HELD_SECONDS)
+    assert "u1" in fleet.state_by_id
+    assert _names(fleet) == ["u2"]
+
+    fleet.update_upstreams([_entry("u1", 9)], 31.0)
+    assert _names(fleet) == ["u1", "u2"]
