Release held upstreams only after ten seconds of a store that answers

What callers saw: an upstream that had left before a restoration got requests ten seconds after it, although the store was away again and couldn't show that its entry had expired. A listing later than ten seconds after a restoration made it ready at once, as it didn't look at what had left.

Cause: held upstreams were released by time alone, and the memory of upstreams that had left was used for ten seconds.

Change: the fleet asks the watcher of upstreams whether it knows all changes, and counts the ten seconds from the last return of the store. The memory has the era of each removal and is used for the listings of all others. The first listing of an era is compared with what is known however late it is.

One in test_gateway checks the wiring.

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -31,10 +31,12 @@
     `EXPIRY_GRACE_SECONDS` after the store's return. Entries of a restored store that
     are older than what is known are ignored: a draining upstream stays so, and one that
     has left is used again only if its entry is written again or hasn't expired after
-    `HELD_SECONDS`. `eras` has the time of the last restoration. `has_listing` says
-    whether the upstreams have been listed once. Each of `removal_callbacks` is called
-    with an upstream that is removed. `configuration_object` is what the current
-    configuration was read from. `gateway_count` is the number of gateways.
+    `HELD_SECONDS` in which the store has answered. `is_store_readable()` says whether
+    all changes of upstreams are known. `eras` has the time of the last restoration.
+    `has_listing` says whether the upstreams have been listed once. Each of
+    `removal_callbacks` is called with an upstream that is removed.
+    `configuration_object` is what the current configuration was read from.
+    `gateway_count` is the number of gateways.
     """
 
     def __init__(self, dialect, eras=None):
@@ -53,6 +55,9 @@
         self._grace_end_by_id = {}
         self._left = UpstreamMemory()
         self._held_by_id = {}
+        self._listed_era = None
+        self._returned_at = float("-inf")
+        self.is_store_readable = lambda: True
         self.removal_callbacks = []
 
     def counts(self, now):
@@ -161,14 +166,18 @@
         names = {stored.name for stored in objects}
         self.has_listing = True
         self._held_by_id.clear()
+        era = self.eras.current
+        is_restored = era != self._listed_era or self._is_just_restored(now)
+        self._listed_era = era
+        if recovered_at is not None:
+            self._returned_at = max(recovered_at, self._returned_at)
         for name in list(self.state_by_id):
             if name not in names:
                 self._expire(name, now, recovered_at)
-        is_restored = now - self.eras.restored_at < HELD_SECONDS
         add = self._add_restored if is_restored else self._add_or_update
         for stored in objects:
             upstream = self._read_upstream(stored, now)
-            if upstream is not None:
+            if upstream is not None and not self._hold(upstream):
                 add(upstream)
 
     def update_upstreams(self, objects, now, recovered_at=None):
@@ -188,7 +197,7 @@
             if now >= until:
                 self._record_lapsed(name, until)
                 self._remove(name, "entry lapsed")
-        if self._held_by_id and now - self.eras.restored_at >= HELD_SECONDS:
+        if self._held_by_id and self._can_release(now):
             held, self._held_by_id = self._held_by_id, {}
             for upstream in held.values():
                 self._add_or_update(self._left.last_known(upstream))
@@ -241,13 +250,28 @@
             case answer:
                 return answer.unwrap()
 
+    def _is_just_restored(self, now):
+        return now - self.eras.restored_at < HELD_SECONDS
+
+    def _can_release(self, now):
+        """Return whether the store would have shown that held upstreams are gone."""
+        has_waited = now - self._returned_at >= HELD_SECONDS
+        is_due = has_waited and not self._is_just_restored(now)
+        return is_due and self.is_store_readable()
+
+    def _hold(self, upstream):
+        """Hold a listed upstream that has left in another era; return whether it is."""
+        is_unknown = upstream.id not in self.state_by_id
+        if not is_unknown or not self._left.has_left(upstream, self._listed_era):
+            return False
+        log.info("upstream_held", id=upstream.id)
+        self._held_by_id[upstream.id] = upstream
+        return True
+
     def _add_restored(self, upstream):
         """Add or update an upstream unless its entry is older than what is known."""
         state = self.state_by_id.get(upstream.id)
-        if state is None and self._left.has_left(upstream):
-            log.info("upstream_held", id=upstream.id)
-            self._held_by_id[upstream.id] = upstream
-        elif state is None or not upstream.is_outdated_by(state.upstream):
+        if state is None or not upstream.is_outdated_by(state.upstream):
             self._add_or_update(upstream)
         else:
             self._grace_end_by_id.pop(upstream.id, None)
@@ -282,7 +306,7 @@
         if now < returned_at + EXPIRY_GRACE_SECONDS:
             self._grace_end_by_id[name] = returned_at + EXPIRY_GRACE_SECONDS
             return
-        self._left.record(self.state_by_id[name].upstream)
+        self._left.record(self.state_by_id[name].upstream, self._listed_era)
         self._remove(name, "entry removed")
 
     def _record_lapsed(self, name, until):
@@ -290,7 +314,7 @@
         state = self.state_by_id.get(name)
         is_restored = until - self.eras.restored_at < HELD_SECONDS
         if state is not None and (state.upstream.is_draining or is_restored):
-            self._left.record(state.upstream)
+            self._left.record(state.upstream, self._listed_era)
 
     def _remove(self, name, reason):
         self._grace_end_by_id.pop(name, None)
--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -406,6 +406,7 @@
             self.fleet.update_upstreams(objects, now, watcher.recovered_at)
 
         watcher = self._watch(StoreKind.UPSTREAMS, on_listing, on_changes)
+        self.fleet.is_store_readable = lambda: watcher.is_watching
         return watcher
 
     def _on_gateway_entries(self, entry_by_name):
--- a/packages/gateway/tests/test_gateway.py
+++ b/packages/gateway/tests/test_gateway.py
@@ -9,6 +9,8 @@
 from wharf_gateway.http.headers import Headers
 from wharf_gateway.http.inbound_request import InboundRequest
 from wharf_gateway.settings import GatewaySettings
+from wharf_gateway.store.store_changes import StoreChanges
+from wharf_gateway.store.store_position import StorePosition
 from wharf_gateway.telemetry.exposition import expose
 
 
@@ -85,3 +87,15 @@
     await asyncio.wait_for(gateway.handle(request, responder), 0.5)
 
     assert responder.status == 503
+
+
+# Guards against held upstreams that are released though nobody asks the store.
+async def test_the_fleet_knows_whether_the_store_shows_changes(gateway):
+    watcher = gateway._watch_upstreams()
+    assert not gateway.fleet.is_store_readable()
+
+    watcher._apply_listing(StoreChanges((), StorePosition(None, 1)))
+    assert gateway.fleet.is_store_readable()
+
+    watcher.unavailable_since = 1.0
+    assert not gateway.fleet.is_store_readable()
--- a/packages/gateway/tests/test_upstream_restoration.py
+++ b/packages/gateway/tests/test_upstream_restoration.py
@@ -214,3 +214,61 @@
 
     fleet.update_upstreams([_entry("u1", 9)], 31.0)
     assert _names(fleet) == ["u1", "u2"]
+
+
+# Guards against a gone upstream that is used as the store couldn't show its removal.
+def test_held_upstream_stays_unused_while_the_store_is_away(fleet):
+    fleet.update_upstreams([_entry("u1", 5, gone=True)], 10.0)
+    _restore(fleet, _entry("u1", 5), _entry("u2", 5))
+    fleet.is_store_readable = lambda: False
+    fleet.remove_expired(RESTORED_AT + HELD_SECONDS)
+    fleet.remove_expired(RESTORED_AT + 5 * HELD_SECONDS)
+    assert _names(fleet) == ["u2"]
+
+    fleet.is_store_readable = lambda: True
+    fleet.replace_upstreams([_entry("u2", 5)], 71.0, recovered_at=71.0)
+    fleet.remove_expired(71.0 + HELD_SECONDS)
+    assert _names(fleet) == ["u2"]
+
+
+# Guards against a gone upstream whose entry expires only after the store's return.
+def test_held_upstream_is_held_again_when_the_store_returns(fleet):
+    fleet.update_upstreams([_entry("u1", 5, gone=True)], 10.0)
+    _restore(fleet, _entry("u1", 5), _entry("u2", 5))
+    back_at = RESTORED_AT + 2 * HELD_SECONDS
+    listing = [_entry("u1", 5), _entry("u2", 5)]
+    fleet.replace_upstreams(listing, back_at, recovered_at=back_at)
+    fleet.remove_expired(back_at + HELD_SECONDS - 0.1)
+    assert _names(fleet) == ["u2"]
+
+    fleet.remove_expired(back_at + HELD_SECONDS)
+    assert _names(fleet) == ["u1", "u2"]
+
+
+# Guards against a restored store that is listed late and believed at once.
+def test_first_listing_of_an_era_is_compared_however_late(fleet):
+    fleet.update_upstreams([_entry("u1", 5, gone=True)], 10.0)
+    fleet.update_upstreams([_entry("u2", 8, "draining")], 10.0)
+    fleet.eras.record(2, RESTORED_AT)
+    late = RESTORED_AT + HELD_SECONDS + 1.0
+    fleet.replace_upstreams([_entry("u1", 5), _entry("u2", 8)], late, late)
+
+    assert _names(fleet) == []
+
+
+# Guards against an upstream held for an entry that the same era shows again.
+def test_upstream_that_its_era_lists_again_is_used(fleet):
+    fleet.update_upstreams([_entry("u1", 5, gone=True)], 10.0)
+    fleet.replace_upstreams([_entry("u1", 5), _entry("u2", 5)], 11.0)
+
+    assert _names(fleet) == ["u1", "u2"]
+
+
+# Guards against a removal that counts as one of an era that isn't listed yet.
+def test_upstream_that_lapses_before_the_next_era_is_listed_is_held(fleet):
+    _restore(fleet, _entry("u2", 5))
+    fleet.eras.record(3, 21.9)
+    fleet.remove_expired(RESTORED_AT + EXPIRY_GRACE_SECONDS)
+    fleet.replace_upstreams([_entry("u1", 5), _entry("u2", 5)], 22.1)
+
+    assert _names(fleet) == ["u2"]
