Ask for a newer configuration until it is in force or nobody claims it

What operators saw: a gateway stayed at an older configuration although a linked peer had a newer one: if the asked peer ended, if its answer took longer than a second, or if another peer claimed a larger version and couldn't send it.

Cause: one offer was kept, of the largest version heard. Smaller ones were dropped for good, notices are sent once, each link was asked once, and parts from a link that was no longer waited for were discarded.

Change: keep what each linked peer claims. While one claims a version newer than the one in force, ask one at a time: those with fewer failures first, then the newest version; a silent one again after a pause that grows to ten seconds. Late parts count. A peer that is asked for more than it has answers with its version. A claim ends if the document is invalid or older than asked for, which is logged as configuration_not_as_claimed.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -115,7 +115,7 @@
         self.peers.rollouts = self.rollouts
         self.peers.greeters.append(self.rollouts.greet)
         self._configurations = ConfigurationExchange(
-            self.fleet, self.peers, self._clock
+            self.fleet, self.peers, self._clock, self._rng
         )
         self.peers.configurations = self._configurations
         self.peers.greeters.append(self._configurations.greet)
--- a/packages/gateway/src/wharf_gateway/peers/configuration_exchange.py
+++ b/packages/gateway/src/wharf_gateway/peers/configuration_exchange.py
@@ -5,6 +5,7 @@
 
 import structlog
 
+from wharf_coordination.backoff import Backoff
 from wharf_gateway.peers.messages import (
     MAX_PART_BYTES,
     MAX_PARTS,
@@ -23,20 +24,23 @@
 ASK_DELAY_SECONDS = 0.5
 START_ASK_DELAY_SECONDS = 0.1
 START_SECONDS = 5.0
-ANSWER_SECONDS = 1.0  # before another gateway is asked
-MAX_SOURCES = 8  # gateways that are remembered to have the newest version
+ANSWER_SECONDS = 1.0  # without a part, before another gateway is asked
+RETRY_BACKOFF = Backoff(first=1.0, longest=10.0)  # for a gateway that didn't answer
 
 
 @dataclass(slots=True)
-class _Offer:
-    """A newer version, the links to gateways that have it, and its parts so far."""
+class _Claim:
+    """A newer version that a peer says it has, and its answer so far.
+
+    `asked` is the version that it was asked for and hasn't sent as a whole yet.
+    """
 
     version: int
     heard_at: float
-    links: list = field(default_factory=list)
-    asked: object = None
-    asked_at: float = float("-inf")
-    part_by_index: dict = field(default_factory=dict)
+    failures: int = 0
+    retry_at: float = float("-inf")
+    asked: int | None = None
+    parts: list = field(default_factory=list)
 
 
 class ConfigurationExchange:
@@ -44,16 +48,19 @@
 
     A store that comes back from a copy may show an older configuration to gateways
     that have just started; others know the newer one. Documents are validated as if
-    the store had shown them.
+    the store had shown them. While a linked peer claims a newer version, peers that do
+    are asked in turn; a claim ends when the document isn't as claimed.
     """
 
-    def __init__(self, fleet, peers, clock):
+    def __init__(self, fleet, peers, clock, rng):
         self._fleet = fleet
         self._peers = peers
-        self._clock = clock
+        self._rng = rng
         self._started_at = clock()
         self._announced = None
-        self._offer = None
+        self._claim_by_link = {}
+        self._asked_link = None
+        self._answer_until = float("-inf")
 
     def greet(self, link):
         """Tell a peer that has just been linked the version that is known here."""
@@ -66,22 +73,30 @@
         if configuration is not None and configuration.version != self._announced:
             self._announced = configuration.version
             self._peers.post_all(ConfigurationNotice(configuration.version))
+        self._claim_by_link = {
+            link: claim
+            for link, claim in self._claim_by_link.items()
+            if not link.is_closed and not self._is_known(claim.version)
+        }
         self._ask(now)
 
     def handle_notice(self, message, link, now):
-        """Remember a peer that has a newer version."""
-        newest = self._offer.version if self._offer else None
+        """Remember the newer version that a peer claims, or that it has none."""
         if self._is_known(message.version):
+            self._claim_by_link.pop(link, None)
             return
-        if newest is None or message.version > newest:
-            self._offer = _Offer(message.version, now)
-        if message.version >= self._offer.version:
-            self._offer.links = [*self._offer.links, link][:MAX_SOURCES]
+        claim = self._claim_by_link.setdefault(link, _Claim(message.version, now))
+        if message.version < claim.version:
+            self._end_answer(claim, link)
+        claim.version = message.version
 
     def handle_request(self, message, link):
-        """Send this gateway's configuration if it is the version that is asked for."""
+        """Send this gateway's configuration, or its version if that is older."""
         stored = self._fleet.configuration_object
-        if stored is None or self._fleet.configuration.version < message.version:
+        if stored is None:
+            return
+        if self._fleet.configuration.version < message.version:
+            self.greet(link)
             return
         document = json.dumps(stored.spec, separators=(",", ":")).encode()
         parts = [
@@ -96,41 +111,66 @@
 
     def handle_part(self, message, link, now):
         """Add a part of the configuration that was asked for; apply it when whole."""
-        offer = self._offer
-        if offer is None or link is not offer.asked:
+        claim = self._claim_by_link.get(link)
+        if claim is None or claim.asked is None:
             return
-        offer.part_by_index[message.index] = message.data
-        if len(offer.part_by_index) < message.count:
+        if link is self._asked_link:
+            self._answer_until = now + ANSWER_SECONDS
+        if message.index == 0:
+            claim.parts.clear()
+        if message.index != len(claim.parts):
             return
-        parts = [data for _, data in sorted(offer.part_by_index.items())]
-        offer.asked, offer.asked_at, offer.part_by_index = None, float("-inf"), {}
+        claim.parts.append(message.data)
+        if len(claim.parts) == message.count:
+            document, version = b"".join(claim.parts), claim.asked
+            self._end_answer(claim, link)
+            self._apply(message.name, document, link, version, now)
+
+    def _apply(self, name, document, link, version, now):
+        """Apply a document, and drop the claim of its sender if it isn't as claimed."""
         try:
-            spec = json.loads(b"".join(parts))
+            spec = json.loads(document)
         except ValueError as error:
             log.warning("configuration_rejected", detail=str(error))
-            return
-        log.info("configuration_received", peer=link.name, version=offer.version)
-        self._fleet.apply_configurations([StoredObject(message.name, 0, spec)], now)
+        else:
+            log.info("configuration_received", peer=link.name, version=version)
+            stored = StoredObject(name, 0, spec)
+            self._fleet.apply_configurations([stored], now)
+        if not self._is_known(version):
+            log.warning("configuration_not_as_claimed", peer=link.name, version=version)
+            del self._claim_by_link[link]
+
+    def _end_answer(self, claim, link):
+        claim.asked, claim.parts = None, []
+        if link is self._asked_link:
+            self._asked_link = None
 
     def _is_known(self, version):
         configuration = self._fleet.configuration
         return configuration is not None and configuration.version >= version
 
     def _ask(self, now):
-        """Ask the next peer that has the newest version, unless one may yet answer."""
-        offer = self._offer
-        if offer is None:
-            return
-        if self._is_known(offer.version):
-            self._offer = None
-            return
+        """Ask the next peer that claims a newer version, unless one may yet answer."""
+        asked = self._claim_by_link.get(self._asked_link)
+        if asked is not None:
+            if now < self._answer_until:
+                return
+            asked.failures += 1
+            asked.retry_at = now + RETRY_BACKOFF.delay(asked.failures, self._rng)
+        self._asked_link = self._next_link(now)
+        if self._asked_link is not None:
+            claim = self._claim_by_link[self._asked_link]
+            claim.asked = claim.version
+            self._answer_until = now + ANSWER_SECONDS
+            self._asked_link.post(ConfigurationRequest(claim.version))
+
+    def _next_link(self, now):
+        """Return the link to ask: few failures first, then the newest version."""
         is_starting = now - self._started_at < START_SECONDS
         delay = START_ASK_DELAY_SECONDS if is_starting else ASK_DELAY_SECONDS
-        if now - offer.heard_at < delay or now - offer.asked_at < ANSWER_SECONDS:
-            return
-        offer.links = [link for link in offer.links if not link.is_closed]
-        if not offer.links:
-            self._offer = None
-            return
-        offer.asked, offer.asked_at, offer.part_by_index = offer.links.pop(0), now, {}
-        offer.asked.post(ConfigurationRequest(offer.version))
+        due = {
+            link: (claim.failures, -claim.version)
+            for link, claim in self._claim_by_link.items()
+            if now - claim.heard_at >= delay and now >= claim.retry_at
+        }
+        return min(due, key=due.get, default=None)
--- a/packages/gateway/tests/test_configuration_exchange.py
+++ b/packages/gateway/tests/test_configuration_exchange.py
@@ -1,6 +1,8 @@
 """Gateways that start beside a restored store ask their peers for the configuration."""
 
 import asyncio
+import json
+from random import Random
 
 import cbor2
 import pytest
@@ -75,7 +77,9 @@
     def __init__(self, name, world):
         self.name = name
         self.fleet = Fleet(Dialect())
-        self.exchange = ConfigurationExchange(self.fleet, self, lambda: world.now)
+        self.exchange = ConfigurationExchange(
+            self.fleet, self, lambda: world.now, Random(name)
+        )
         self.links = []
         self.sockets = []
 
@@ -236,6 +240,92 @@
     assert gateway.version == 7
 
 
+# Guards against a claim that nobody can honour and that hides the newest version.
+async def test_a_claim_of_a_version_that_its_peer_lacks_hides_no_other(world):
+    a, b, c = world.gateways
+    b.links[0].post(ConfigurationNotice(10**9))
+    await world._settle()
+    c.read(_spec(8))
+    await world.advance(2.0)
+
+    assert a.version == 8
+    assert [m.version for m in b.received(ConfigurationRequest)] == [10**9]
+
+
+# Guards against a silent peer whose large claim is asked for again and again alone.
+async def test_a_silent_peer_with_the_largest_claim_hides_no_other(world):
+    a, b, c = world.gateways
+    b.links[0].post(ConfigurationNotice(10**9))
+    await world._settle()
+    b.sockets[0].is_silent = True
+    c.read(_spec(8))
+    await world.advance(ASK_DELAY_SECONDS + ANSWER_SECONDS + 0.3)
+    assert a.version == 8
+
+    await world.advance(60.0)
+    assert 4 <= len(b.received(ConfigurationRequest)) <= 15
+
+
+# Guards against a version that is forgotten as its peer knew of a later one and ended.
+async def test_a_version_below_that_of_a_peer_that_ends_is_asked_for(world):
+    a, b, c = world.gateways
+    b.links[0].post(ConfigurationNotice(9))
+    await world._settle()
+    c.read(_spec(8))
+    await world.advance(0.1)
+    a.links[0]._end()
+    await world.advance(1.0)
+
+    assert a.version == 8
+
+
+# Guards against an answer that is dropped as it was late, and never asked for again.
+async def test_a_late_answer_is_applied(world):
+    a, b, c = world.gateways
+    asked = []
+    b.read(_spec(8, routes=8000))
+    b.exchange.handle_request = lambda *request: asked.append(request)
+    await world.advance(ASK_DELAY_SECONDS + ANSWER_SECONDS + 0.5)
+    assert {gateway.version for gateway in (a, c)} == {7}
+    for request in asked:
+        ConfigurationExchange.handle_request(b.exchange, *request)
+    await world._settle()
+
+    assert [gateway.version for gateway in world.gateways] == [8] * 3
+
+
+# Guards against a lost answer after which the only peer isn't asked again.
+async def test_a_peer_whose_answer_was_lost_is_asked_again(world):
+    a, b, c = world.gateways
+    b.read(_spec(8))
+    await world.advance(0.2)
+    for socket in b.sockets:
+        socket.is_silent = True
+    await world.advance(5.0)
+    assert [a.version, c.version] == [7, 7]
+    for socket in b.sockets:
+        socket.is_silent = False
+    await world.advance(10.0)
+
+    assert [gateway.version for gateway in world.gateways] == [8] * 3
+
+
+# Guards against a valid claim that ends as the answer is of the version before it.
+async def test_a_version_that_follows_during_an_answer_is_asked_for(world):
+    a, b, _ = world.gateways
+    claim = b.links[0]
+    claim.post(ConfigurationNotice(8))
+    b.exchange.handle_request = lambda *request: None
+    await world.advance(ASK_DELAY_SECONDS + 0.1)
+    claim.post(ConfigurationNotice(9))
+    document = json.dumps(_spec(8)).encode()
+    claim.post(ConfigurationPart("main", 0, 1, document))
+    await world.advance(0.2)
+
+    assert a.version == 8
+    assert [m.version for m in b.received(ConfigurationRequest)] == [8, 9]
+
+
 # Guards against a request of every gateway for each change of the configuration.
 async def test_a_change_that_all_read_from_the_store_is_not_asked_for(world):
     world.gateways[0].read(_spec(8))
