Spread requests for a newer configuration over peers, and answer one at a time

What operators saw: all gateways that lacked a configuration asked the first one to announce it, in the same instant, and repeated requests on one link queued a whole document each until the link was closed.

Cause: the first link heard from was asked after a fixed delay, and a request was answered without a look at what was still queued, encoded each time.

Change: the delay has a random part, 0.05 s for each gateway and at most one second (0.05 s at the start), and the peer is drawn among those with the newest version. A request is ignored while the answer before it is being sent on the link. A configuration is encoded once and its frames are shared by all links.

--- a/packages/gateway/src/wharf_gateway/peers/configuration_exchange.py
+++ b/packages/gateway/src/wharf_gateway/peers/configuration_exchange.py
@@ -6,6 +6,7 @@
 import structlog
 
 from wharf_coordination.backoff import Backoff
+from wharf_gateway.peers.codec import encode
 from wharf_gateway.peers.messages import (
     MAX_PART_BYTES,
     MAX_PARTS,
@@ -24,6 +25,10 @@
 ASK_DELAY_SECONDS = 0.5
 START_ASK_DELAY_SECONDS = 0.1
 START_SECONDS = 5.0
+# So that not all gateways ask at once, and most find several that have the version.
+SPREAD_SECONDS = 0.05  # for each gateway
+MAX_SPREAD_SECONDS = 1.0
+START_SPREAD_SECONDS = 0.05
 ANSWER_SECONDS = 1.0  # without a part, before another gateway is asked
 RETRY_BACKOFF = Backoff(first=1.0, longest=10.0)  # for a gateway that didn't answer
 
@@ -32,11 +37,13 @@
 class _Claim:
     """A newer version that a peer says it has, and its answer so far.
 
-    `asked` is the version that it was asked for and hasn't sent as a whole yet.
+    `lot` is a random number by which peers with the same version are chosen. `asked` is
+    the version that it was asked for and hasn't sent as a whole yet.
     """
 
     version: int
     heard_at: float
+    lot: float = 0.0
     failures: int = 0
     retry_at: float = float("-inf")
     asked: int | None = None
@@ -57,6 +64,9 @@
         self._peers = peers
         self._rng = rng
         self._started_at = clock()
+        self._fraction = rng.random()
+        self._stored = None
+        self._frames = ()
         self._announced = None
         self._claim_by_link = {}
         self._asked_link = None
@@ -85,29 +95,31 @@
         if self._is_known(message.version):
             self._claim_by_link.pop(link, None)
             return
-        claim = self._claim_by_link.setdefault(link, _Claim(message.version, now))
+        claim = self._claim_by_link.get(link)
+        if claim is None:
+            if not self._claim_by_link:
+                self._fraction = self._rng.random()
+            claim = _Claim(message.version, now, self._rng.random())
+            self._claim_by_link[link] = claim
         if message.version < claim.version:
             self._end_answer(claim, link)
         claim.version = message.version
 
     def handle_request(self, message, link):
-        """Send this gateway's configuration, or its version if that is older."""
+        """Send this gateway's configuration, or its version if that is older.
+
+        A request is ignored while the answer to the one before it is being sent.
+        """
         stored = self._fleet.configuration_object
         if stored is None:
             return
         if self._fleet.configuration.version < message.version:
             self.greet(link)
             return
-        document = json.dumps(stored.spec, separators=(",", ":")).encode()
-        parts = [
-            document[begin : begin + MAX_PART_BYTES]
-            for begin in range(0, len(document), MAX_PART_BYTES)
-        ]
-        if len(parts) > MAX_PARTS:
-            log.warning("configuration_too_large", size=len(document))
-            return
-        for index, data in enumerate(parts):
-            link.post(ConfigurationPart(stored.name, index, len(parts), data))
+        if not link.is_transferring:
+            if stored is not self._stored:
+                self._stored, self._frames = stored, _encoded(stored)
+            link.post_transfer(self._frames)
 
     def handle_part(self, message, link, now):
         """Add a part of the configuration that was asked for; apply it when whole."""
@@ -164,13 +176,37 @@
             self._answer_until = now + ANSWER_SECONDS
             self._asked_link.post(ConfigurationRequest(claim.version))
 
+    def _delay(self, now):
+        """Return the seconds between the first claim and the first request."""
+        if now - self._started_at < START_SECONDS:
+            return START_ASK_DELAY_SECONDS + self._fraction * START_SPREAD_SECONDS
+        spread = min(SPREAD_SECONDS * self._fleet.gateway_count, MAX_SPREAD_SECONDS)
+        return ASK_DELAY_SECONDS + self._fraction * spread
+
     def _next_link(self, now):
         """Return the link to ask: few failures first, then the newest version."""
-        is_starting = now - self._started_at < START_SECONDS
-        delay = START_ASK_DELAY_SECONDS if is_starting else ASK_DELAY_SECONDS
+        claims = self._claim_by_link.values()
+        heard_at = [claim.heard_at for claim in claims if not claim.failures]
+        is_early = now - min(heard_at, default=now) < self._delay(now)
         due = {
-            link: (claim.failures, -claim.version)
+            link: (claim.failures, -claim.version, claim.lot)
             for link, claim in self._claim_by_link.items()
-            if now - claim.heard_at >= delay and now >= claim.retry_at
+            if now >= claim.retry_at and (claim.failures or not is_early)
         }
         return min(due, key=due.get, default=None)
+
+
+def _encoded(stored):
+    """Return the frames that hand a configuration on, none if it is too large."""
+    document = json.dumps(stored.spec, separators=(",", ":")).encode()
+    parts = [
+        document[begin : begin + MAX_PART_BYTES]
+        for begin in range(0, len(document), MAX_PART_BYTES)
+    ]
+    if len(parts) > MAX_PARTS:
+        log.warning("configuration_too_large", size=len(document))
+        return ()
+    return tuple(
+        encode(ConfigurationPart(stored.name, index, len(parts), data))
+        for index, data in enumerate(parts)
+    )
--- a/packages/gateway/src/wharf_gateway/peers/peer_link.py
+++ b/packages/gateway/src/wharf_gateway/peers/peer_link.py
@@ -80,6 +80,9 @@
         self._pool_by_number = {}
         self._task_by_number = {}
         self._outbox = asyncio.Queue(MAX_QUEUED_MESSAGES)
+        self._queued = 0
+        self._sent = 0
+        self._transfer_end = 0
         self.name = None
         self.data_centre = None
         self.is_ready = False
@@ -135,10 +138,22 @@
         """Queue an encoded message for sending."""
         try:
             self._outbox.put_nowait(frame)
+            self._queued += 1
         except asyncio.QueueFull:
             log.warning("peer_outbox_full", peer=self.name)
             self.close()
 
+    def post_transfer(self, frames):
+        """Queue the frames of a document for sending."""
+        for frame in frames:
+            self.post_frame(frame)
+        self._transfer_end = self._queued
+
+    @property
+    def is_transferring(self):
+        """Return whether frames of the last document are still to be sent."""
+        return self._sent < self._transfer_end
+
     async def prepare(self, preparation, pool):
         """Let the peer run a preparation; return the handles of its results.
 
@@ -274,6 +289,7 @@
     async def _send_all(self):
         while True:
             await self._socket.send(await self._outbox.get())
+            self._sent += 1
 
     def _end(self):
         self.is_ready = False
