Share the fixture of a gateway that hasn't started

test_gateway.py and test_unanswered_requests.py each built one; the shared one has the settings of the latter (ports 0, a stop of a second).

--- a/packages/gateway/tests/conftest.py
+++ b/packages/gateway/tests/conftest.py
@@ -5,9 +5,11 @@
 import pytest
 from hypothesis import settings
 
+from wharf_gateway.gateway import Gateway
 from wharf_gateway.model.batching import Batching
 from wharf_gateway.model.piece import Piece
 from wharf_gateway.routing.route_times import RouteTimes
+from wharf_gateway.settings import GatewaySettings
 from wharf_gateway.shutdown import Shutdown
 from wharf_gateway.stages.piece_group import PieceGroup
 from wharf_gateway.stages.piece_job import PieceJob
@@ -52,6 +54,22 @@
     return RouteTimes()
 
 
+@pytest.fixture
+async def gateway():
+    """Return a gateway that hasn't started."""
+    settings = GatewaySettings(
+        name="edge-1",
+        data_centre="a",
+        host="127.0.0.1",
+        listen="127.0.0.1:0",
+        ready_listen="127.0.0.1:0",
+        peer_port=1,
+        stop_seconds=1.0,
+        store="127.0.0.1:1",
+    )
+    return Gateway(settings)
+
+
 @pytest.fixture
 async def raw_server():
     """Start servers that pass the streams of each connection to a function."""
--- a/packages/gateway/tests/test_gateway.py
+++ b/packages/gateway/tests/test_gateway.py
@@ -3,33 +3,13 @@
 import asyncio
 import json
 
-import pytest
-
-from wharf_gateway.gateway import Gateway
 from wharf_gateway.http.headers import Headers
 from wharf_gateway.http.inbound_request import InboundRequest
-from wharf_gateway.settings import GatewaySettings
 from wharf_gateway.store.store_changes import StoreChanges
 from wharf_gateway.store.store_position import StorePosition
 from wharf_gateway.telemetry.exposition import expose
 
 
-@pytest.fixture
-async def gateway():
-    return Gateway(
-        GatewaySettings(
-            name="a",
-            data_centre="dc-1",
-            host="127.0.0.1",
-            listen="127.0.0.1:1",
-            ready_listen="127.0.0.1:2",
-            peer_port=3,
-            store="127.0.0.1:4",
-            dialect="wharf_adapter",
-        )
-    )
-
-
 # Guards against calls on connections that have been dead since the store was away.
 async def test_a_restoration_leaves_the_old_connections_to_the_store(
     gateway, raw_server
--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -7,14 +7,12 @@
 import pytest
 import structlog
 
-from wharf_gateway.gateway import Gateway
 from wharf_gateway.http import lingering_close
 from wharf_gateway.http.headers import Headers
 from wharf_gateway.http.inbound_request import InboundRequest
 from wharf_gateway.http.unanswered_reason import UnansweredReason
 from wharf_gateway.http_server import HttpServer
 from wharf_gateway.model.caller_limits import CallerLimits
-from wharf_gateway.settings import GatewaySettings
 
 LIMITS = CallerLimits(500, 100, header_timeout=0.2, idle_timeout=0.3)
 EVENT = b"id: 1\ndata: x\n\n"
@@ -112,21 +110,6 @@
     await asyncio.sleep(0.02)
 
 
-@pytest.fixture
-async def gateway():
-    settings = GatewaySettings(
-        name="edge-1",
-        data_centre="a",
-        host="127.0.0.1",
-        listen="127.0.0.1:0",
-        ready_listen="127.0.0.1:0",
-        peer_port=1,
-        stop_seconds=1.0,
-        store="127.0.0.1:1",
-    )
-    return Gateway(settings)
-
-
 async def receive(reader, size=-1):
     async with asyncio.timeout(1):
         return await reader.read(size)
