Count why callers' connections end, and name the requests that are cut

Cause: a report of lost requests (LOST beside a configuration) can't be judged from our logs. `wharf_unanswered_requests` counts what the gateway owes, but a stream that is reset midway, a caller that left and a path that broke look alike: `not_served` doesn't say whether a stream had begun, and nothing is written of a connection that ends. Ruled out: a line for each connection; most end idle or by their caller. Change: `ConnectionEnd` names who ended a connection; the gateway counts the ends by cause and by whether a request was cut, and writes a line `connection_cut` for each of those; `not_served` says `is_reset`. No decision reads any of it.

--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -185,6 +185,7 @@
             self.handle,
             self.record_unanswered,
             self.answer_failure,
+            self.record_end,
         )
         self._ready_server = HttpServer(
             settings.ready_listen, CallerLimits(), self.handle_ready
@@ -372,6 +373,21 @@
             seconds=round(self._clock() - request.received_at, 3),
         )
 
+    def record_end(self, end, request):
+        """Count a connection that ended, and log the request that was cut with it."""
+        self.meter.count(
+            "wharf_connection_ends", end, "no" if request is None else "yes"
+        )
+        if request is None:
+            return
+        log.info(
+            "connection_cut",
+            request=request.headers.get(self._dialect.id_field),
+            end=end,
+            is_read=request.is_read,
+            seconds=round(self._clock() - request.received_at, 3),
+        )
+
     def answer_failure(self, request, responder, error):
         """Answer a request whose handler raised `error`, count it and log it."""
         answer = GatewayResponse(500, Code.INTERNAL)
--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from wharf_gateway.http.connection_end import ConnectionEnd
 from wharf_gateway.http.headers import Headers
 from wharf_gateway.http.inbound_request import InboundRequest
 from wharf_gateway.http.lingering_close import LingeringClose
@@ -28,7 +29,9 @@
     A request that was read whole is answered before the connection closes, unless the
     caller closed it first or the handler reset a stream that it had begun. Any other
     end is passed to `site.record_unanswered(request, reason)`. A handler that fails is
-    passed to `site.answer_failure(request, responder, error)`.
+    passed to `site.answer_failure(request, responder, error)`. The connection's end is
+    passed to `site.record_end(end, request)`: a `ConnectionEnd` and the request that it
+    cuts, or None.
 
     `site` has `limits`, a `CallerLimits`; the coroutine `handle(request, responder)`;
     `closing`, true while the server stops; and `connections`, the set of open ones.
@@ -55,7 +58,7 @@
         self._is_reading_over = False
         self._rejection = None
         self._is_ended = False
-        self._is_closed_here = False
+        self._end = None
         self._closing = None
         self._is_reported = False
         self._is_writable = asyncio.Event()
@@ -71,12 +74,16 @@
     def connection_lost(self, exc):
         """Report unanswered requests, and cancel the handler of the current one."""
         self._site.connections.discard(self)
-        if self._is_closed_here:
+        if self._end:
             self._report(UnansweredReason.WHILE_HANDLED, UnansweredReason.BEFORE_TURN)
         elif not isinstance(exc, OSError | None):
             # The event loop passes on what a callback of this class raised.
+            self._end = ConnectionEnd.FAILED
             failed = UnansweredReason.CONNECTION_FAILED
             self._report(failed, failed)
+        elif exc:
+            self._end = ConnectionEnd.LOST
+        self._site.record_end(self._end or ConnectionEnd.CALLER, self._cut_request)
         self._cancel_timer()
         if self._closing:
             self._closing.connection_lost()
@@ -160,22 +167,22 @@
         if not self._closing and not self._transport.is_closing():
             self._transport.write(data)
 
-    def close(self):
-        """Close the connection after the write buffer is sent."""
+    def close(self, end):
+        """Close the connection after the write buffer is sent; `end` says why."""
         if not self._closing and not self._transport.is_closing():
-            self._is_closed_here = True
+            self._end = end
             self._transport.close()
 
     def close_after_response(self):
         """Close the connection once the caller has had time to read the response."""
         if not self._closing and not self._transport.is_closing():
-            self._is_closed_here = True
+            self._end = ConnectionEnd.LAST_RESPONSE
             self._closing = LingeringClose(self._transport)
 
     def abort(self):
         """Reset the connection, so that the caller sees an incomplete response."""
         if not self._transport.is_closing():
-            self._is_closed_here = True
+            self._end = ConnectionEnd.RESET
         self._transport.abort()
 
     def report_unanswered(self):
@@ -287,7 +294,7 @@
             # The caller can't be idle before it has the response.
             self._await_request(_idle_timeout)
         else:
-            self.close()
+            self.close(ConnectionEnd.IDLE)
 
     def _answer_next(self):
         self._request = self._waiting.popleft()
@@ -336,6 +343,14 @@
         else:
             responder.answer(500)
 
+    @property
+    def _cut_request(self):
+        """Return the request whose response the end of the connection cuts, or None."""
+        if self._end is ConnectionEnd.RESET:
+            return self._request
+        is_cut = self._request is not None and not self._is_answered
+        return self._request if is_cut else next(iter(self._waiting), None)
+
     @property
     def _is_answered(self):
         """Return whether the last request that was begun has its response."""
--- a/packages/gateway/src/wharf_gateway/http_server.py
+++ b/packages/gateway/src/wharf_gateway/http_server.py
@@ -5,6 +5,7 @@
 import structlog
 
 from wharf_gateway.http.caller_connection import CallerConnection
+from wharf_gateway.http.connection_end import ConnectionEnd
 
 __all__ = ["HttpServer"]
 
@@ -20,15 +21,25 @@
     `on_unanswered(request, reason)` is called for each request that was read whole and
     whose connection ends without a response, for an `UnansweredReason`;
     `on_failure(request, responder, error)` answers a request whose handler raised
-    `error`, unless a response was begun.
+    `error`, unless a response was begun; `on_end(end, request)` is called as a
+    connection ends, for a `ConnectionEnd` and the request that it cuts, or None.
     """
 
-    def __init__(self, address, limits, handle, on_unanswered=None, on_failure=None):
+    def __init__(
+        self,
+        address,
+        limits,
+        handle,
+        on_unanswered=None,
+        on_failure=None,
+        on_end=None,
+    ):
         self._address = address
         self.limits = limits
         self.handle = handle
         self._on_unanswered = on_unanswered
         self._on_failure = on_failure
+        self._on_end = on_end
         self.closing = False
         self.connections = set()
         self._server = None
@@ -53,13 +64,18 @@
         """Close the connections that have no request in progress."""
         for connection in list(self.connections):
             if connection.is_idle:
-                connection.close()
+                connection.close(ConnectionEnd.STOPPING)
 
     def record_unanswered(self, request, reason):
         """Pass on a request whose connection ends without a response."""
         if self._on_unanswered:
             self._on_unanswered(request, reason)
 
+    def record_end(self, end, request):
+        """Pass on why a connection ended, and the request that it cut."""
+        if self._on_end:
+            self._on_end(end, request)
+
     def answer_failure(self, request, responder, error):
         """Log the failure of a request's handler, and answer the request."""
         if self._on_failure:
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -91,7 +91,7 @@
             answer = (_stopped_response if is_stopped else _deadline_response)(context)
         if answer is None:
             return
-        self._log_not_served(context, answer)
+        self._log_not_served(context, answer, responder.is_started)
         if responder.is_started:
             responder.abort()
         else:
@@ -468,7 +468,11 @@
             sends=context.sends,
         )
 
-    def _log_not_served(self, context, answer):
+    def _log_not_served(self, context, answer, is_reset):
+        """Log a request that ends without an upstream's whole answer.
+
+        `is_reset` says that a stream to its caller has begun, which is reset.
+        """
         now = self._clock()
         seconds = self._measure(context, answer.status, answer.code.label, now)
         log.info(
@@ -478,6 +482,7 @@
             status=answer.status,
             code=answer.code.label,
             detail=answer.detail,
+            is_reset=is_reset,
             seconds=round(seconds, 3),
             left=round(context.deadline - now, 3),
             sends=context.sends,
--- a/packages/gateway/src/wharf_gateway/telemetry/exposition.py
+++ b/packages/gateway/src/wharf_gateway/telemetry/exposition.py
@@ -12,6 +12,7 @@
     "wharf_upstream_seconds": ["kind"],
     "wharf_attempts": ["outcome"],
     "wharf_unanswered_requests": ["reason"],
+    "wharf_connection_ends": ["end", "cut"],
     "wharf_preparations": ["outcome"],
     "wharf_preparation_seconds": ["outcome"],
     "wharf_upstreams": ["state"],
--- a/packages/gateway/tests/test_fuzz_callers.py
+++ b/packages/gateway/tests/test_fuzz_callers.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 from wharf_gateway.http.caller_connection import CallerConnection
+from wharf_gateway.http.connection_end import ConnectionEnd
 from wharf_gateway.http.headers import Headers
 from wharf_gateway.model.caller_limits import CallerLimits
 
@@ -63,10 +64,14 @@
         self.connections = set()
         self.seen = []
         self.unanswered = []
+        self.ends = []
 
     def record_unanswered(self, request, reason):
         self.unanswered.append((request.target, reason))
 
+    def record_end(self, end, request):
+        self.ends.append((end, request))
+
     def answer_failure(self, request, responder, error):
         raise error
 
@@ -240,7 +245,7 @@
                 case "stop":
                     site.closing = True
                 case "close idle" if connection.is_idle:
-                    connection.close()
+                    connection.close(ConnectionEnd.STOPPING)
         await _step(40 * WAIT_STEPS)
         # A connection that lingers for its caller has ended its side.
         is_done = connection.is_idle or transport.is_ended
--- a/packages/gateway/tests/test_unanswered_requests.py
+++ b/packages/gateway/tests/test_unanswered_requests.py
@@ -8,6 +8,7 @@
 import structlog
 
 from wharf_gateway.http import lingering_close
+from wharf_gateway.http.connection_end import ConnectionEnd
 from wharf_gateway.http.headers import Headers
 from wharf_gateway.http.inbound_request import InboundRequest
 from wharf_gateway.http.unanswered_reason import UnansweredReason
@@ -135,7 +136,7 @@
 
     site.server.report_unanswered()
     for connection in list(site.server.connections):
-        connection.close()
+        connection.close(ConnectionEnd.IDLE)
     await asyncio.sleep(0.02)
 
     assert len(site.unanswered) == 1
@@ -145,7 +146,7 @@
     await call(get("/wait") + get("/next"))
 
     for connection in list(site.server.connections):
-        connection.close()
+        connection.close(ConnectionEnd.IDLE)
     await asyncio.sleep(0.02)
 
     assert site.unanswered == [
