Answer before the link to a leaving sidecar is closed

What callers saw: a whole answer was held back for up to 2 s, and became deadline_passed, may have run, if its deadline passed meanwhile.

Cause: an entry closes the link to a leaving or removed sidecar after its last attempt there, and the attempt's clean-up waited for the close handshake. A sidecar that has fallen silent doesn't take part in it, so the wait ended with the close time-out.

Ruled out: a second close, by the link's reader, does no harm; it is awaited there and no attempt waits for the reader.

Change: the link is closed in a task of its own.

Conclusion: no await is left in the clean-up of an attempt.

--- a/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
+++ b/packages/daemon/src/wharf_daemon/entry/sidecar_link.py
@@ -120,10 +120,10 @@
             )
         finally:
             self._inbox_by_attempt.pop(call.attempt, None)
+            # In tasks, since a silent sidecar must not delay the caller's answer.
             if not ended or inbox.is_broken:
-                # In a task, since a silent sidecar must not delay the caller's answer.
                 asyncio.ensure_future(self.send(Cancel(call.attempt)))
-            await self._close_if_drained()
+            asyncio.ensure_future(self._close_if_drained())
 
     def notify_revision(self):
         """Notify the sidecar of the current revision, if its hello has arrived."""
