End no request at a signal to reload

What callers saw: all requests of an entry were cut without an answer when it got SIGHUP, and those of a sidecar's upstream ended with link_lost or ran again.

Cause: entry and sidecar had no handler of SIGHUP, so its default ended the process at once. The gateway takes it as a reload that ends nothing. The class: a signal that operators may send isn't handled.

Ruled out: a second SIGTERM, SIGTERM during the start, and stops of entry and sidecars at once end no request; their tests passed before.

Change: SIGHUP is a log line, reload. ProcessFleet sends signals by name.

Measured: both cases of test_reload_ends_no_request failed before (connections closed without a response, 502) and pass now; before, test_main.py ended the test process by SIGHUP (status 129).

Conclusion: fixed; whatever else ends a process at once, SIGKILL included, still cuts its requests.

--- a/packages/daemon/src/wharf_daemon/main.py
+++ b/packages/daemon/src/wharf_daemon/main.py
@@ -117,13 +117,16 @@
 
 
 async def _serve(daemon_type, settings):
+    log = structlog.get_logger()
     process = daemon_type(settings)
     stop_requested = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal_number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(signal_number, stop_requested.set)
+    # The configuration is watched, so there is nothing to read again.
+    loop.add_signal_handler(signal.SIGHUP, lambda: log.info("reload"))
     await process.start()
-    structlog.get_logger().info(
+    log.info(
         "started",
         name=settings.name,
         port=process.port,
--- a/packages/standins/src/wharf_standins/process_fleet.py
+++ b/packages/standins/src/wharf_standins/process_fleet.py
@@ -105,14 +105,17 @@
         """Stop a process in a planned way and return its exit code."""
         return await self._process_by_name.pop(name).stop()
 
+    def signal(self, name, number):
+        """Send a signal to a process."""
+        self._process_by_name[name].signal(number)
+
     async def freeze(self, name, seconds):
         """Suspend a process for some seconds."""
-        process = self._process_by_name[name]
-        process.signal(signal.SIGSTOP)
+        self.signal(name, signal.SIGSTOP)
         try:
             await asyncio.sleep(seconds)
         finally:
-            process.signal(signal.SIGCONT)
+            self.signal(name, signal.SIGCONT)
 
     def processor_seconds(self, name):
         """Return the processor time that a process has used, in seconds."""
