Refuse a body that can't be decompressed as not run

What callers saw: 500 internal, may have run, for a body whose Content-Encoding doesn't fit it, and the entry logged an exception. Such a request is never run, and the fault is the caller's.

Cause: aiohttp reports a body that it can't decode as RequestPayloadError, which isn't among the errors that reading a body expects.

Ruled out: bodies with a malformed chunk in the same segment as their head get 400 from aiohttp itself; one whose later chunk is malformed gets deadline_passed, not run, at its deadline (both in a trial on loopback).

Change: it is refused as bad_body.

Measured: test_body_that_cannot_be_decompressed_is_refused_as_not_run failed before (500) and passes now.

--- a/packages/daemon/src/wharf_daemon/entry/request_reader.py
+++ b/packages/daemon/src/wharf_daemon/entry/request_reader.py
@@ -89,6 +89,8 @@
             return _refuse(Code.DEADLINE_PASSED, "body not received in time")
         except web.HTTPRequestEntityTooLarge:
             return _refuse(Code.BODY_TOO_LARGE, f"more than {self._max_body} bytes")
+        except web.RequestPayloadError as error:
+            return _refuse(Code.BAD_BODY, str(error))
         try:
             json.loads(body.decode(), parse_constant=_refuse_constant)
         except ValueError as error:
--- a/packages/standins/tests/test_bad_input.py
+++ b/packages/standins/tests/test_bad_input.py
@@ -68,6 +68,15 @@
     assert not any(engine.runs for engine in system.engine_by_name.values())
 
 
+# Guards against a request that is refused as an error of the entry, and as possibly
+# run, since its body can't be decoded.
+async def test_body_that_cannot_be_decompressed_is_refused_as_not_run(system):
+    encoded = {"Content-Encoding": "gzip"}
+    status, _, refusal = await send(system, body=b"not compressed", **encoded)
+    assert (status, refusal["code"]) == (400, Code.BAD_BODY)
+    assert refusal["ran"] == "no"
+
+
 async def test_answer_that_is_not_json_is_not_passed_on(system):
     for engine in system.engine_by_name.values():
         engine.faults.append(FaultRule(FaultKind.GARBLE))
