Let the system give the ports of processes, and hold them

Cause: ports were drawn by chance from 22,000 and given up before the process listened, so that two tests at the same time could draw the same: 72 draws, as of eight tests with three gateways, had a clash in 62 of 500 rounds. Servers that crash and listen again on their port, and sidecars that are replaced, left it to any outgoing connection meanwhile.

Change: a port is given by the system and held, until the fleet ends, by a socket that is bound with SO_REUSEADDR and doesn't listen. The processes' servers can listen there beside it, again after a restart.

--- a/packages/standins/src/wharf_standins/loopback.py
+++ b/packages/standins/src/wharf_standins/loopback.py
@@ -12,6 +12,7 @@
 from wharf_standins.engine import Engine
 from wharf_standins.plain_service import PlainService
 from wharf_standins.platform import Platform
+from wharf_standins.reserved_addresses import ReservedAddresses
 
 __all__ = ["Loopback"]
 
@@ -50,6 +51,8 @@
         self._services = services
         self._cold_bearable = cold_bearable
         self._stack = AsyncExitStack()
+        self._addresses = ReservedAddresses()
+        self._stack.callback(self._addresses.release)
         self.engine_by_name = {}
         self.sidecar_by_name = {}
         self._address_by_name = {}
@@ -127,9 +130,7 @@
 
     async def replace_sidecar(self, name):
         """Start a new sidecar at the address of one that has stopped."""
-        old = self.sidecar_by_name[name]
-        update = {"listen": self._address_by_name[name]}
-        sidecar = Sidecar(old.settings.model_copy(update=update))
+        sidecar = Sidecar(self.sidecar_by_name[name].settings)
         await self._start_daemon(sidecar)
         self.sidecar_by_name[name] = sidecar
 
@@ -155,10 +156,11 @@
                 name, data_centre, cold_bearable=self._cold_bearable
             )
         server = await self._start_server(engine.application())
+        address = self._addresses.take()
         settings = SidecarSettings(
             name=f"sidecar-{name}",
             data_centre=data_centre,
-            listen=ANY_PORT,
+            listen=address,
             operators_listen=ANY_PORT,
             platform=self.platform_url,
             upstream=name,
@@ -169,7 +171,7 @@
         sidecar = Sidecar(settings)
         await self._start_daemon(sidecar)
         self.engine_by_name[name] = engine
-        self._address_by_name[name] = f"127.0.0.1:{sidecar.port}"
+        self._address_by_name[name] = address
         self.sidecar_by_name[name] = sidecar
 
     async def _start_entry(self, name):
--- a/packages/standins/src/wharf_standins/process_fleet.py
+++ b/packages/standins/src/wharf_standins/process_fleet.py
@@ -14,8 +14,8 @@
 from wharf_standins.command_result import CommandResult
 from wharf_standins.daemon_process import DaemonProcess
 from wharf_standins.engine import Engine
-from wharf_standins.free_address import free_address
 from wharf_standins.platform import Platform
+from wharf_standins.reserved_addresses import ReservedAddresses
 
 __all__ = ["ProcessFleet"]
 
@@ -48,8 +48,10 @@
             for number, data_centre in enumerate(data_centres)
         }
         names = (*self.entry_names, *self.data_centre_by_upstream)
-        self.address_by_name = {name: free_address() for name in names}
-        self.operators_by_name = {name: free_address() for name in names}
+        self._addresses = ReservedAddresses()
+        self._stack.callback(self._addresses.release)
+        self.address_by_name = {name: self._addresses.take() for name in names}
+        self.operators_by_name = {name: self._addresses.take() for name in names}
         self.engine_by_name = {}
         self.engine_url_by_name = {}
         self.platform = Platform()
@@ -95,8 +97,8 @@
     async def start_entry(self, name, **settings):
         """Start an entry; `settings` override the defaults."""
         if name not in self.address_by_name:
-            self.address_by_name[name] = free_address()
-            self.operators_by_name[name] = free_address()
+            self.address_by_name[name] = self._addresses.take()
+            self.operators_by_name[name] = self._addresses.take()
         data_centre = next(iter(self.data_centre_by_upstream.values()))
         defaults = self._settings(name, name, data_centre) | {"drain_delay": 0.5}
         await self._start("entry", name, defaults | settings)
--- a/packages/standins/src/wharf_standins/soak/crashing_upstream.py
+++ b/packages/standins/src/wharf_standins/soak/crashing_upstream.py
@@ -30,7 +30,7 @@
         self._restart = None
 
     def stop(self):
-        """Stop listening and reset all connections."""
+        """Close the server for good and release its address."""
         super().stop()
         if self._restart is not None:
             self._restart.cancel()
@@ -60,7 +60,7 @@
 
     def _crash(self):
         self.crashed_at.append(asyncio.get_running_loop().time())
-        super().stop()
+        self.close()
         self._restart = asyncio.ensure_future(self._start_again())
 
     async def _start_again(self):
--- a/packages/standins/src/wharf_standins/soak/gateway_process.py
+++ b/packages/standins/src/wharf_standins/soak/gateway_process.py
@@ -6,7 +6,7 @@
 import sys
 from contextlib import suppress
 
-from wharf_standins.free_address import free_address
+from wharf_standins.reserved_addresses import ReservedAddresses
 
 __all__ = ["GatewayProcess"]
 
@@ -19,8 +19,9 @@
 
     def __init__(self, name, folder, store_port):
         self.name = name
-        self.address = free_address()
-        self.ready_address = free_address()
+        self._addresses = ReservedAddresses()
+        self.address = self._addresses.take()
+        self.ready_address = self._addresses.take()
         self._path = folder / f"{name}.json"
         self._log_path = folder / f"{name}.log"
         self._process = None
@@ -32,7 +33,7 @@
             "host": "127.0.0.1",
             "listen": self.address,
             "ready_listen": self.ready_address,
-            "peer_port": int(free_address().rpartition(":")[2]),
+            "peer_port": int(self._addresses.take().rpartition(":")[2]),
             "store": f"127.0.0.1:{store_port}",
             "stop_seconds": 6.0,
         }
@@ -83,8 +84,9 @@
         return self._log_path.read_text(errors="replace")[-size:]
 
     async def kill(self):
-        """Kill the process, even if it is paused."""
+        """Kill the process for good, even if it is paused."""
         if self._process is not None and self._process.returncode is None:
             self.send_signal(signal.SIGCONT)
             self.send_signal(signal.SIGKILL)
             await self._process.wait()
+        self._addresses.release()
--- a/packages/standins/src/wharf_standins/soak/loopback_server.py
+++ b/packages/standins/src/wharf_standins/soak/loopback_server.py
@@ -3,6 +3,8 @@
 import asyncio
 from contextlib import suppress
 
+from wharf_standins.reserved_addresses import ReservedAddresses
+
 __all__ = ["LoopbackServer"]
 
 
@@ -10,26 +12,31 @@
     """Accept connections, and answer their requests one at a time.
 
     Subclasses define the coroutine `answer(reader, writer)`, which reads and answers
-    one request. `address` is known once the server has started.
+    one request. `address` is known once the server has started, and kept until it is
+    stopped.
     """
 
     def __init__(self):
-        self._port = 0
+        self.address = None
+        self._addresses = ReservedAddresses()
         self._server = None
         self._writers = set()
 
-    @property
-    def address(self):
-        """Return the address at which the server listens."""
-        return f"127.0.0.1:{self._port}"
-
     async def start(self):
-        """Listen, after the first start on the same port; return the port."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", self._port)
-        self._port = self._server.sockets[0].getsockname()[1]
-        return self._port
+        """Listen, after `close` on the same port; return the port."""
+        if self.address is None:
+            self.address = self._addresses.take()
+        host, _, port = self.address.rpartition(":")
+        self._server = await asyncio.start_server(self._serve, host, int(port))
+        return int(port)
 
     def stop(self):
+        """Close the server and release its address."""
+        self.close()
+        self._addresses.release()
+        self.address = None
+
+    def close(self):
         """Stop listening and reset all connections."""
         self._server.close()
         for writer in self._writers:
--- a/packages/standins/tests/test_processes.py
+++ b/packages/standins/tests/test_processes.py
@@ -12,7 +12,7 @@
 
 import pytest
 
-from wharf_standins.free_address import free_address
+from wharf_standins.reserved_addresses import ReservedAddresses
 
 START_SECONDS = 20
 
@@ -46,7 +46,8 @@
 def entry_url(tmp_path):
     """Start platform, upstream, sidecar and entry; apply a configuration folder."""
     names = ("platform", "engine", "link", "link_ops", "entry", "entry_ops")
-    at = {name: free_address() for name in names}
+    addresses = ReservedAddresses()
+    at = {name: addresses.take() for name in names}
     platform_url = f"http://{at['platform']}"
     common = {"data_centre": "dc-1", "platform": platform_url}
     sidecar = common | {
@@ -81,6 +82,7 @@
         },
     )
     with ExitStack() as stack:
+        stack.callback(addresses.release)
         start = lambda *words: stack.enter_context(process(*words))  # noqa: E731
         start("wharf_standins", "platform", "--listen", at["platform"])
         start("wharf_standins", "engine", "model-1", "dc-1", "--listen", at["engine"])
