Search in virtual time for requests that end without an answer

Two real gateways with their peers, store clients and pools run on event loops of their own in one virtual time, over connections in memory. A request that was read whole has to be answered, refused or excused.

--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -10,6 +10,7 @@
 from wharf_standins.history.command import histories
 from wharf_standins.outage_trial import outage_trial
 from wharf_standins.overhead_bench import bench_overhead
+from wharf_standins.promise.command import search_promise
 from wharf_standins.propagation.command import propagation
 from wharf_standins.rollout_trial.command import trial_rollouts
 from wharf_standins.rollout_trial.daemon_command import trial_daemons
@@ -29,7 +30,7 @@
         *(demo, engine, platform),
         *(bench, bench_overhead, claims_bench, outage_trial),
         *(histories, propagation, trial_daemons, trial_rollouts, step_trial),
-        trial_judge,
+        *(trial_judge, search_promise),
         soak,
         *(slopes, profile_relay, idle_entry, ask_streams, serve_upstreams),
     ]
