Don't count requests behind a reset response as lost in the search

A stream that is reset ends its connection, so that requests which were sent behind it can't be answered. They were counted as cut if their gateway had been paused meanwhile.

--- a/packages/standins/src/wharf_standins/promise/checks.py
+++ b/packages/standins/src/wharf_standins/promise/checks.py
@@ -73,12 +73,13 @@
         return Fault.LATE if is_late else None
     if spent >= due - 0.05:
         return None
-    # A reset takes what a caller that was paused has not read.
-    if request.status is not None or paused_seconds:
-        is_excused = any(not run.is_sound for run in request.runs)
-        return None if is_excused else Fault.CUT
     if before is not None and not before.is_complete:
         return None  # its connection was reset with the response before
+    is_sound = all(run.is_sound for run in request.runs)
+    if request.status is not None:
+        return Fault.CUT if is_sound else None
+    if paused_seconds and not is_sound:
+        return None  # a reset takes what its caller has not read
     if _was_read(request) or request.runs:
         return Fault.LOST
     return None
