Pass on an event that arrived while the process was paused

Callers saw a sound stream reset after their gateway had been paused for two seconds or more.

Cause: the time limit on the silence of an upstream and the event that ends the silence are handled in the same turn of the event loop once the process goes on. The limit cancelled the wait, and as the caller's patience was over as well, the stream was reset without a look at what had been read.

Ruled out: the silence of the upstream, which had sent in time.

Change: a stalled stream is looked at once more before it is given up.

The new test failed before and passes; test_takeover.py and test_request_runner.py: 54 passed.

Conclusion: a pause of this process isn't the silence of an upstream.

--- a/packages/gateway/src/wharf_gateway/takeover.py
+++ b/packages/gateway/src/wharf_gateway/takeover.py
@@ -53,8 +53,6 @@
                 return await connection.next_part()
         except TimeoutError:
             given_up_at = pace.last_at + caller_patience(context.route)
-            if self._clock() >= given_up_at:
-                raise
         part = asyncio.ensure_future(connection.next_part())
         try:
             return await self._part_of_stalled(context, part, given_up_at)
@@ -62,6 +60,8 @@
             await _cancel(part)
 
     async def _part_of_stalled(self, context, part, given_up_at):
+        # If this process was paused, the part may be there already.
+        await asyncio.wait((part,), timeout=0)
         while not part.done():
             if self._clock() >= given_up_at:
                 raise TimeoutError
