Heed what upstreams say of themselves in their answers

Cause: an upstream says in its answers that it leaves, and in a 503 that it wants no requests for some seconds; no code read either header, so DRAIN and BUDGET held only by luck. Change: one report for each incarnation, without I/O, outlives the removal of its entry and is asked by first attempts, retries, takeovers, resumed streams, prefix affinity, canary traffic, cold tokens, pieces, preparations for peers, dropped results and questions for free space, and again once the connection is open. Answers nobody waits for count for the incarnation to which their connection was opened. Returns begin with one request and grow. Callers' headers of these names aren't passed on, nor is an upstream's Server-Leaving. An answer of an earlier incarnation names no limit for the next one either.

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -7,6 +7,7 @@
 
 from wharf_gateway.rollouts.version_table import VersionTable
 from wharf_gateway.routing.evacuations import Evacuations
+from wharf_gateway.routing.self_reports import SelfReports
 from wharf_gateway.routing.upstream_memory import UpstreamMemory
 from wharf_gateway.routing.upstream_state import UpstreamState
 from wharf_gateway.store.store_eras import StoreEras
@@ -54,6 +55,7 @@
         self.gateway_count = 1
         self._grace_end_by_id = {}
         self._left = UpstreamMemory()
+        self._reports = SelfReports()
         self._held_by_id = {}
         self._listed_era = None
         self._returned_at = float("-inf")
@@ -75,6 +77,7 @@
                 "latency": state.latency,
                 "pace": round(state.pace, 2),
                 "failure_share": round(state.failure_rate, 3),
+                "own_word": state.report.dump(now),
             }
             for name, state in self.state_by_id.items()
         }
@@ -83,8 +86,12 @@
         upstream = state.upstream
         if upstream.is_draining:
             return "draining"
+        if state.report.is_leaving:
+            return "leaving"
         if upstream.data_centre in self.out_data_centres:
             return "out"
+        if state.report.is_quiet(now):
+            return "quiet"
         if state.in_backoff(now):
             return "resting"
         return "cold" if upstream.cold_until > now else "ready"
@@ -92,10 +99,23 @@
     def states(self, service):
         """Return the usable upstreams of a service's current version.
 
-        Draining upstreams and those in data centres taken out of service are excluded.
+        Upstreams that drain or say that they leave, and those in data centres taken out
+        of service, are excluded.
         """
         return self._states_of(service, self.version(service))
 
+    def states_or_leaving(self, service, now):
+        """Return the usable upstreams, or else those that have just begun to leave."""
+        return self.states(service) or [
+            state
+            for state in self._states_of(service, self.version(service), leaving=True)
+            if state.report.is_last_resort(now)
+        ]
+
+    def states_at(self, address):
+        """Return the upstreams whose entries have an address."""
+        return [s for s in self.state_by_id.values() if s.upstream.address == address]
+
     @property
     def step_services(self):
         """Return the names of the services that run steps."""
@@ -120,22 +140,24 @@
         self._versions.apply(order)
         self._version_by_service.pop(order.service, None)
 
-    def _states_of(self, service, version):
+    def _states_of(self, service, version, *, leaving=False):
         return [
             state
             for state in self._states_by_service.get(service, {}).values()
             if state.upstream.version == version
             and not state.upstream.is_draining
+            and (leaving or not state.report.is_leaving)
             and state.upstream.data_centre not in self.out_data_centres
         ]
 
     def add(self, upstream):
         """Add an upstream without any measurements and return its state.
 
-        It replaces an upstream with the same id.
+        It replaces an upstream with the same id. What this incarnation has said of
+        itself holds, though its entry was gone in between.
         """
         self._drop(upstream.id)
-        state = UpstreamState(upstream)
+        state = UpstreamState(upstream, report=self._reports.take(upstream))
         self.state_by_id[upstream.id] = state
         by_id = self._states_by_service.setdefault(upstream.service, {})
         by_id[upstream.id] = state
@@ -328,6 +350,7 @@
     def _drop(self, name):
         state = self.state_by_id.pop(name, None)
         if state is not None:
+            self._reports.keep(state.upstream, state.report)
             service = state.upstream.service
             del self._states_by_service[service][name]
             self._version_by_service.pop(service, None)
--- a/packages/gateway/src/wharf_gateway/gateway.py
+++ b/packages/gateway/src/wharf_gateway/gateway.py
@@ -28,6 +28,7 @@
 from wharf_gateway.request_admission import RequestAdmission
 from wharf_gateway.request_runner import RequestRunner
 from wharf_gateway.rollouts.rollout_manager import RolloutManager
+from wharf_gateway.routing.answer_recorder import AnswerRecorder
 from wharf_gateway.routing.retry_budgets import RetryBudgets
 from wharf_gateway.routing.route_times import RouteTimes
 from wharf_gateway.routing.upstream_limits import UpstreamLimits
@@ -91,6 +92,7 @@
             lambda upstream: self._pool.close_idle_to(upstream.address)
         )
         client = PieceClient(self._dialect, self._pool, self._clock)
+        client.answers = AnswerRecorder(self.fleet, self._dialect, self._rng)
         self.preparation_router = PreparationRouter(
             settings, self.fleet, client, self._clock
         )
--- a/packages/gateway/src/wharf_gateway/http/connection_pool.py
+++ b/packages/gateway/src/wharf_gateway/http/connection_pool.py
@@ -31,9 +31,11 @@
         self._max_idle = max_idle
         self.opened = 0
 
-    async def acquire(self, address, now, fresh=False):
+    async def acquire(self, address, now, owner=None, *, fresh=False):
         """Return an idle connection, or open one if there is none or if `fresh`.
 
+        Only connections that were opened for `owner`, one incarnation of an upstream,
+        are reused for it.
         Raises `HttpCallError` if the connection fails.
         """
         idle = self._idle[address]
@@ -41,10 +43,13 @@
             connection = idle.pop()
             timeout = connection.idle_timeout or DEFAULT_IDLE_TIMEOUT_SECONDS
             is_fresh = now - connection.idle_since < timeout * MAX_IDLE_FRACTION
-            if is_fresh and not connection.is_closed:
+            is_own = connection.owner is owner
+            if is_own and is_fresh and not connection.is_closed:
                 return connection
             connection.close()
-        return await self._open(address)
+        connection = await self._open(address)
+        connection.owner = owner
+        return connection
 
     async def is_refused(self, address):
         """Return whether nothing listens at an address, as after a crash.
--- a/packages/gateway/src/wharf_gateway/http/headers.py
+++ b/packages/gateway/src/wharf_gateway/http/headers.py
@@ -38,6 +38,10 @@
         lowered = name.lower()
         return [value for key, value in self.fields if key.lower() == lowered]
 
+    def joined(self, name):
+        """Return the values of all fields with a name as one text, None if none."""
+        return ",".join(self.all(name)) if self.get(name) is not None else None
+
     def tokens(self, name):
         """Return the lower-case items of a comma-separated field."""
         return [
--- a/packages/gateway/src/wharf_gateway/http/upstream_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/upstream_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from contextlib import suppress
 
 import httptools
 
@@ -21,7 +22,9 @@
     Responses to other requests, recognised by `matches(headers)`, are read and dropped.
     A connection on which unexpected data arrived is not reused. `idle_timeout` is how
     long the upstream keeps the idle connection open, in seconds, None if unknown.
-    A response that exceeds `limits` fails, and the connection is reset at once.
+    A response that exceeds `limits` fails, and the connection is reset at once. `owner`
+    is what the connection was opened for. `on_late_head`, if set, is called with the
+    head of each response that nobody waits for.
     """
 
     def __init__(self, limits):
@@ -48,6 +51,8 @@
         self.is_closed = False
         self.idle_since = 0.0
         self.idle_timeout = None
+        self.owner = None
+        self.on_late_head = None
 
     @property
     def is_close_delimited(self):
@@ -87,6 +92,7 @@
     def data_received(self, data):
         """Parse response data; other data makes the connection unusable."""
         if self._parser is None:
+            self._read_stray(data)
             self.close()
             return
         self._unparsed_bytes += len(data)
@@ -103,6 +109,14 @@
         if self._held_bytes > self._limits.held_bytes:
             self._transport.pause_reading()
 
+    def _read_stray(self, data):
+        """Read the heads of responses that arrive on an idle connection."""
+        self._head = None
+        self._matches = lambda headers: False
+        self._parser = httptools.HttpResponseParser(self)
+        with suppress(httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._parser.feed_data(data)
+
     def send(self, head, body, matches):
         """Write a request; its response is the first whose headers match."""
         self.is_reusable = False
@@ -184,11 +198,12 @@
     def on_headers_complete(self):
         """Store the head of the expected response; skip any other message."""
         self._unparsed_bytes = 0
+        status = self._parser.get_status_code()
+        headers = Headers(tuple(self._fields))
         if self._head is not None:
             self._is_skipped = True
+            self._report_late(status, headers)
             return
-        status = self._parser.get_status_code()
-        headers = Headers(tuple(self._fields))
         if 100 <= status < 200:
             self._is_skipped = True
             self._interim_heads += 1
@@ -198,6 +213,7 @@
         self._is_skipped = not self._matches(headers)
         if self._is_skipped:
             self._must_close = True
+            self._report_late(status, headers)
             return
         self._is_close_delimited = (
             status not in _BODYLESS_STATUSES
@@ -239,6 +255,10 @@
         self.close()
         return False
 
+    def _report_late(self, status, headers):
+        if self.on_late_head is not None and status >= 200:
+            self.on_late_head(ResponseHead(status, headers))
+
     def _complete(self):
         self._is_complete = self._error is None
         self._wake()
--- a/packages/gateway/src/wharf_gateway/limit_waits.py
+++ b/packages/gateway/src/wharf_gateway/limit_waits.py
@@ -1,4 +1,4 @@
-"""Waits of requests for upstreams that are at the limits they name."""
+"""Waits of requests for upstreams that are at their limits or want no requests."""
 
 import asyncio
 
@@ -13,12 +13,14 @@
 MAX_LATE_SECONDS = 0.5
 # After which a caller may retry if only other gateways may send to the upstreams.
 ELSEWHERE_RETRY_SECONDS = 0.5
+DEFAULT_RETRY_SECONDS = 0.5  # after which a caller that was refused may retry
 
 
 class LimitWaits:
-    """Let requests wait for an upstream's limit, or refuse them.
+    """Let requests wait for an upstream that wants no more of them yet, or refuse them.
 
-    `selector` is the `UpstreamSelector` of the requests.
+    An upstream names a limit, or says that it wants nothing for a time. `selector` is
+    the `UpstreamSelector` of the requests.
     """
 
     def __init__(self, selector, shutdown, meter, clock):
@@ -38,26 +40,44 @@
         return self.refusal(context, answer)
 
     async def wait(self, context):
-        """Wait for an upstream that is at the limit it names.
+        """Wait for an upstream that wants no more requests yet.
 
         Return its state, or None if that takes too long or limits aren't the cause.
         """
-        now = self._clock()
-        seconds = self._selector.limit_wait(context, now)
-        if seconds <= 0 or not self._is_within(context, seconds):
-            return None
-        state, seconds = self._selector.reserve(context, now)
-        self._meter.observe("wharf_limit_wait_seconds", seconds)
-        await asyncio.sleep(seconds)
-        if self._selector.is_usable(state, self._clock()):
-            return state
-        return self._selector.select(context, self._clock())
+        while True:
+            now = self._clock()
+            seconds = self._selector.limit_wait(context, now)
+            if seconds <= 0 or not self._is_within(context, seconds):
+                return None
+            state, seconds = self._selector.reserve(context, now)
+            self._meter.observe("wharf_limit_wait_seconds", seconds)
+            await asyncio.sleep(seconds)
+            now = self._clock()
+            if self._selector.is_usable(state, now):
+                return state
+            state = self._selector.select(context, now)
+            if state is not None:
+                return state
+
+    def retry_after(self, context):
+        """Return the seconds after which a refused caller may retry."""
+        seconds = self._selector.quiet_wait(context, self._clock())
+        return seconds if seconds > 0 else DEFAULT_RETRY_SECONDS
 
     def refusal(self, context, answer):
         """Return the refusal for limits that upstreams name, or else `answer`."""
-        seconds = self._selector.limit_wait(context, self._clock())
+        now = self._clock()
+        quiet = self._selector.quiet_wait(context, now)
+        seconds = max(quiet, self._selector.limit_wait(context, now))
         if seconds <= 0:
             return answer
+        if quiet > 0:
+            self._meter.count("wharf_quiet_refusals")
+            return GatewayResponse.not_run(
+                Code.UPSTREAM_FULL,
+                "all upstreams want no requests",
+                seconds if seconds < float("inf") else quiet,
+            )
         self._meter.count("wharf_limit_refusals")
         return GatewayResponse.not_run(
             Code.UPSTREAM_FULL,
@@ -68,11 +88,14 @@
     def _is_within(self, context, seconds):
         """Return whether a request sent after `seconds` is answered on time.
 
-        One that is late already takes what no other request has reserved.
+        One that is late already takes what no other request has reserved. While all
+        upstreams want no requests, late answers are better than none.
         """
         if seconds <= 0:
             return True
         ends_at = self._clock() + seconds + ENGINE_SECONDS
         if ends_at > min(context.deadline, self._shutdown.ends_at):
             return False
+        if self._selector.quiet_wait(context, self._clock()) > 0:
+            return True
         return ends_at <= context.soft_deadline or seconds <= MAX_LATE_SECONDS
--- a/packages/gateway/src/wharf_gateway/model/response_details.py
+++ b/packages/gateway/src/wharf_gateway/model/response_details.py
@@ -13,7 +13,9 @@
     the upstream has not run the request and won't, `is_signed` that the upstream itself
     made the response. `idle_seconds` is the idle timeout of the connection; `running`
     and `waiting` are the upstream's numbers of calls. `rate_limit` is the number of
-    requests a second that it takes from all gateways together.
+    requests a second that it takes from all gateways together. `leaving` and
+    `retry_after` are the texts of what it says of itself, unread, None if it says
+    nothing; several values are separated by commas.
     """
 
     call_id: str | None
@@ -23,3 +25,10 @@
     running: int | None = None
     waiting: int | None = None
     rate_limit: float | None = None
+    leaving: str | None = None
+    retry_after: str | None = None
+
+    @property
+    def has_self_report(self):
+        """Return whether the upstream says something of itself."""
+        return self.leaving is not None or self.retry_after is not None
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -1,6 +1,7 @@
 """Runs admitted requests: preparation, attempts, retries and the response."""
 
 import asyncio
+from functools import partial
 
 import structlog
 from result import Err, Ok
@@ -15,6 +16,7 @@
 from wharf_gateway.model.route_kind import RouteKind
 from wharf_gateway.patience import stall_seconds
 from wharf_gateway.request_features import all_features
+from wharf_gateway.routing.answer_recorder import AnswerRecorder
 from wharf_gateway.routing.upstream_selector import UpstreamSelector
 from wharf_gateway.stages.preparation import Preparation
 from wharf_gateway.stages.preparation_failure import PreparationFailure
@@ -62,6 +64,7 @@
         self._budgets = budgets
         self._clock = clock
         self._choice = UpstreamSelector(fleet, rollouts, rng)
+        self._answers = AnswerRecorder(fleet, dialect, rng)
         self._meter = meter
         self._crash_guard = crash_guard
         self._limits = limits
@@ -255,19 +258,25 @@
         connection = None
         failed = True
         try:
-            connection = await self._pool.acquire(upstream.address, started)
+            connection = await self._pool.acquire(
+                upstream.address, started, state.report
+            )
+            if not state.report.takes_requests(self._clock()):
+                failed = None
+                return self._unsent_result(context, state)
+            connection.on_late_head = partial(self._note_late, state)
             self._send(context, state, connection, splitter, started)
             context.may_have_run = True
             head = await self._takeover.head(context, state, connection)
             reply = self._dialect.read_response(head)
             context.response_began = True
-            self._note_reply(state, reply, connection, started)
+            self._note_reply(context, state, head, reply, connection, started)
             if reply.not_run:
                 context.may_have_run = ran_before
             result = await self._relay(
                 context, state, responder, connection, head, reply, splitter, started
             )
-            failed = not result.not_run and result.answer is not None
+            failed = _has_failed(result, reply)
             return result
         except HttpCallError as error:
             self._record_loss(context, state, error)
@@ -283,7 +292,8 @@
         finally:
             state.in_flight -= 1
             state.suspects -= was_suspect
-            self._record_sample(context, upstream, in_flight, failed, started)
+            if failed is not None:
+                self._record_sample(context, upstream, in_flight, failed, started)
             if connection is not None:
                 self._pool.release(upstream.address, connection, self._clock())
 
@@ -334,11 +344,17 @@
 
         connection.send(head, bytes(inbound.body), is_matching)
 
-    def _note_reply(self, state, reply, connection, started):
+    def _note_late(self, state, head):
+        self._answers.record_late(state, head, self._clock())
+
+    def _note_reply(self, context, state, head, reply, connection, started):
         connection.idle_timeout = reply.idle_seconds
-        self._limits.record_answer(
-            state.upstream.id, reply.rate_limit, started, self._clock()
-        )
+        by = f"answer to {context.details.id}"
+        self._answers.record(state, head.status, reply, by, self._clock())
+        if self._fleet.state_by_id.get(state.upstream.id) is state:
+            self._limits.record_answer(
+                state.upstream.id, reply.rate_limit, started, self._clock()
+            )
         if reply.running is not None:
             state.record_load(reply.running, reply.waiting, self._clock())
 
@@ -356,7 +372,7 @@
             )
         body = await connection.body()
         self._note_answered(context, state, started)
-        responder.answer(head.status, _forwarded_headers(head.headers), body)
+        responder.answer(head.status, self._caller_fields(head), body)
         self._log_answer(context, state, head.status, started)
         return AttemptResult()
 
@@ -372,7 +388,7 @@
             )
             return AttemptResult(answer, is_final=not context.route.may_repeat)
         return AttemptResult(
-            UpstreamFailure(head.status, _forwarded_headers(head.headers), body)
+            UpstreamFailure(head.status, self._caller_fields(head), body)
         )
 
     async def _relay_stream(
@@ -389,7 +405,7 @@
                     self._note_answered(context, state, started)
                 if not responder.is_started:
                     self._drop_inputs(context)
-                    responder.begin(head.status, _forwarded_headers(head.headers))
+                    responder.begin(head.status, self._caller_fields(head))
                 await responder.send(events)
                 pace.record(received_at, self._clock())
         if splitter.buffer:
@@ -397,7 +413,7 @@
         if context.response_latency is None and connection.is_close_delimited:
             raise HttpCallError("the connection ended before the first event")
         if not responder.is_started:
-            responder.begin(head.status, _forwarded_headers(head.headers))
+            responder.begin(head.status, self._caller_fields(head))
         responder.end()
         self._log_answer(context, state, head.status, started, pace.blocked)
         return AttemptResult()
@@ -411,9 +427,26 @@
             )
             return AttemptResult(answer, not_run=True, counts=0)
         state.record_load(state.upstream.slots, 1, now)
-        answer = GatewayResponse.not_run(Code.UPSTREAM_FULL, f"status {head.status}")
+        if state.report.is_quiet(now):
+            context.tried.discard(state.upstream.id)
+        answer = GatewayResponse.not_run(
+            Code.UPSTREAM_FULL,
+            f"status {head.status}",
+            self._limit_waits.retry_after(context),
+        )
         return AttemptResult(answer, not_run=True)
 
+    def _unsent_result(self, context, state):
+        """Return the result for an upstream that has just said it wants no requests."""
+        context.tried.discard(state.upstream.id)
+        context.has_retry = True  # the next attempt is no retry
+        answer = GatewayResponse.not_run(
+            Code.NO_UPSTREAM,
+            "the upstream wants no requests",
+            self._limit_waits.retry_after(context),
+        )
+        return AttemptResult(answer, not_run=True, counts=0)
+
     def _failure_result(self, context, state, error):
         state.record_unreachable(self._clock())
         log.info(
@@ -434,6 +467,10 @@
         code = Code.ANSWER_TOO_LARGE if is_too_large else Code.ANSWER_BROKEN
         return AttemptResult(GatewayResponse(502, code, str(error)))
 
+    def _caller_fields(self, head):
+        """Return the headers of an upstream's answer as its caller gets them."""
+        return self._dialect.caller_fields(head.headers).without({"content-length"})
+
     def _drop_inputs(self, context):
         if context.inputs:
             self._preparation_router.free(context, context.inputs)
@@ -492,6 +529,17 @@
         )
 
 
+def _has_failed(result, reply):
+    """Return whether an attempt failed; None if it says nothing of the version.
+
+    An upstream that rejects a request as it leaves or wants no requests hasn't failed,
+    nor has it served.
+    """
+    if result.not_run and reply.has_self_report:
+        return None
+    return not result.not_run and result.answer is not None
+
+
 def _lost_features(context, state, error):
     if not error.was_sent or context.response_latency is not None:
         return []
@@ -514,7 +562,3 @@
     return GatewayResponse.not_run(
         Code.DEADLINE_PASSED, "no upstream available before the deadline"
     )
-
-
-def _forwarded_headers(headers):
-    return headers.end_to_end().without({"content-length"})
--- a/packages/gateway/src/wharf_gateway/routing/upstream_selector.py
+++ b/packages/gateway/src/wharf_gateway/routing/upstream_selector.py
@@ -20,7 +20,8 @@
     def expected_data_centre(self, context, now):
         """Return the data centre of the likely upstream, empty if there is none."""
         service = self._pick_service(context.route)
-        states = eligible(self._fleet.states(service), context.tried, now)
+        states = self._fleet.states_or_leaving(service, now)
+        states = eligible(states, context.tried, now)
         state = self._choose(states, context, service, now)
         return state.upstream.data_centre if state else ""
 
@@ -36,7 +37,7 @@
         if not context.tried and self._rollouts.is_canary(service, call_id, now):
             canary_states = self._fleet.canary_states(service)
             state = self._select_limited(canary_states, context, service, now)
-        states = self._fleet.states(service)
+        states = self._fleet.states_or_leaving(service, now)
         state = state or self._select_limited(states, context, service, now)
         if state is not None:
             state.reserve_send(now)
@@ -55,6 +56,16 @@
         states = self._limited_states(context, now)
         return min((state.limit_wait(now) for state in states), default=0.0)
 
+    def quiet_wait(self, context, now):
+        """Return the seconds until the first upstream wants requests again.
+
+        Return 0 unless all of them want none.
+        """
+        service = self._pick_service(context.route)
+        states = self._fleet.states_or_leaving(service, now)
+        states = eligible(states, context.tried, now)
+        return min((state.report.wait(now) for state in states), default=0.0)
+
     def reserve(self, context, now):
         """Reserve the next request of an upstream's limit.
 
@@ -67,8 +78,10 @@
     def is_usable(self, state, now):
         """Return whether a reserved upstream still takes requests."""
         service = state.upstream.service
-        states = self._warm(self._fleet.states(service), service, now)
-        return state in states and not state.in_backoff(now)
+        states = self._fleet.states_or_leaving(service, now)
+        is_usable = state in self._warm(states, service, now)
+        is_quiet = state.report.is_quiet(now)
+        return is_usable and not is_quiet and not state.in_backoff(now)
 
     def has_alternative(self, context, now):
         """Return whether a sound upstream that wasn't tried takes the request now."""
@@ -81,7 +94,8 @@
         Cold ones are left out, since their own rate applies as well.
         """
         service = self._pick_service(context.route)
-        states = self._warm(self._fleet.states(service), service, now)
+        states = self._fleet.states_or_leaving(service, now)
+        states = self._warm(states, service, now)
         return eligible(states, context.tried, now)
 
     @staticmethod
--- a/packages/gateway/src/wharf_gateway/routing/upstream_state.py
+++ b/packages/gateway/src/wharf_gateway/routing/upstream_state.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from wharf_gateway.model.upstream import Upstream
+from wharf_gateway.routing.self_report import SelfReport
 from wharf_gateway.routing.upstream_limit import UpstreamLimit
 
 __all__ = ["UpstreamState"]
@@ -29,7 +30,7 @@
     before `backoff_until`; the next backoff lasts `backoff_seconds`. `cold_tokens`
     limits the rate of requests while the upstream is cold. `suspects` is the number of
     calls in flight that have lost an upstream before. `limit` is set once the upstream
-    has named one.
+    has named one. `report` is what this incarnation says of itself.
     """
 
     upstream: Upstream
@@ -45,6 +46,7 @@
     cold_tokens: float = 1.0
     cold_filled_at: float = field(default=0.0)
     limit: UpstreamLimit | None = None
+    report: SelfReport = field(default_factory=SelfReport)
 
     def in_backoff(self, now):
         """Return whether no requests are sent because of a recent failure."""
@@ -100,16 +102,21 @@
         self.backoff_seconds = min(self.backoff_seconds * 2, MAX_BACKOFF_SECONDS)
 
     def limit_wait(self, now):
-        """Return the seconds until this gateway may send within the named limit."""
+        """Return the seconds until the upstream takes a request of this gateway.
+
+        It may want no requests for a time, or name a limit.
+        """
+        seconds = self.report.wait(now)
         if self.limit is None or self.limit.rate is None:
-            return 0.0
-        return self.limit.share.wait(now)
+            return seconds
+        return max(seconds, self.limit.share.wait(now))
 
     def reserve_send(self, now):
-        """Use up a request of the limit; return the seconds until it may be sent."""
+        """Use up the next request; return the seconds until it may be sent."""
+        seconds = self.report.reserve(now)
         if self.limit is None or self.limit.rate is None:
-            return 0.0
-        return self.limit.share.reserve(now)
+            return seconds
+        return max(seconds, self.limit.share.reserve(now))
 
     def take_cold_token(self, rate, now):
         """Take a token if one is available; `rate` tokens are added per second."""
--- a/packages/gateway/src/wharf_gateway/stages/batcher.py
+++ b/packages/gateway/src/wharf_gateway/stages/batcher.py
@@ -108,9 +108,17 @@
         full = self._full_call_seconds(batching)
         return sum(
             batching.concurrency * batching.batch_size / (full * state.pace)
-            for state in self._states(now)
+            for state in self._open_states(now)
         )
 
+    def quiet_wait(self, now):
+        """Return the seconds until the first upstream wants pieces again.
+
+        Return 0 unless all of them want none.
+        """
+        states = self._states(now)
+        return min((state.report.wait(now) for state in states), default=0.0)
+
     def advance(self, now):
         """Expire queued pieces and start the calls that are possible."""
         batching = self._batching()
@@ -173,7 +181,7 @@
         """Return whether other upstreams finish the queue sooner than a slow one."""
         others = [
             other
-            for other in self._states(now)
+            for other in self._open_states(now)
             if other is not state and other.pace <= SLOW_PACE
         ]
         if not others:
@@ -313,11 +321,16 @@
         wanted = Counter(job.group.preferred_data_centre for job in self.queue.jobs)
         return sorted(states, key=lambda state: -wanted[state.upstream.data_centre])
 
+    def _open_states(self, now):
+        """Return the upstreams of the pool that want pieces, or else all of them."""
+        states = self._states(now)
+        return [s for s in states if not s.report.is_quiet(now)] or states
+
     def _states(self, now):
         """Return the upstreams of the pool that aren't resting."""
         return [
             state
-            for state in self._fleet.states(self.service)
+            for state in self._fleet.states_or_leaving(self.service, now)
             if self._pool.contains(state.upstream.data_centre)
             and not state.in_backoff(now)
         ]
--- a/packages/gateway/src/wharf_gateway/stages/piece_client.py
+++ b/packages/gateway/src/wharf_gateway/stages/piece_client.py
@@ -25,7 +25,8 @@
     uses a connection of its own, so that a late second response can't be taken for
     that of another call. Calls that drop results share connections, as their
     responses aren't used. `record_limit` is called with the limit that the answer to
-    a call with pieces names.
+    a call with pieces names. `answers`, an `AnswerRecorder`, records what the answers
+    to all calls say of their upstreams, which get no calls while they want none.
     """
 
     def __init__(self, dialect, pool, clock):
@@ -34,6 +35,7 @@
         self._clock = clock
         self._shared_pool = ConnectionPool(max_idle=1)
         self._tasks = set()
+        self.answers = None
         self.record_limit = lambda upstream_id, rate, sent_at, now: None
 
     async def run(self, upstream, batch, timeout, now):
@@ -42,16 +44,35 @@
         Raises `HttpCallError` if there is no response within `timeout` seconds.
         """
         path, body = self._dialect.piece_call([_with_time(job, now) for job in batch])
-        head, answer = await self._post(upstream, path, body, timeout)
-        rate = self._dialect.read_response(head).rate_limit
-        self.record_limit(upstream.id, rate, now, self._clock())
+        state = self.answers and self.answers.state_of(upstream)
+        head, answer = await self._exchange(
+            self._pool,
+            upstream.address,
+            path,
+            body,
+            self._dialect.expect_fields(upstream.id),
+            timeout,
+            fresh=True,
+            state=state,
+        )
+        if head is None:
+            return Err("full")
+        if not self.answers or self.answers.state_of(upstream) is state:
+            rate = self._dialect.read_response(head).rate_limit
+            self.record_limit(upstream.id, rate, now, self._clock())
         status = head.status
         if status != 200:
             return Err("full" if status in (421, 429, 503) else f"status {status}")
         return self._dialect.read_pieces(answer, len(batch))
 
     async def free(self, address, handles):
-        """Drop results at an upstream; any that remain expire with their lifetime."""
+        """Drop results at an upstream; any that remain expire with their lifetime.
+
+        While the upstream wants no requests, they remain.
+        """
+        state = self.answers and self.answers.state_at(address)
+        while state and state.report.is_quiet(self._clock()):
+            await asyncio.sleep(state.report.quiet_until - self._clock())
         path, body = self._dialect.free_call(handles)
         try:
             await self._exchange(
@@ -62,6 +83,7 @@
                 (),
                 FREE_TIMEOUT_SECONDS,
                 fresh=False,
+                state=state,
             )
         except HttpCallError as error:
             log.info(
@@ -86,8 +108,10 @@
     async def free_bytes(self, upstream):
         """Return the bytes that an upstream has free for results, or None.
 
-        None means that it sent no report or none with that number.
+        None means that it sent no report or none with that number, or that it wants no
+        requests.
         """
+        state = self.answers and self.answers.state_of(upstream)
         try:
             head, answer = await self._exchange(
                 self._shared_pool,
@@ -98,28 +122,45 @@
                 REPORT_TIMEOUT_SECONDS,
                 fresh=False,
                 method="GET",
+                state=state,
             )
         except HttpCallError as error:
             log.info("no_report", upstream=upstream.id, reason=str(error))
             return None
-        return self._dialect.read_free_bytes(answer) if head.status == 200 else None
-
-    async def _post(self, upstream, path, body, seconds):
-        fields = self._dialect.expect_fields(upstream.id)
-        return await self._exchange(
-            self._pool, upstream.address, path, body, fields, seconds, fresh=True
-        )
+        if head is None or head.status != 200:
+            return None
+        return self._dialect.read_free_bytes(answer)
 
     async def _exchange(
-        self, pool, address, path, body, fields, seconds, fresh, method="POST"
+        self,
+        pool,
+        address,
+        path,
+        body,
+        fields,
+        seconds,
+        fresh,
+        method="POST",
+        state=None,
     ):
+        """Return the head and body of the answer, None for both if nothing was sent.
+
+        Nothing is sent if the upstream wants no requests by now. Dropping results does
+        no work, and so goes to one that leaves, too.
+        """
         connection = None
+        owner = state.report if state else None
         try:
             async with asyncio.timeout(seconds):
-                connection = await pool.acquire(address, self._clock(), fresh=fresh)
+                now = self._clock()
+                connection = await pool.acquire(address, now, owner, fresh=fresh)
+                if owner and not self._takes(owner, path):
+                    return None, None
                 head = request_head(method, path, address, fields, len(body))
                 connection.send(head, body, lambda headers: True)
                 reply = await connection.head()
+                if state:
+                    self._record(state, path, reply)
                 return reply, await connection.body()
         except TimeoutError as error:
             raise HttpCallError(f"no answer within {seconds:.2f} s") from error
@@ -129,6 +170,17 @@
             elif connection:
                 pool.release(address, connection, self._clock())
 
+    def _takes(self, report, path):
+        now = self._clock()
+        if path == self._dialect.free_path:
+            return not report.is_quiet(now)
+        return report.takes_requests(now)
+
+    def _record(self, state, path, head):
+        reply = self._dialect.read_response(head)
+        by = f"answer of {path}"
+        self.answers.record(state, head.status, reply, by, self._clock())
+
 
 def _with_time(job, now):
     return replace(job.piece, seconds_left=max(0.001, job.hard_deadline - now))
--- a/packages/gateway/src/wharf_gateway/stages/preparation_scheduler.py
+++ b/packages/gateway/src/wharf_gateway/stages/preparation_scheduler.py
@@ -104,15 +104,20 @@
             self._running_pieces.update(entry.pieces_left)
         return started
 
-    def remove_infeasible(self, rate_by_service, now):
+    def remove_infeasible(self, rate_by_service, now, wait_by_service=None):
         """Remove the waiting preparations that can't meet their hard deadline.
 
+        `wait_by_service` has the seconds until a service takes any pieces again.
         Return pairs of the entry and the seconds until the work before it is done.
         """
         work = self._running_pieces.copy()
         refused = []
         for entry in self._ranked(now):
             delay = _delay(entry, work, rate_by_service)
+            if wait_by_service:
+                services = entry.demand.pieces_by_service
+                waits = [wait_by_service.get(service, 0.0) for service in services]
+                delay = max((delay, *waits))
             if self._is_late(entry, now):
                 delay *= LATE_DELAY_FACTOR
             end = now + delay + entry.demand.seconds * self.stretch
--- a/packages/gateway/src/wharf_gateway/stages/preparer.py
+++ b/packages/gateway/src/wharf_gateway/stages/preparer.py
@@ -122,7 +122,11 @@
         for batcher in self.batcher_by_service.values():
             batcher.advance(now)
         rates = self._rates(now)
-        for entry, delay in self._scheduler.remove_infeasible(rates, now):
+        waits = {
+            service: batcher.quiet_wait(now)
+            for service, batcher in self.batcher_by_service.items()
+        }
+        for entry, delay in self._scheduler.remove_infeasible(rates, now, waits):
             retry = min(max(delay, MIN_RETRY_AFTER_SECONDS), MAX_RETRY_AFTER_SECONDS)
             log.info(
                 "preparation_refused",
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -50,9 +50,17 @@
         headers = head.headers
         has_run = headers.get("not-run") is None
         return ResponseDetails(
-            headers.get("id"), not has_run, "signed" in _names(head), None
+            headers.get("id"),
+            not has_run,
+            "signed" in _names(head),
+            None,
+            leaving=headers.joined("leaving"),
+            retry_after=headers.joined("retry-after"),
         )
 
+    def caller_fields(self, headers):
+        return headers.end_to_end().without({"leaving"})
+
     def upstream_fields(self, headers, upstream_id, seconds, *rest):
         return headers.plus(("Seconds", f"{seconds:.1f}"))
 
