Show why an upstream gets nothing, since when and by whose word

Cause: operators saw `ready` for an upstream that had asked for quiet, and no time for one that drains. Ruled out: a history of all words, which grows with the answers. Change: `/state` has `word` for each upstream: leaving, quiet or draining, the seconds and who said so. Conclusion: the state dump answers the question without the log.

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -77,7 +77,7 @@
                 "latency": state.latency,
                 "pace": round(state.pace, 2),
                 "failure_share": round(state.failure_rate, 3),
-                "own_word": state.report.dump(now),
+                "word": state.report.dump(now),
             }
             for name, state in self.state_by_id.items()
         }
@@ -201,6 +201,7 @@
             upstream = self._read_upstream(stored, now)
             if upstream is not None and not self._hold(upstream):
                 add(upstream)
+                self._record_entry(upstream.id, now)
 
     def update_upstreams(self, objects, now, recovered_at=None):
         """Add, update or remove upstreams whose entries changed."""
@@ -212,6 +213,7 @@
             upstream = self._read_upstream(stored, now)
             if upstream is not None:
                 self._add_or_update(upstream)
+                self._record_entry(upstream.id, now)
 
     def remove_expired(self, now):
         """Remove upstreams whose grace period has ended, and use held ones."""
@@ -318,6 +320,10 @@
             log.info("upstream_draining", id=upstream.id, draining=upstream.is_draining)
         state.upstream = upstream
 
+    def _record_entry(self, name, now):
+        state = self.state_by_id[name]
+        state.report.record_entry(state.upstream.is_draining, now)
+
     def _expire(self, name, now, recovered_at):
         """Remove an upstream without an entry, after an outage with a delay."""
         if name not in self.state_by_id:
--- a/packages/gateway/src/wharf_gateway/routing/self_report.py
+++ b/packages/gateway/src/wharf_gateway/routing/self_report.py
@@ -26,7 +26,8 @@
     upstream says that it leaves, which holds to the end of its incarnation. It wants no
     requests from `quiet_since` to `quiet_until`, which allows for the spread of the
     gateways. `leaving_by` and `quiet_by` name the answer that said so. Nothing is sent
-    before `next_at`. `has_unreadable` says that a value could not be read.
+    before `next_at`. `has_unreadable` says that a value could not be read. The store
+    says since `drains_since` that it drains, None if it doesn't.
 
     >>> report = SelfReport()
     >>> report.record_quiet(2.0, 0.0, "answer", now=10.0)
@@ -42,6 +43,7 @@
     quiet_by: str = ""
     next_at: float = float("-inf")
     has_unreadable: bool = False
+    drains_since: float | None = None
     _returned: int = RETURN_STEPS  # requests since the last quiet period
 
     @property
@@ -63,6 +65,13 @@
             return False
         return not self.is_leaving or self.is_last_resort(now)
 
+    def record_entry(self, is_draining, now):
+        """Record whether the upstream's entry in the store says that it drains."""
+        if not is_draining:
+            self.drains_since = None
+        elif self.drains_since is None:
+            self.drains_since = now
+
     def record_leaving(self, by, now):
         """Record that the upstream leaves; return whether this is news."""
         if self.is_leaving:
@@ -104,11 +113,14 @@
         if self.is_leaving:
             since, by = self.leaving_since, self.leaving_by
             return {"says": "leaving", "seconds": round(now - since, 3), "by": by}
-        if self.is_quiet(now):
+        if self.is_quiet(now) and self.drains_since is None:
             return {
                 "says": "quiet",
                 "seconds": round(now - self.quiet_since, 3),
                 "seconds_left": round(self.quiet_until - now, 3),
                 "by": self.quiet_by,
             }
+        if self.drains_since is not None:
+            seconds = round(now - self.drains_since, 3)
+            return {"says": "draining", "seconds": seconds, "by": "entry in the store"}
         return None
--- a/packages/gateway/tests/test_answers_of_upstreams.py
+++ b/packages/gateway/tests/test_answers_of_upstreams.py
@@ -698,8 +698,8 @@
     with capture_logs() as lines:
         await entry.ask("unsafe", attempts=1)
 
-    own_word = entry.fleet.dump(_now())["u0"]["own_word"]
-    assert (own_word["says"], own_word["by"]) == ("leaving", "answer to r1")
+    word = entry.fleet.dump(_now())["u0"]["word"]
+    assert (word["says"], word["by"]) == ("leaving", "answer to r1")
     events = [line["event"] for line in lines]
     assert "upstream_leaving" in events
     assert "upstream_quiet" in events
--- a/packages/gateway/tests/test_self_report.py
+++ b/packages/gateway/tests/test_self_report.py
@@ -68,7 +68,7 @@
     assert _names(fleet) == ["u2"]
     dump = fleet.dump(5.0)["u1"]
     assert dump["state"] == "leaving"
-    assert dump["own_word"] == {
+    assert dump["word"] == {
         "says": "leaving",
         "seconds": 3.0,
         "by": "answer to r1",
@@ -258,9 +258,9 @@
 
     dump = fleet.dump(3.0)["u1"]
     assert dump["state"] == "quiet"
-    assert dump["own_word"]["by"] == "answer to r1"
-    assert dump["own_word"]["seconds"] == 1.0
-    assert 3.0 <= dump["own_word"]["seconds_left"] <= 4.0
+    assert dump["word"]["by"] == "answer to r1"
+    assert dump["word"]["seconds"] == 1.0
+    assert 3.0 <= dump["word"]["seconds_left"] <= 4.0
     assert fleet.counts(3.0)[("quiet",)] == 1
 
 
@@ -274,6 +274,18 @@
     assert report.wait(19.0) == 0.0
 
 
+def test_draining_upstream_is_shown_with_the_time_of_its_entry(fleet, recorder):
+    fleet.update_upstreams([_entry("u1", 2, "draining")], 4.0)
+    fleet.update_upstreams([_entry("u1", 3, "draining")], 5.0)
+    dump = fleet.dump(6.0)["u1"]
+    assert dump["state"] == "draining"
+    word = {"says": "draining", "seconds": 2.0, "by": "entry in the store"}
+    assert dump["word"] == word
+
+    recorder.record(fleet.state_by_id["u1"], 503, _reply("1", "9"), "answer", 6.0)
+    assert fleet.dump(6.0)["u1"]["word"]["says"] == "leaving"
+
+
 def test_later_answer_lengthens_but_never_shortens_a_quiet_period():
     report = SelfReport()
     report.record_quiet(4.0, 0.0, "answer", 10.0)
