Read the words of upstreams at no cost to requests

Ruled out: keeping a list of usable upstreams, which each change would have to renew. Change: headers are looked up in a plain loop, a caller's headers are copied once, and what few answers say is worked out for these only.

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -108,7 +108,7 @@
         """Return the usable upstreams, or else those that have just begun to leave."""
         return self.states(service) or [
             state
-            for state in self._states_of(service, self.version(service), leaving=True)
+            for state in self._serving_states(service, self.version(service))
             if state.report.is_last_resort(now)
         ]
 
@@ -140,13 +140,20 @@
         self._versions.apply(order)
         self._version_by_service.pop(order.service, None)
 
-    def _states_of(self, service, version, *, leaving=False):
+    def _states_of(self, service, version):
+        return [
+            state
+            for state in self._serving_states(service, version)
+            if state.report.leaving_since is None
+        ]
+
+    def _serving_states(self, service, version):
+        """Return the upstreams that the store and operators leave in service."""
         return [
             state
             for state in self._states_by_service.get(service, {}).values()
             if state.upstream.version == version
             and not state.upstream.is_draining
-            and (leaving or not state.report.is_leaving)
             and state.upstream.data_centre not in self.out_data_centres
         ]
 
--- a/packages/gateway/src/wharf_gateway/http/headers.py
+++ b/packages/gateway/src/wharf_gateway/http/headers.py
@@ -29,9 +29,10 @@
         'a'
         """
         lowered = name.lower()
-        return next(
-            (value for key, value in self.fields if key.lower() == lowered), default
-        )
+        for key, value in self.fields:
+            if key.lower() == lowered:
+                return value
+        return default
 
     def all(self, name):
         """Return the values of all fields with the name `name`."""
@@ -40,7 +41,8 @@
 
     def joined(self, name):
         """Return the values of all fields with a name as one text, None if none."""
-        return ",".join(self.all(name)) if self.get(name) is not None else None
+        values = self.all(name)
+        return ",".join(values) if values else None
 
     def tokens(self, name):
         """Return the lower-case items of a comma-separated field."""
@@ -58,10 +60,12 @@
         """Return a copy with `fields` appended."""
         return Headers((*self.fields, *fields))
 
-    def end_to_end(self):
+    def end_to_end(self, dropped=()):
         """Return a copy without the hop-by-hop fields, as a proxy forwards it.
 
+        Fields whose lower-case name is in `dropped` are left out as well.
+
         >>> Headers((("Connection", "X-A"), ("X-A", "1"), ("B", "2"))).end_to_end()
         Headers(fields=(('B', '2'),))
         """
-        return self.without(_HOP_BY_HOP.union(self.tokens("connection")))
+        return self.without(_HOP_BY_HOP.union(self.tokens("connection"), dropped))
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -349,8 +349,9 @@
 
     def _note_reply(self, context, state, head, reply, connection, started):
         connection.idle_timeout = reply.idle_seconds
-        by = f"answer to {context.details.id}"
-        self._answers.record(state, head.status, reply, by, self._clock())
+        if reply.has_self_report:
+            by = f"answer to {context.details.id}"
+            self._answers.record(state, head.status, reply, by, self._clock())
         if self._fleet.state_by_id.get(state.upstream.id) is state:
             self._limits.record_answer(
                 state.upstream.id, reply.rate_limit, started, self._clock()
@@ -372,7 +373,7 @@
             )
         body = await connection.body()
         self._note_answered(context, state, started)
-        responder.answer(head.status, self._caller_fields(head), body)
+        responder.answer(head.status, self._dialect.caller_fields(head.headers), body)
         self._log_answer(context, state, head.status, started)
         return AttemptResult()
 
@@ -388,7 +389,9 @@
             )
             return AttemptResult(answer, is_final=not context.route.may_repeat)
         return AttemptResult(
-            UpstreamFailure(head.status, self._caller_fields(head), body)
+            UpstreamFailure(
+                head.status, self._dialect.caller_fields(head.headers), body
+            )
         )
 
     async def _relay_stream(
@@ -405,7 +408,9 @@
                     self._note_answered(context, state, started)
                 if not responder.is_started:
                     self._drop_inputs(context)
-                    responder.begin(head.status, self._caller_fields(head))
+                    responder.begin(
+                        head.status, self._dialect.caller_fields(head.headers)
+                    )
                 await responder.send(events)
                 pace.record(received_at, self._clock())
         if splitter.buffer:
@@ -413,7 +418,7 @@
         if context.response_latency is None and connection.is_close_delimited:
             raise HttpCallError("the connection ended before the first event")
         if not responder.is_started:
-            responder.begin(head.status, self._caller_fields(head))
+            responder.begin(head.status, self._dialect.caller_fields(head.headers))
         responder.end()
         self._log_answer(context, state, head.status, started, pace.blocked)
         return AttemptResult()
@@ -467,10 +472,6 @@
         code = Code.ANSWER_TOO_LARGE if is_too_large else Code.ANSWER_BROKEN
         return AttemptResult(GatewayResponse(502, code, str(error)))
 
-    def _caller_fields(self, head):
-        """Return the headers of an upstream's answer as its caller gets them."""
-        return self._dialect.caller_fields(head.headers).without({"content-length"})
-
     def _drop_inputs(self, context):
         if context.inputs:
             self._preparation_router.free(context, context.inputs)
--- a/packages/gateway/src/wharf_gateway/routing/upstream_state.py
+++ b/packages/gateway/src/wharf_gateway/routing/upstream_state.py
@@ -106,7 +106,7 @@
 
         It may want no requests for a time, or name a limit.
         """
-        seconds = self.report.wait(now)
+        seconds = 0.0 if self.report.next_at <= now else self.report.wait(now)
         if self.limit is None or self.limit.rate is None:
             return seconds
         return max(seconds, self.limit.share.wait(now))
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -59,7 +59,7 @@
         )
 
     def caller_fields(self, headers):
-        return headers.end_to_end().without({"leaving"})
+        return headers.end_to_end({"leaving", "content-length"})
 
     def upstream_fields(self, headers, upstream_id, seconds, *rest):
         return headers.plus(("Seconds", f"{seconds:.1f}"))
