Start a task of an entry or sidecar again after an error

What callers would see: if the task that admits and expires waiting calls ends by an error, requests that wait get neither an answer nor a refusal until the stop. If that of a link or of the load reports ends, its upstream gets no calls until a restart. Neither was logged.

Cause: the tasks weren't watched. The gateway's are since the incident of the lost requests; the entry and the sidecar weren't looked through.

Ruled out: no error is known that a configuration or a peer triggers; malformed frames and lost links are handled. An address with a port above 65535, which the configuration accepts, ends the task of its link, by reading.

Change: the entry's tasks, its links and the sidecar's reporter are supervised as in the gateway: an error is a line task_failed, and the task begins again 0.1 s later.

Conclusion: fixed for these tasks.

--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -35,6 +35,7 @@
 from wharf_daemon.http_server import HttpServer
 from wharf_daemon.metrics import Metrics
 from wharf_daemon.operators_api import OperatorsApi
+from wharf_daemon.supervision import supervised
 from wharf_platform import CallLimiter, ObjectClient
 from wharf_wire import Hello
 
@@ -86,14 +87,14 @@
         await self._operators.start()
         self.feed.documents.subscribe(self._on_document)
         self.facts.new_facts.subscribe(self._broadcast_facts)
-        self._store_watcher = asyncio.create_task(
-            self.feed.watch_store(self.store, self._rng)
+        self._store_watcher = supervised(
+            "watch store", lambda: self.feed.watch_store(self.store, self._rng)
         )
-        self._admission_task = asyncio.create_task(self.admission.run())
+        self._admission_task = supervised("admit calls", self.admission.run)
         hosts = HostPoller(self.store, self.feed, self.links, self._rng)
-        self._host_poller = asyncio.create_task(hosts.run())
+        self._host_poller = supervised("poll hosts", hosts.run)
         self._claim_service.start()
-        self._rollout_task = asyncio.create_task(self._rollout_controller().run())
+        self._rollout_task = supervised("run rollouts", self._rollout_controller().run)
 
     @property
     def port(self):
--- a/packages/daemon/src/wharf_daemon/entry/link_set.py
+++ b/packages/daemon/src/wharf_daemon/entry/link_set.py
@@ -13,6 +13,7 @@
     subset,
 )
 from wharf_daemon.entry.sidecar_link import SidecarLink
+from wharf_daemon.supervision import supervised
 
 __all__ = ["LinkSet"]
 
@@ -62,7 +63,7 @@
         for address in wanted - self.by_address.keys():
             link = SidecarLink(address, self._entry, self._rng)
             self.by_address[address] = link
-            self._task_by_address[address] = asyncio.create_task(link.run())
+            self._task_by_address[address] = supervised(f"link {address}", link.run)
         for address in self.by_address.keys() - wanted:
             self._retire(self.by_address.pop(address), address)
 
--- a/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/sidecar.py
@@ -28,6 +28,7 @@
 from wharf_daemon.sidecar.order_handler import OrderHandler
 from wharf_daemon.sidecar.upstream_client import UpstreamClient
 from wharf_daemon.sidecar.upstream_orders import UpstreamOrders
+from wharf_daemon.supervision import supervised
 from wharf_platform import CallLimiter, ObjectClient
 from wharf_wire import Hello, Load
 
@@ -98,7 +99,7 @@
         self._server = await serve(self._serve_link, host, port, **LINK_OPTIONS)
         self.feed.documents.subscribe(self._on_document)
         self.facts.new_facts.subscribe(self._broadcast_facts)
-        self._reporter = asyncio.create_task(self._report_load())
+        self._reporter = supervised("report load", self._report_load)
 
     @property
     def port(self):
