Grant no claim that the store may have lost with a copy

Cause: a claim that the store acknowledged was taken to last. When the store came back from a copy without it, the next resend found no record and was granted the claim again, also while the first run was under way. Versions are given out again after a restoration, so a writer that had kept a shard of the former era could also replace claims of the new one. Ruled out: a settling time after which free keys are granted again (a holder that is frozen for longer starts late); asking all sidecars (needs a right view of them); memories of sidecars alone (a killed one forgets). Change: each era of the store has claim objects of its own, and a claim counts only if its object was read and written in one era, by the Store-Era of the answers. Once an era has begun, a key that can have been claimed before it is never granted: one dated up to 5 s after the beginning, which the first process that notices records in the store, and an undated one for an hour. Its resend gets the record, if the copy has it or a holder writes it again, else "may have run". Writers restate the shards that they hold, entries the claims and ends of their last 30 s, spread over 3 s. A key from the future waits until it is dated at most 2 s ahead. A release that is not of this era frees nothing. Conclusion: no run follows on a lost claim, whoever is gone; the price is that new keys are answered "may have run" for 5 to 15 s after a restoration.

--- a/packages/coordination/src/wharf_coordination/claims/__init__.py
+++ b/packages/coordination/src/wharf_coordination/claims/__init__.py
@@ -5,6 +5,7 @@
     ClaimOperation,
     Finish,
     GiveUp,
+    Hold,
     Release,
 )
 from wharf_coordination.claims.claim_outcome import (
@@ -31,6 +32,7 @@
 from wharf_coordination.claims.claim_unit import ClaimUnit, body_digest
 from wharf_coordination.claims.key_date import key_date
 from wharf_coordination.claims.retention import Retention
+from wharf_coordination.claims.store_era import StoreEra
 
 __all__ = [
     "BUCKET_SECONDS",
@@ -49,6 +51,7 @@
     "Full",
     "GiveUp",
     "Granted",
+    "Hold",
     "InProgress",
     "KeyExpired",
     "KeyReused",
@@ -56,6 +59,7 @@
     "Recorded",
     "Release",
     "Retention",
+    "StoreEra",
     "Superseded",
     "body_digest",
     "bucket_of",
--- a/packages/coordination/src/wharf_coordination/claims/claim_operation.py
+++ b/packages/coordination/src/wharf_coordination/claims/claim_operation.py
@@ -1,17 +1,27 @@
 """Operations on the claims of one shard.
 
 Each is idempotent, so it can be retried after a lost response: a retry is recognised
-by the token of the claimant.
+by the token of the claimant. All but `Claim` also write the claim again if the store
+has lost it; `body` is the digest of its request.
 """
 
 from dataclasses import dataclass
 
-__all__ = ["Claim", "ClaimOperation", "Finish", "GiveUp", "Release"]
+__all__ = ["Claim", "ClaimOperation", "Finish", "GiveUp", "Hold", "Release"]
 
 
 @dataclass(frozen=True, slots=True)
 class Claim:
-    """Request the right to run a unit; `body` is the digest of the request."""
+    """Request the right to run a unit."""
+
+    digest: bytes
+    token: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """State that the claimant still has the right to run a unit."""
 
     digest: bytes
     token: str
@@ -24,6 +34,7 @@
 
     digest: bytes
     token: str
+    body: bytes
     answer: bytes | None
     answer_key: str = ""
 
@@ -34,6 +45,7 @@
 
     digest: bytes
     token: str
+    body: bytes
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,4 +57,4 @@
     body: bytes
 
 
-ClaimOperation = Claim | Finish | GiveUp | Release
+ClaimOperation = Claim | Hold | Finish | GiveUp | Release
--- a/packages/coordination/src/wharf_coordination/claims/retention.py
+++ b/packages/coordination/src/wharf_coordination/claims/retention.py
@@ -13,14 +13,16 @@
 
 RETENTION_SECONDS = 3600.0
 MAX_AHEAD_SECONDS = 300.0
+MAX_EARLY_SECONDS = 2.0
 
 
 @dataclass(frozen=True, slots=True)
 class Retention:
     """Keep the claims of dated keys for `seconds` after the key's date.
 
-    Keys dated more than `max_ahead` seconds in the future are refused. `now` is
-    Unix time here, since that is what keys contain.
+    Keys dated more than `max_ahead` seconds in the future are refused, and none is
+    claimed more than MAX_EARLY_SECONDS before its date. `now` is Unix time here,
+    since that is what keys contain.
     """
 
     seconds: float = RETENTION_SECONDS
@@ -44,6 +46,15 @@
             return Err(Refusal.not_run(Code.BAD_HEADER, detail))
         return Ok(None)
 
+    def wait(self, key, now) -> float:
+        """Return the seconds after which `key` may be claimed.
+
+        >>> Retention().wait("1700000010-a", now=1700000000)
+        8.0
+        """
+        date = key_date(key)
+        return 0.0 if date is None else max(0.0, date - MAX_EARLY_SECONDS - now)
+
     def floor(self, now) -> int:
         """Return the start of the oldest bucket whose claims must be kept at `now`."""
         return bucket_of(now - self.seconds)
--- a/packages/coordination/tests/test_claims.py
+++ b/packages/coordination/tests/test_claims.py
@@ -140,11 +140,13 @@
         if end == "answer":
             answer = submission.token.encode()
             self.answer_by_unit.setdefault(submission.unit, answer)
-            submission.operation = Finish(submission.unit, submission.token, answer)
+            submission.operation = Finish(
+                submission.unit, submission.token, BODY, answer
+            )
         elif self.releases_after_a_start:
             self._release(submission)
         else:
-            submission.operation = GiveUp(submission.unit, submission.token)
+            submission.operation = GiveUp(submission.unit, submission.token, BODY)
 
     @precondition(lambda self: self.submissions)
     @rule(pick=picks)
@@ -240,7 +242,7 @@
 
 def test_end_is_recorded_once_however_often_it_is_applied(shard):
     shard.apply(Claim(b"u", "a", BODY), now=0.0)
-    finish = Finish(b"u", "a", b"answer")
+    finish = Finish(b"u", "a", BODY, b"answer")
     assert [shard.apply(finish, now=0.0) for _ in range(2)] == [Applied(), Applied()]
     assert shard.apply(Claim(b"u", "b", BODY), now=0.0) == Recorded(b"answer")
 
@@ -261,6 +263,6 @@
     assert 0 < granted < 9
     assert outcomes[granted:] == [Full()] * (9 - granted)
     for number in range(granted):
-        finish = Finish(bytes([number]), "a", bytes(1024))
+        finish = Finish(bytes([number]), "a", BODY, bytes(1024))
         assert shard.apply(finish, now=0.0) == Applied()
     assert shard.size <= 4000
--- a/packages/daemon/src/wharf_daemon/entry/claim_service.py
+++ b/packages/daemon/src/wharf_daemon/entry/claim_service.py
@@ -18,6 +18,7 @@
     """Run stages under claims and delete claims past their retention."""
 
     def __init__(self, stage_runner, store: ClaimStore, name, rng: Random):
+        store.client.eras.subscribe(store.eras.observe)
         self._recorder = ClaimRecorder(store, rng)
         self._lease_manager = LeaseManager(
             store.client, CLEANUP_SUBJECT, Lease(name, CLEANUP_LEASE_SECONDS), rng
--- a/packages/daemon/src/wharf_daemon/entry/claimed_stage_runner.py
+++ b/packages/daemon/src/wharf_daemon/entry/claimed_stage_runner.py
@@ -57,6 +57,9 @@
         allowed = self._store.retention.check(key, self._store.wall_clock())
         if allowed.is_err():
             return allowed
+        if not await self._wait_for_date(task):
+            detail = "the key is dated later than the deadline"
+            return Err(Refusal.not_run(Code.BAD_HEADER, detail))
         unit = ClaimUnit(
             task.request.customer, task.request.pipeline, key, task.stage.name
         )
@@ -73,6 +76,14 @@
             await asyncio.wait(self._runs, timeout=seconds)
         await self._recorder.drain(max(0.0, deadline - self._now()))
 
+    async def _wait_for_date(self, task):
+        wait = self._store.retention.wait(task.request.key, self._store.wall_clock())
+        if wait and wait >= task.request.deadline.left(self._now()):
+            return False
+        if wait:
+            await asyncio.sleep(wait)
+        return True
+
     async def _claim_and_run(self, task, place, claim):
         polls = 0
         while True:
@@ -85,6 +96,7 @@
                 return Err(replace(refusal, ran=ran))
             match outcome.unwrap():
                 case Granted():
+                    self._recorder.hold(place, claim)
                     return await self._run_detached(task, place, claim)
                 case InProgress(token=token):
                     polls += 1
--- a/packages/daemon/src/wharf_daemon/entry/forwarded_claims.py
+++ b/packages/daemon/src/wharf_daemon/entry/forwarded_claims.py
@@ -1,5 +1,6 @@
 """Claim store that forwards writes to one sidecar per shard."""
 
+import time
 from random import Random
 
 from result import Err, Ok, Result
@@ -27,9 +28,15 @@
     """
 
     def __init__(
-        self, client: ObjectClient, rng: Random, links, feed, replies: PendingReplies
+        self,
+        client: ObjectClient,
+        rng: Random,
+        links,
+        feed,
+        replies: PendingReplies,
+        wall_clock=time.time,
     ):
-        super().__init__(client, rng)
+        super().__init__(client, rng, wall_clock=wall_clock)
         self._links = links
         self._feed = feed
         self._replies = replies
--- a/packages/daemon/src/wharf_daemon/sidecar/claim_writer.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/claim_writer.py
@@ -1,5 +1,6 @@
 """Writes of claims on behalf of entries."""
 
+import time
 from random import Random
 
 from result import Err, Ok
@@ -15,8 +16,9 @@
 class ClaimWriter:
     """Apply claim operations of many entries in shared commits."""
 
-    def __init__(self, client: ObjectClient, rng: Random):
-        self._store = ClaimStore(client, rng)
+    def __init__(self, client: ObjectClient, rng: Random, wall_clock=time.time):
+        self._store = ClaimStore(client, rng, wall_clock=wall_clock)
+        client.eras.subscribe(self._store.eras.observe)
 
     async def handle(self, request: ClaimRequest) -> ClaimReply | None:
         """Apply `request` and return the reply.
--- a/packages/platform/src/wharf_platform/claims/claim_store.py
+++ b/packages/platform/src/wharf_platform/claims/claim_store.py
@@ -1,10 +1,12 @@
 """Claims in the platform's store, written in batches by shard."""
 
+import asyncio
 import time
 from random import Random
 
 from result import Err, Ok, Result
 
+from wharf_coordination import Backoff
 from wharf_coordination.claims import (
     ClaimOperation,
     ClaimOutcome,
@@ -12,6 +14,7 @@
     Retention,
     bucket_of,
 )
+from wharf_platform.claims.claim_eras import ClaimEras
 from wharf_platform.claims.claim_keys import answer_key
 from wharf_platform.claims.shard_writer import ShardWriter
 from wharf_platform.object_client import ObjectClient
@@ -22,6 +25,8 @@
 
 COMMIT_INTERVAL_SECONDS = 0.05
 MAX_WRITERS = 64
+ERA_SPREAD_SECONDS = 1.0
+ERA_BACKOFF = Backoff(first=0.5, longest=5.0)
 
 
 class ClaimStore:
@@ -42,9 +47,12 @@
         self.client = client
         self.retention = retention or Retention()
         self.wall_clock = wall_clock
+        self.eras = ClaimEras(client, wall_clock)
         self._rng = rng
         self._interval = interval
         self._writer_by_place = {}
+        self._tasks = set()
+        self.eras.changes.subscribe(self._on_era)
 
     async def apply(
         self, place: ClaimPlace, operation: ClaimOperation
@@ -67,6 +75,22 @@
         """Return the object that holds a large answer."""
         return await self.client.get(key)
 
+    def _on_era(self, _):
+        task = asyncio.ensure_future(self._enter_era())
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _enter_era(self):
+        for writer in tuple(self._writer_by_place.values()):
+            await writer.restate()
+        # Keys dated before the recorded beginning are in doubt, so it is recorded soon
+        # even if there are no claims.
+        await asyncio.sleep(self._rng.random() * ERA_SPREAD_SECONDS)
+        failures = 0
+        while (await self.eras.current()).is_err():
+            failures += 1
+            await asyncio.sleep(ERA_BACKOFF.delay(failures, self._rng))
+
     def _answer_bucket(self, place):
         if place.is_dated:
             return place.bucket
@@ -80,6 +104,7 @@
             self.wall_clock,
             self._interval,
             self.retention,
+            self.eras,
         )
         self._writer_by_place[place] = writer
         self._evict_idle_writers()
--- a/packages/platform/src/wharf_platform/object_client.py
+++ b/packages/platform/src/wharf_platform/object_client.py
@@ -1,6 +1,7 @@
 """Client of the platform's object API."""
 
 import aiohttp
+from reactivex.subject import Subject
 from result import Err, Ok, Result
 
 from wharf_platform.call_kind import CallKind
@@ -35,13 +36,15 @@
     Each method makes at most one call, and none if `limiter` rejects it. Retries
     are left to the caller, since only it can tell whether a call whose response
     was lost may be repeated. `Unavailable` means that a write had no effect,
-    `UnknownOutcome` that it may have had one. Timeouts are in seconds.
+    `UnknownOutcome` that it may have had one. Timeouts are in seconds. The era of each
+    response that names one is published to the subscribers of `eras`.
     """
 
     def __init__(
         self, session, base_url, call_timeout=CALL_TIMEOUT_SECONDS, limiter=None
     ):
         self.limiter = limiter or CallLimiter()
+        self.eras = Subject()
         self._session = session
         self._base_url = base_url.rstrip("/")
         self._call_timeout = call_timeout
@@ -78,8 +81,7 @@
     async def put(self, key, value, version) -> Result[StoredObject, StoreError]:
         """Write `value` if the object still has `version`."""
         path = self._object_path(key)
-        written = await self._write(CallKind.WRITE, key, path, version, value)
-        return written.map(lambda new_version: StoredObject(key, new_version, value))
+        return await self._write(CallKind.WRITE, key, path, version, value)
 
     async def delete(self, key, version) -> Result[StoredObject, StoreError]:
         """Delete the object if it still has `version`."""
@@ -99,7 +101,7 @@
                 headers={CONDITION_HEADER: str(version)},
                 timeout=aiohttp.ClientTimeout(total=self._call_timeout),
             ) as response:
-                return self._parse_write(key, response)
+                return self._parse_write(key, value, response)
         except aiohttp.ClientConnectorError as error:
             self.limiter.record_failure()
             return Err(Unavailable(key, str(error)))
@@ -107,11 +109,14 @@
             self.limiter.record_failure()
             return Err(UnknownOutcome(key, repr(error)))
 
-    def _parse_write(self, key, response):
+    def _parse_write(self, key, value, response):
+        era = self._observe_era(response)
         match response.status:
             case 200:
                 self.limiter.record_success()
-                return _parse_version(key, response)
+                return _parse_version(key, response).map(
+                    lambda version: StoredObject(key, version, value, era)
+                )
             case 409:
                 self.limiter.record_success()
                 return _parse_version(key, response).and_then(
@@ -145,9 +150,15 @@
             return Err(Unavailable(subject, f"status {response.status}"))
         self.limiter.record_success()
         version = response.headers.get(VERSION_HEADER, "")
-        era = _parse_era(response)
+        era = self._observe_era(response)
         return Ok(ReadResponse(subject, response.status, version, body, era))
 
+    def _observe_era(self, response):
+        era = _parse_era(response)
+        if era is not None:
+            self.eras.on_next(era)
+        return era
+
     def _object_path(self, key):
         return f"{OBJECTS_PATH}/{key}"
 
--- a/packages/standins/src/wharf_standins/__main__.py
+++ b/packages/standins/src/wharf_standins/__main__.py
@@ -6,6 +6,7 @@
 
 from wharf_standins.bench import bench
 from wharf_standins.claims_bench import claims_bench
+from wharf_standins.claims_trial.command import claims_trial
 from wharf_standins.demo import demo
 from wharf_standins.history.command import histories
 from wharf_standins.outage_trial import outage_trial
@@ -27,7 +28,7 @@
 if __name__ == "__main__":
     commands = [
         *(demo, engine, platform),
-        *(bench, bench_overhead, claims_bench, outage_trial),
+        *(bench, bench_overhead, claims_bench, claims_trial, outage_trial),
         *(histories, propagation, trial_daemons, trial_rollouts, step_trial),
         trial_judge,
         soak,
--- a/packages/standins/src/wharf_standins/claims_bench/command.py
+++ b/packages/standins/src/wharf_standins/claims_bench/command.py
@@ -97,5 +97,5 @@
             self.refused += 1
             return
         self.latencies.append(loop.time() - begin)
-        finish = Finish(unit.digest, claim.token, ANSWER)
+        finish = Finish(unit.digest, claim.token, claim.body, ANSWER)
         await self.clients.apply(entry, unit, finish)
--- a/packages/standins/src/wharf_standins/faulty_store.py
+++ b/packages/standins/src/wharf_standins/faulty_store.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 from result import Err, Ok
@@ -20,7 +20,8 @@
 
     `refusal` is the probability that a call is refused without effect, `loss` that
     the response to a write is lost. A write is delayed with half the probability of
-    `loss`. With `conditional` false, the last write wins.
+    `loss`. With `conditional` false, the last write wins. `restore` puts a copy back,
+    which begins the next `era`: versions are given out again.
     """
 
     rng: Random
@@ -31,13 +32,25 @@
     object_by_key: dict = field(default_factory=dict)
     calls: Counter = field(default_factory=Counter)
     version: int = 0
+    era: int = 0
+
+    def copy(self):
+        """Return a copy of all objects for `restore`."""
+        return self.version, dict(self.object_by_key)
+
+    def restore(self, copy):
+        """Replace all objects by a copy, as a service does after a loss."""
+        self.era += 1
+        self.version, objects = copy
+        self.object_by_key = dict(objects)
 
     async def get(self, key):
         """Return the object under `key`, or an absent object."""
         await self._yield_randomly("get")
         if self._is_refused():
             return Err(Unavailable(key, "refused"))
-        return Ok(self.object_by_key.get(key) or StoredObject.absent(key))
+        found = self.object_by_key.get(key) or StoredObject.absent(key)
+        return Ok(replace(found, era=self.era))
 
     async def put(self, key, value, version):
         """Write `value` only if the object still has `version`."""
@@ -71,8 +84,8 @@
         self.version += 1
         if value is None:
             self.object_by_key.pop(key, None)
-            return Ok(StoredObject.absent(key))
-        self.object_by_key[key] = StoredObject(key, self.version, value)
+            return Ok(StoredObject.absent(key, self.era))
+        self.object_by_key[key] = StoredObject(key, self.version, value, self.era)
         return Ok(self.object_by_key[key])
 
     async def _store_later(self, key, value, version):
--- a/packages/standins/tests/test_claims_on_loopback.py
+++ b/packages/standins/tests/test_claims_on_loopback.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 
 import pytest
 import pytest_asyncio
@@ -127,6 +128,35 @@
     assert bookings(system) == 1
 
 
+# Guards against a keyed request that runs again since its claim was lost.
+@pytest.mark.parametrize("key", ["hold-3", "dated"])
+async def test_store_restored_after_the_end_gives_the_answer_again(system, key):
+    headers = {"Idempotency-Key": f"{int(time.time())}-3" if key == "dated" else key}
+    copy = system.platform.copy()
+    first = await answer(system, 0, **headers)
+    assert first[0] == 200
+    await system.platform.restore(copy)
+    for entry in (1, 0):
+        status, body = await answer(system, entry, **headers)
+        assert (status, body) == first or body["code"] == 3006
+    assert bookings(system) == 1
+
+
+async def test_store_restored_during_the_run_runs_it_once(system):
+    copy = system.platform.copy()
+    first = asyncio.ensure_future(answer(system, 0))
+    async with asyncio.timeout(10):
+        while not bookings(system):
+            await asyncio.sleep(0.001)
+    await system.platform.restore(copy)
+    status, body = await answer(system, 1)
+    assert status == 200 or body["code"] == 3006
+    assert (await first)[0] == 200
+    status, body = await answer(system, 0)
+    assert status == 200 or body["code"] == 3006
+    assert bookings(system) == 1
+
+
 def without_reply(claims):
     handle = claims.handle
 
--- a/packages/wire/src/wharf_wire/claim_request.py
+++ b/packages/wire/src/wharf_wire/claim_request.py
@@ -11,6 +11,7 @@
     ClaimPlace,
     Finish,
     GiveUp,
+    Hold,
     Release,
 )
 from wharf_wire.fields import Count, Name
@@ -20,6 +21,15 @@
 MAX_DIGEST_BYTES = 64
 MAX_ANSWER_BYTES = 4096
 
+_TYPE_BY_NAME = {
+    "claim": Claim,
+    "finish": Finish,
+    "give_up": GiveUp,
+    "hold": Hold,
+    "release": Release,
+}
+_NAME_BY_TYPE = {type: name for name, type in _TYPE_BY_NAME.items()}
+
 _Digest = Annotated[bytes, Field(max_length=MAX_DIGEST_BYTES)]
 _Answer = Annotated[bytes, Field(max_length=MAX_ANSWER_BYTES)]
 
@@ -28,14 +38,14 @@
 class ClaimRequest:
     """Request a sidecar to apply `operation` to the claim with `digest`.
 
-    `body` is the digest of the request's body in a claim or release. `answer` and
-    `answer_key` are used by a finish only.
+    `body` is the digest of the request's body. `answer` and `answer_key` are used by
+    a finish only.
     """
 
     id: Name
     shard: Count
     bucket: int
-    operation: Literal["claim", "finish", "give_up", "release"]
+    operation: Literal["claim", "finish", "give_up", "hold", "release"]
     digest: _Digest
     token: Name
     body: _Digest = b""
@@ -46,26 +56,20 @@
     @classmethod
     def from_operation(cls, id, place: ClaimPlace, operation: ClaimOperation):
         """Return the message that carries `operation`."""
-        common_fields = (operation.digest, operation.token)
-        match operation:
-            case Claim(body=body):
-                return cls(id, place.shard, place.bucket, "claim", *common_fields, body)
-            case Release(body=body):
-                return cls(
-                    id, place.shard, place.bucket, "release", *common_fields, body
-                )
-            case GiveUp():
-                return cls(id, place.shard, place.bucket, "give_up", *common_fields)
-            case Finish(answer=answer, answer_key=answer_key):
-                return cls(
-                    id,
-                    place.shard,
-                    place.bucket,
-                    "finish",
-                    *common_fields,
-                    answer=answer,
-                    answer_key=answer_key,
-                )
+        name = _NAME_BY_TYPE[type(operation)]
+        answer = getattr(operation, "answer", None)
+        answer_key = getattr(operation, "answer_key", "")
+        return cls(
+            id,
+            place.shard,
+            place.bucket,
+            name,
+            operation.digest,
+            operation.token,
+            operation.body,
+            answer,
+            answer_key,
+        )
 
     @property
     def place(self) -> ClaimPlace:
@@ -74,12 +78,7 @@
 
     def to_operation(self) -> ClaimOperation:
         """Return the operation that this message carries."""
-        match self.operation:
-            case "claim":
-                return Claim(self.digest, self.token, self.body)
-            case "release":
-                return Release(self.digest, self.token, self.body)
-            case "give_up":
-                return GiveUp(self.digest, self.token)
-            case "finish":
-                return Finish(self.digest, self.token, self.answer, self.answer_key)
+        claim = (self.digest, self.token, self.body)
+        if self.operation == "finish":
+            return Finish(*claim, self.answer, self.answer_key)
+        return _TYPE_BY_NAME[self.operation](*claim)
