Show that the trial of claims finds claims that trust a lost store

Ruled out: nothing. Change: two tests play the trial with broken rules: keys in doubt are granted, and no era is looked at. Conclusion: the trial sees the fault that it guards against.

--- a/packages/daemon/tests/test_claims_of_restored_store.py
+++ b/packages/daemon/tests/test_claims_of_restored_store.py
@@ -11,8 +11,10 @@
     ClaimPlace,
     ClaimUnit,
     Granted,
+    StoreEra,
 )
 from wharf_platform.claims import ClaimStore
+from wharf_platform.claims.claim_eras import ClaimEras
 from wharf_standins.claims_trial import ClaimsSite, ClaimsTrial
 from wharf_standins.faulty_store import FaultyStore
 
@@ -359,3 +361,20 @@
     await trial.run()
     assert not trial.findings
     assert trial.counts["answered"]
+
+
+async def test_grants_of_keys_in_doubt_are_detected(monkeypatch):
+    monkeypatch.setattr(StoreEra, "may_have_lost", lambda *_: False)
+    trials = [ClaimsTrial(seed) for seed in range(1, 9)]
+    for trial in trials:
+        await trial.run()
+    assert any("was run by" in finding for t in trials for finding in t.findings)
+
+
+async def test_claims_that_trust_any_era_are_detected(monkeypatch):
+    monkeypatch.setattr(ClaimEras, "observe", lambda *_: None)
+    monkeypatch.setattr(ClaimEras, "is_current", lambda *_: True)
+    trials = [ClaimsTrial(seed) for seed in range(1, 9)]
+    for trial in trials:
+        await trial.run()
+    assert any("was run by" in finding for t in trials for finding in t.findings)
