Don't take a pause of the gateway's process for silence of an upstream

Cause: the wait for an upstream's answer went on in a pause of the gateway's own process. After a pause of 1.137 s a safe request ended with "no response within 1.14 s", although the upstream, paused at the same moment, would have answered: its upstream got a backoff, the other one was at its limit, so the request got 502 and the next six 503 "upstream_full".

Ruled out: a short pause of the upstream's process alone, which the route's bounds allow; taken ports (none).

Change: a wait that ends 0.1 s or more after it was due ended in a pause of this process; it begins anew, for the same time. The request's deadline stays the bound.

Measured: test_pause_of_the_gateway_does_not_end_a_request (502 before) and _does_not_end_a_stream (moved to another upstream before) failed before and pass; test_upstream_that_stays_silent_after_a_pause_is_replaced passes before and after. All tests of packages/gateway passed.

Conclusion: requests that could be served after a pause are. Pauses longer than a request's deadline still end it.

--- a/packages/gateway/src/wharf_gateway/event_pace.py
+++ b/packages/gateway/src/wharf_gateway/event_pace.py
@@ -37,6 +37,10 @@
         self.last_at = passed_on_at
         self.blocked += passed_on_at - received_at
 
+    def begin_anew(self, now):
+        """Count the silence from now on."""
+        self.last_at = now
+
     @property
     def stalled_at(self):
         """Return the time from which on the stream is stalled."""
--- a/packages/gateway/src/wharf_gateway/takeover.py
+++ b/packages/gateway/src/wharf_gateway/takeover.py
@@ -11,11 +11,15 @@
 MAX_SENDS = 4
 # How often a silent upstream is compared anew with the others while none can take over.
 CHECK_SECONDS = 0.5
+# A wait that ends this late ended in a pause of this process. Answers may not have been
+# read yet, and the upstreams may have been paused too, as when a machine is.
+LATE_SECONDS = 0.1
 
 
 class Takeover:
     """Wait for an upstream as long as no other one can take over.
 
+    Pauses of this process don't count as silence of the upstream: the wait begins anew.
     `selector` and `budgets` tell whether one can. A takeover spends its retry at once,
     and says so in `context.has_retry`. `prepare(context)` runs the steps of a request
     again and returns a refusal or None; `drop_inputs(context)` frees their results.
@@ -35,10 +39,13 @@
         """Return the response's head; raise `TimeoutError` to try another upstream."""
         seconds = response_timeout(context.route, state.latency)
         while True:
+            began = self._clock()
             try:
                 async with asyncio.timeout(seconds):
                     return await connection.head()
             except TimeoutError:
+                if self._is_late(began + seconds):
+                    continue
                 if self._takes_over(context):
                     raise
             seconds = CHECK_SECONDS
@@ -48,13 +55,19 @@
 
         While none can, a stalled stream is kept until its caller has given it up.
         """
-        try:
-            async with asyncio.timeout_at(pace.stalled_at):
-                return await connection.next_part()
-        except TimeoutError:
-            given_up_at = pace.last_at + caller_patience(context.route)
-            if self._clock() >= given_up_at:
-                raise
+        is_stalled = False
+        while not is_stalled:
+            due = max(pace.stalled_at, self._clock())
+            try:
+                async with asyncio.timeout_at(due):
+                    return await connection.next_part()
+            except TimeoutError:
+                is_stalled = not self._is_late(due)
+                if not is_stalled:
+                    pace.begin_anew(self._clock())
+        given_up_at = pace.last_at + caller_patience(context.route)
+        if self._clock() >= given_up_at:
+            raise TimeoutError
         part = asyncio.ensure_future(connection.next_part())
         try:
             return await self._part_of_stalled(context, part, given_up_at)
@@ -96,6 +109,9 @@
             return False
         return is_prepared
 
+    def _is_late(self, due):
+        return self._clock() >= due + LATE_SECONDS
+
     def _takes_over(self, context):
         """Spend a retry if another upstream can take over; return whether it does."""
         service = context.route.targets[0].service
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from dataclasses import replace
 from random import Random
 
@@ -103,7 +104,10 @@
 
 
 class Upstreams:
-    """Servers that send fixed parts; `seen` holds the heads of their requests."""
+    """Servers that send fixed parts; `seen` holds the heads of their requests.
+
+    Parts that are functions are called for what to send.
+    """
 
     def __init__(self, raw_server):
         self._raw_server = raw_server
@@ -114,7 +118,7 @@
         async def handle(reader, writer):
             self.seen.append(await reader.readuntil(b"\r\n\r\n"))
             for part in parts:
-                writer.write(part)
+                writer.write(part() if callable(part) else part)
                 await writer.drain()
                 await asyncio.sleep(0.01)
             if silent:
@@ -713,6 +717,47 @@
     assert (caller.status, caller.body) == (200, b"ok")
 
 
+def _pause():
+    """Pause this process for longer than any silence is borne."""
+    time.sleep(2.2)
+    return b""
+
+
+# Guards against taking the silence in a pause of the gateway's own process, or of the
+# whole machine, for that of the upstream.
+async def test_pause_of_the_gateway_does_not_end_a_request(upstreams, ask):
+    await upstreams.add(_pause, *_silence(0.1), SIGNED)
+    await upstreams.add(FULL)
+
+    caller = await ask("safe", seconds=5.0)
+
+    assert (caller.status, caller.body) == (200, b"ok")
+    assert len(upstreams.seen) == 1
+    assert upstreams.fleet.state_by_id["u0"].failure_rate == 0
+
+
+async def test_pause_of_the_gateway_does_not_end_a_stream(upstreams, ask):
+    parts = (STREAM, _event(1), _pause, *_silence(0.1), _event(2), LAST_CHUNK)
+    await upstreams.add(*parts)
+    await upstreams.add(STREAM, _event(3), LAST_CHUNK)
+
+    caller = await ask("stream", resumable=True, seconds=5.0)
+
+    assert (caller.body, caller.ending) == (b"id: 1\n\nid: 2\n\n", "whole")
+    assert len(upstreams.seen) == 1
+
+
+# Guards against waiting for ever for an upstream that is silent after a pause too.
+async def test_upstream_that_stays_silent_after_a_pause_is_replaced(upstreams, ask):
+    await upstreams.add(_pause, silent=True)
+    await upstreams.add(SIGNED)
+
+    caller = await ask("safe", seconds=5.0)
+
+    assert (caller.status, caller.body) == (200, b"ok")
+    assert len(upstreams.seen) == 2
+
+
 # Guards against an error when a silent upstream breaks while another one is being
 # prepared for: the caller's stream was reset.
 async def test_stream_moves_on_if_its_upstream_breaks_while_steps_run_again(
