Aim the test of a named limit at the upstream that names it

Change: that upstream answers at once, the other one after 0.06 s, so that all gateways want it: the bound on its runs is tried harder, and is the same.

--- a/packages/standins/tests/test_named_limit.py
+++ b/packages/standins/tests/test_named_limit.py
@@ -15,6 +15,9 @@
 LIMIT = 1.0
 CONTACT_SECONDS = 3.0  # the operators allow this time for the limit to be known
 WINDOW_SECONDS = 4.0
+# Of the other upstream: longer than gateways expect of one that they haven't used, so
+# that all of them want the limited one.
+OTHER_WORK_SECONDS = 0.06
 MOST_IN_WINDOW = 1.5 * WINDOW_SECONDS * LIMIT + 5
 
 
@@ -64,8 +67,9 @@
                 client.close()
         except TimeoutError:
             pytest.fail(f"{gateway.name} serves nothing:\n{gateway.output()}")
-    # A gateway keeps to the upstream that answered it first.
-    upstream = max(upstreams, key=lambda upstream: len(runs[upstream.name]))
+    # Gateways kept to an upstream without a limit, so that the test found no runs.
+    upstream, other = upstreams
+    upstream.work_seconds, other.work_seconds = 0.0, OTHER_WORK_SECONDS
     upstream.rate_limit = LIMIT
     requests.clear()
     tasks = [
