Let the soak's upstreams say that they leave or want quiet

Cause: no stand-in said either in its answers, so the soak couldn't see these rules. Ruled out: the words in seeds of planned work only and of restorations; their series stay as they were. Change: in each third seed one upstream says only in its answers that it leaves and one asks for quiet; the checks follow from what upstreams see, for each gateway.

--- a/packages/standins/src/wharf_standins/soak/fault.py
+++ b/packages/standins/src/wharf_standins/soak/fault.py
@@ -28,7 +28,8 @@
 
     `target` modulo the number of gateways or upstreams selects the one it affects.
     Stops of all gateways begin `seconds` after one another. A store that is restored
-    comes back after `seconds` from a copy, whose age `target` selects.
+    comes back after `seconds` from a copy, whose age `target` selects. An upstream may
+    say only in its answers that it leaves, or be quiet for `seconds` and one more.
     """
 
     at: float
@@ -79,7 +80,12 @@
         case 1:
             return _restorations(rng, seconds)
         case _:
-            return [_fault(rng, rng.uniform(0.2, seconds), "route")]
+            words = Random(f"words {seed}")
+            return [
+                _fault(rng, rng.uniform(0.2, seconds), "route"),
+                _fault(words, words.uniform(0.2, seconds / 2), "say_leaving"),
+                _fault(words, words.uniform(0.2, seconds), "quiet"),
+            ]
 
 
 def _planned_series(rng, seconds):
--- a/packages/standins/src/wharf_standins/soak/run.py
+++ b/packages/standins/src/wharf_standins/soak/run.py
@@ -31,6 +31,7 @@
 from wharf_standins.soak.store import SoakStore
 from wharf_standins.soak.upstream import SoakUpstream
 from wharf_standins.soak.wire import upstream_entry
+from wharf_standins.soak.word_watch import WordWatch
 
 __all__ = ["SoakRun"]
 
@@ -85,6 +86,11 @@
     async def _run(self, folder):
         self._clock = asyncio.get_running_loop().time
         self._disturbances = Disturbances(self._clock)
+        self._words = WordWatch(
+            lambda gateway, *times: self._disturbances.is_calm(
+                (GATEWAYS, gateway), *times
+            )
+        )
         self._store = SoakStore()
         await self._store.start()
         call_seconds = self._rng.uniform(MIN_CALL_SECONDS, MAX_CALL_SECONDS)
@@ -115,6 +121,7 @@
             await self._wait_until_ready()
             await self._inject_faults()
             findings = await self._check_recovery()
+            findings += self._words.findings
             return self._check_requests() + self._check_configuration() + findings
         finally:
             watch.cancel()
@@ -234,9 +241,30 @@
             scopes = (GATEWAYS, STORE)
             request.runs_after_draining += self._disturbances.is_calm(scopes, now, now)
 
+    def record_arrival(self, upstream, request_id):
+        """Record that a request reached an upstream."""
+        request = self._request_by_id.get(request_id)
+        if request is not None:
+            self._words.record_arrival(
+                upstream, request.gateway, request_id, request.sent_at, self._clock()
+            )
+
+    def record_leaving(self, upstream, request_id):
+        """Record that the answer to a request said that an upstream leaves."""
+        request = self._request_by_id.get(request_id)
+        if request is not None:
+            self._words.record_leaving(upstream, request.gateway, self._clock())
+
+    def record_quiet(self, upstream, request_id, seconds):
+        """Record that the answer to a request asked for no more of them."""
+        request = self._request_by_id.get(request_id)
+        if request is not None:
+            gateway = request.gateway
+            self._words.record_quiet(upstream, gateway, seconds, self._clock())
+
     async def _add_upstream(self, results):
         name = f"upstream-{len(self._upstreams)}"
-        upstream = SoakUpstream(name, self._record_run, results)
+        upstream = SoakUpstream(name, self._record_run, results, self)
         proxy = Proxy(await upstream.start())
         await proxy.start()
         self._upstreams.append(upstream)
@@ -286,6 +314,13 @@
                 await self._operator.configure(kind)
             case "leave":
                 await self._let_leave(fault.target % len(self._upstreams))
+            case "say_leaving":
+                await self._add_upstream(self._upstreams[0].owner_by_result)
+                leaving = self._upstreams[fault.target % (len(self._upstreams) - 1)]
+                leaving.is_leaving = True
+            case "quiet":
+                upstream = self._upstreams[fault.target % len(self._upstreams)]
+                upstream.quiet_until = self._clock() + fault.seconds + 1.0
             case kind if kind in LINK_KINDS:
                 with self._disturbances.during(GATEWAYS):
                     await self._disturb_link(fault)
--- a/packages/standins/src/wharf_standins/soak/upstream.py
+++ b/packages/standins/src/wharf_standins/soak/upstream.py
@@ -21,18 +21,23 @@
 
     `rate_limit`, if set, is named in the answers, in requests a second. In the middle
     of a stream it is silent for `silent_seconds`. `owner_by_result` has the results of
-    steps; a stream is that of the request for which its inputs were made.
+    steps; a stream is that of the request for which its inputs were made. With
+    `is_leaving` all answers say that it leaves; until `quiet_until` it turns requests
+    away and wants no more of them. `words`, if given, is told of all this.
     """
 
     service = ENGINES
 
-    def __init__(self, name, record_run, owner_by_result=None):
+    def __init__(self, name, record_run, owner_by_result=None, words=None):
         super().__init__()
         self.name = name
         self.owner_by_result = {} if owner_by_result is None else owner_by_result
         self.silent_seconds = 0.0
         self._record_run = record_run
         self.rate_limit = None
+        self.is_leaving = False
+        self.quiet_until = 0.0
+        self._words = words
 
     async def answer(self, reader, writer):
         """Answer one request."""
@@ -52,11 +57,22 @@
                 self._refuse(writer, "409 Gone")
                 return
             owner = min(owners - {request_id}, default=request_id)
+        if self._words is not None:
+            self._words.record_arrival(self.name, request_id)
+        quiet = self.quiet_until - asyncio.get_running_loop().time()
+        if quiet > 0:
+            self._refuse(writer, "503 Quiet", f"{names.RETRY_AFTER}: {quiet:.3f}\r\n")
+            if self._words is not None:
+                self._words.record_quiet(self.name, request_id, quiet)
+            return
         self._record_run(self, request_id)
         await asyncio.sleep(WORK_SECONDS)
         head = f"HTTP/1.1 200 OK\r\n{names.ATTEMPT_ID}: {request_id}\r\n{SIGNATURE}\r\n"
         if self.rate_limit is not None:
             head += f"{names.LIMIT}: {self.rate_limit}\r\n"
+        head += self._leaving_field
+        if self.is_leaving and self._words is not None:
+            self._words.record_leaving(self.name, request_id)
         if not is_stream:
             data = response_body(request_id)
             writer.write(f"{head}Content-Length: {len(data)}\r\n\r\n".encode() + data)
@@ -74,6 +90,11 @@
         writer.write(b"0\r\n\r\n")
         await writer.drain()
 
-    def _refuse(self, writer, status):
-        head = f"HTTP/1.1 {status}\r\n{names.NOT_RUN}: 1\r\n"
+    @property
+    def _leaving_field(self):
+        return f"{names.LEAVING}: 1\r\n" if self.is_leaving else ""
+
+    def _refuse(self, writer, status, field=""):
+        head = f"HTTP/1.1 {status}\r\n{names.NOT_RUN}: 1\r\n{field}"
+        head += self._leaving_field
         writer.write(f"{head}Content-Length: 0\r\n\r\n".encode())
