Wait for the gateways' links in place of a time

test_stopping_gateway.py waited for 0.7 s until the gateways would be linked. It waits until each has logged the others as ready. The checks are the same.

--- a/packages/standins/tests/test_stopping_gateway.py
+++ b/packages/standins/tests/test_stopping_gateway.py
@@ -20,7 +20,7 @@
 from wharf_standins.soak.wire import configuration
 
 START_SECONDS = 20.0
-SETTLE_SECONDS = 0.7  # until the gateways are linked to each other
+LOG_SIZE = 1 << 20
 # When the requests of clients with open connections are sent after a stop began.
 LATE_SECONDS = (0.3, 0.8, 1.3, 1.7, 2.0, 2.3)
 PAUSE_SECONDS = 1.0
@@ -80,9 +80,22 @@
                 client.close()
             except TimeoutError:
                 pytest.fail(f"{gateway.name} serves nothing:\n{gateway.output()}")
-        await asyncio.sleep(SETTLE_SECONDS)
+        try:
+            async with asyncio.timeout(START_SECONDS):
+                while not all(map(self._is_linked, self.gateways)):
+                    await asyncio.sleep(0.05)
+        except TimeoutError:
+            pytest.fail("the gateways aren't linked to each other")
         self.request_by_id.clear()
 
+    def _is_linked(self, gateway):
+        log = gateway.output(LOG_SIZE)
+        return all(
+            f'"peer": "{other.name}", "state": "ready"' in log
+            for other in self.gateways
+            if other is not gateway
+        )
+
     def keep_busy(self, gateway, clients, kinds=(RequestKind.STEPS,)):
         """Let clients send requests without a pause until the end."""
         for _ in range(clients):
