--- /dev/null
+++ b/packages/standins/tests/test_promise.py
@@ -0,0 +1,17 @@
+"""Requests that were read whole are answered, whatever happens to their site.
+
+`python -m wharf_standins search-promise` plays more seeds.
+"""
+
+import pytest
+
+from wharf_standins.promise import Play
+
+# Each of these broke the promise once.
+PAUSED_GATEWAY = (15, 16, 23, 40)  # sound streams were reset after a pause of a gateway
+REFUSED_TAKEOVER = (111, 140, 166, 245, 276)  # and after a silence, as others refused
+
+
+@pytest.mark.parametrize("seed", [*range(1, 4), *PAUSED_GATEWAY, *REFUSED_TAKEOVER])
+def test_every_request_is_answered_refused_or_excused(seed):
+    assert Play(seed).run() == []
