--- a/packages/standins/src/wharf_standins/promise/checks.py
+++ b/packages/standins/src/wharf_standins/promise/checks.py
@@ -36,17 +36,18 @@
     detail: Any
 
 
-def faults(request, before, timeout, paused_seconds):
+def faults(request, before, timeout, paused_seconds, may_be_cut=False):
     """Return the faults in the way a request ended.
 
     `before` is the request before it on its connection, or None. `timeout` is the
     shortest time-out of its route; its gateway or its caller was paused for
-    `paused_seconds` meanwhile.
+    `paused_seconds` meanwhile. `may_be_cut` says that its connection had to end.
     """
     found = []
     if request.sent_at is not None and not request.has_left:
         fault = _ending(request, before, timeout, paused_seconds)
-        found += [fault] if fault else []
+        is_cut = fault in (Fault.LOST, Fault.CUT)
+        found += [fault] if fault and not (is_cut and may_be_cut) else []
     if len(request.runs) > 1 and not request.kind.may_repeat:
         found.append(Fault.REPEATED)
     if request.runs and not request.kind.may_repeat and request.is_complete:
--- a/packages/standins/src/wharf_standins/promise/gateway_host.py
+++ b/packages/standins/src/wharf_standins/promise/gateway_host.py
@@ -7,6 +7,7 @@
 __all__ = ["GatewayHost"]
 
 STOP_SECONDS = 8.0
+LATE_REQUEST_SECONDS = 3.0  # after the beginning of a stop
 
 
 class GatewayHost:
@@ -20,6 +21,7 @@
         self.hosts = []
         self.gateway = None
         self.is_stopping = False
+        self.stop_times = []
 
     @property
     def listen(self):
@@ -41,8 +43,21 @@
         """Let the process end as after SIGTERM."""
         if not self.is_stopping:
             self.is_stopping = True
+            self.stop_times.append(self._network.now)
             self._do(self._stop())
 
+    def may_cut(self, request):
+        """Return whether a stop allows it to end a request that an upstream still runs.
+
+        The operators allow that in the last sixth of the time that a process has to
+        stop, for requests that were sent soon after its beginning.
+        """
+        return bool(request.runs) and any(
+            request.sent_at <= stop + LATE_REQUEST_SECONDS
+            and stop + 5 / 6 * STOP_SECONDS <= request.ended_at <= stop + STOP_SECONDS
+            for stop in self.stop_times
+        )
+
     def _do(self, coroutine):
         host = self.host
         host.arrive_at(self._network.now, lambda: host.create_task(coroutine))
