--- a/packages/standins/src/wharf_standins/promise/play_step_upstream.py
+++ b/packages/standins/src/wharf_standins/promise/play_step_upstream.py
@@ -15,14 +15,9 @@
 
     def __init__(self, name, address, owner_by_result, rng):
         super().__init__(name, owner_by_result, call_seconds=0.05)
-        self._address = address
+        self.address = address
         self._rng = rng
 
-    @property
-    def address(self):
-        """Return the address at which it listens."""
-        return self._address
-
     async def start(self):
         """Listen at its address."""
         host, _, port = self.address.rpartition(":")
