End the stream of a slow caller after its deadline

What callers saw: nothing, if they went on reading; their request was counted and logged as unanswered, and as caller_left, though they had the error event, and their connection was closed. A caller that was slow at the end of a stop also counted that way, before the stop looked for what it left.

Cause: the deadline cancels a write that waits for the caller. In aiohttp 3.14.5 all writes of a connection wait on one future, which stays cancelled until the caller reads; so each later write, that of the error event too, raises CancelledError at once, and the handler ends as if it had been cancelled. The class: a wait that is shared is cancelled for one of its users.

Ruled out: a caller that leaves; its transport is gone then.

Change: the writes of a stream are shielded.

Measured: test_slow_caller_gets_the_error_event_at_its_deadline failed before (one request counted as unanswered) and passes now. Its cost for each write was not measured.

Conclusion: fixed for streams; whole responses are cancelled only with their connection.

--- a/packages/daemon/src/wharf_daemon/entry/event_stream.py
+++ b/packages/daemon/src/wharf_daemon/entry/event_stream.py
@@ -1,5 +1,6 @@
 """Server-sent event stream of an answer."""
 
+import asyncio
 import itertools
 import json
 
@@ -51,7 +52,9 @@
     async def _write(self, events):
         if not self.response.prepared:
             await self.response.prepare(self._http)
-        await self.response.write(events.encode())
+        # Shielded, since aiohttp's wait for a slow caller fails for good once it has
+        # been cancelled, and the final event still has to be sent.
+        await asyncio.shield(self.response.write(events.encode()))
 
 
 def _chunk_event(sequence, body):
