Count requests that an entry leaves unanswered by reason

Cause: wharf_unanswered_requests and its log line didn't say which way a request ended, so that a stop over a slow caller looked like a handler that was cancelled from inside.

Change: the count has the label reason, with the gateway's names (process_ended, handler_failed), the line names it too, and the state dump has the counts. The tests that read the count check the reason as well.

Ruled out: requests that are refused, and callers that left, are in wharf_requests by code already.

--- a/packages/daemon/src/wharf_daemon/entry/caller_api.py
+++ b/packages/daemon/src/wharf_daemon/entry/caller_api.py
@@ -50,7 +50,7 @@
                 return response
             except asyncio.CancelledError:
                 if http.transport is not None:
-                    self._entry.count_unanswered(request_id)
+                    self._entry.count_unanswered(request_id, "handler_failed")
                 raise
 
     async def _send(self, http, response):
--- a/packages/daemon/src/wharf_daemon/entry/entry.py
+++ b/packages/daemon/src/wharf_daemon/entry/entry.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import uuid
+from collections import Counter
 from dataclasses import asdict
 from itertools import count
 from random import Random
@@ -57,6 +58,7 @@
         self.feed = ConfigurationFeed(self.metrics)
         self.facts = FactFeed()
         self.stopping = False
+        self.unanswered_by_reason = Counter()
         self._rng = Random(settings.seed)
         self._policy = policy or EntryPolicy.standard(self._rng, settings.data_centre)
         # Not seeded: request ids must differ between restarts.
@@ -122,7 +124,7 @@
         await asyncio.sleep(LAST_REQUESTS_SECONDS)
         await self.requests.wait_until_idle(LAST_ANSWERS_SECONDS)
         for request_id in self.requests:
-            self.count_unanswered(request_id)
+            self.count_unanswered(request_id, "process_ended")
         await self._callers.stop(LAST_REQUESTS_SECONDS)
         await self._claim_service.stop(self.settings.stop_grace)
         self._store_watcher.cancel()
@@ -147,10 +149,11 @@
         """Return a request id that is unique among all entries."""
         return f"{self.settings.name}-{self._incarnation}-{next(self._request_numbers)}"
 
-    def count_unanswered(self, request_id):
+    def count_unanswered(self, request_id, reason):
         """Count a request that ends without an answer though its caller stayed."""
-        self.metrics.unanswered_requests.inc()
-        log.error("request_unanswered", request=request_id)
+        self.unanswered_by_reason[reason] += 1
+        self.metrics.unanswered_requests.labels(reason).inc()
+        log.error("request_unanswered", request=request_id, reason=reason)
 
     def dump(self):
         """Return the state as a dictionary for JSON."""
@@ -161,6 +164,7 @@
             "stopping": self.stopping,
             "running": len(self.requests),
             "waiting": self.admission.dump(),
+            "unanswered": self.unanswered_by_reason,
             "store_calls": self.store.calls_by_kind,
             "claims": self._claim_service.dump(),
             "facts": self.facts.dump(),
--- a/packages/daemon/src/wharf_daemon/metrics.py
+++ b/packages/daemon/src/wharf_daemon/metrics.py
@@ -21,7 +21,7 @@
         self.unanswered_requests = self._counter(
             "wharf_unanswered_requests",
             "Requests that ended without an answer though their caller hadn't left",
-            [],
+            ["reason"],
         )
         self.attempts = self._counter(
             "wharf_attempts", "Attempts of stages by outcome", ["stage", "code"]
--- a/packages/standins/src/wharf_standins/loopback.py
+++ b/packages/standins/src/wharf_standins/loopback.py
@@ -75,9 +75,9 @@
     async def __aexit__(self, *exc_info):
         await self._stack.aclose()
         for entry in self._started_entries:
-            if count := entry.metrics.unanswered_requests._value.get():
+            if count := entry.unanswered_by_reason.total():
                 name = entry.settings.name
-                raise RuntimeError(f"{name} left {count:.0f} requests unanswered")
+                raise RuntimeError(f"{name} left {count} requests unanswered")
 
     def folder(self):
         """Return the configuration folder of this system."""
--- a/packages/standins/tests/test_entry_links.py
+++ b/packages/standins/tests/test_entry_links.py
@@ -225,7 +225,9 @@
         await sidecar.send(Chunk(call.attempt, sequence, b"x" * 60_000))
         await asyncio.sleep(0.002)
     await asyncio.wait_for(entry.stop(), 10)
-    assert entry.metrics.unanswered_requests._value.get() == 1
+    assert entry.unanswered_by_reason == {"process_ended": 1}
+    counted = entry.metrics.unanswered_requests.labels("process_ended")
+    assert counted._value.get() == 1
     caller.close()
 
 
@@ -235,7 +237,8 @@
     await next_calls(sidecars, 1)
     task.cancel()
     await until(lambda: not len(entry.requests))
-    assert entry.metrics.unanswered_requests._value.get() == 0
+    assert not entry.unanswered_by_reason
+    assert not [*entry.metrics.unanswered_requests._metrics]
     left = entry.metrics.requests.labels("ask", "caller_left")
     assert left._value.get() == 1
 
--- a/packages/standins/tests/test_slow_callers.py
+++ b/packages/standins/tests/test_slow_callers.py
@@ -59,4 +59,4 @@
     assert answer.endswith(b"\r\n0\r\n\r\n")
     assert b"event: error" in answer
     assert b'"error": "deadline_passed", "ran": "unknown"' in answer
-    assert not entry.metrics.unanswered_requests._value.get()
+    assert not entry.unanswered_by_reason
