Search more seeds for the faults put in on purpose

Cause: which seed shows a fault depends on the order in which the kernel delivers; waits past the deadline weren't found in 12 seeds in 1 of 5 runs of the test.

What has to be found is unchanged.

--- a/packages/standins/tests/test_entry_search.py
+++ b/packages/standins/tests/test_entry_search.py
@@ -15,7 +15,7 @@
 from wharf_standins.seed_range import seed_range
 
 SEEDS = seed_range(os.environ.get("ENTRY_SEARCH_SEEDS", "1-24"))
-FEW_SEEDS = 12
+FEW_SEEDS = 40
 MIN_ANSWERED = 10
 
 
