--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -578,10 +578,10 @@
             sends=context.sends,
         )
 
-    def _log_not_served(self, context, answer, is_reset):
+    def _log_not_served(self, context, answer, is_cut):
         """Log a request that ends without an upstream's whole answer.
 
-        `is_reset` says that a stream to its caller has begun, which is reset.
+        `is_cut` says that a response to its caller has begun, which is cut.
         """
         now = self._clock()
         seconds = self._measure(context, answer.status, answer.code.label, now)
@@ -592,7 +592,7 @@
             status=answer.status,
             code=answer.code.label,
             detail=answer.detail,
-            is_reset=is_reset,
+            is_cut=is_cut,
             seconds=round(seconds, 3),
             left=round(context.deadline - now, 3),
             sends=context.sends,
