Refuse a request that is read whole after its gateway has stopped listening

What callers saw: a stream cut as its gateway exited, 3.9 s after the request's last byte, though other gateways were there to take it. Cause: whether a stopping gateway takes a request was decided as its head came; a body that was complete only after the gateway had closed its port was taken all the same, and a sound upstream that paused outlasted the exit. Ruled out: the excuse for requests sent within 3 s of the SIGTERM: this one was sent 3.24 s after it. Change: the decision is made again once the body is there.

--- a/packages/gateway/src/wharf_gateway/request_admission.py
+++ b/packages/gateway/src/wharf_gateway/request_admission.py
@@ -93,4 +93,6 @@
             return GatewayResponse(
                 413, Code.BODY_TOO_LARGE, f"over {len(request.body)} bytes"
             )
+        if not self._shutdown.admits(needed, self._clock()):
+            return GatewayResponse.stopping()
         return None
--- a/packages/gateway/tests/test_request_admission.py
+++ b/packages/gateway/tests/test_request_admission.py
@@ -148,6 +148,19 @@
     assert await _status(admission, is_read=False) == 503
 
 
+# Guards against a request that begins to come before the process stops to listen, is
+# read whole long after SIGTERM, is taken on, and is cut off at the exit.
+async def test_stopping_process_refuses_a_request_read_once_it_does_not_listen(
+    admission, shutdown
+):
+    loop = asyncio.get_running_loop()
+    shutdown.begin(loop.time() + 60.0, closes_at=loop.time() + 0.05)
+    request = _request(is_read=False)
+    loop.call_later(0.1, request.body_complete.set)
+
+    assert (await admission.admit(request)).unwrap_err().status == 503
+
+
 async def test_request_keeps_its_route_if_a_configuration_drops_it(admission, fleet):
     # Guards against a request that is lost or refused as its route goes meanwhile.
     request = _request(is_read=False)
