--- a/packages/standins/tests/test_promise.py
+++ b/packages/standins/tests/test_promise.py
@@ -16,6 +16,8 @@
 OTHER_SERVICE = (2834,)
 # A stream's reset took the whole answer before it, which its caller hadn't read yet.
 UNREAD_ANSWER = (1149, 4026)
+# A body was complete, and its request taken, after the gateway had stopped listening.
+LATE_BODY = (4217, 5347)
 FAILED_ONCE = (
     *UNREAD_ANSWER,
     *PAUSED_GATEWAY,
