Give a silent upstream up again once another one can be asked

Takes back (the contest of a silent upstream with others). Conclusion: tried and reverted; the fault that it mended is open.

--- a/packages/gateway/src/wharf_gateway/attempt_result.py
+++ b/packages/gateway/src/wharf_gateway/attempt_result.py
@@ -13,19 +13,15 @@
     `answer` is the response for the caller if no further attempt succeeds, or None if
     the caller has been answered. `not_run` says that the upstream certainly did not
     run the request. `counts` is 1 if the attempt counts towards the route's limit,
-    otherwise 0. `is_final` forbids further attempts. `others` is the task of another
-    attempt that answers in place of this one.
+    otherwise 0. `is_final` forbids further attempts.
     """
 
     answer: Any = None
     not_run: bool = False
     counts: int = 1
     is_final: bool = False
-    others: Any = None
 
     @property
     def outcome(self):
         """Return the outcome as a metric label."""
-        if self.others is not None:
-            return "taken_over"
         return "served" if self.answer is None else self.answer.code.label
--- a/packages/gateway/src/wharf_gateway/request_context.py
+++ b/packages/gateway/src/wharf_gateway/request_context.py
@@ -1,6 +1,5 @@
 """The state of a request in progress."""
 
-import asyncio
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -28,8 +27,6 @@
     `is_suspect` says that an upstream was lost as it began to answer the request.
     `began_at` is when the request had been read and its run began.
     `has_retry` says that the retry which follows has been taken from the budget.
-    `attempts` are those that count towards the route's limit. `contests` has a future
-    for each silent upstream that is still awaited while others are asked.
     `features_by_service` holds what `request_features` has worked out.
     """
 
@@ -52,12 +49,4 @@
     is_suspect: bool = False
     has_retry: bool = False
     began_at: float = 0.0
-    attempts: int = 0
-    contests: list[asyncio.Future] = field(default_factory=list)
     features_by_service: dict[str, tuple[str, ...]] = field(default_factory=dict)
-
-    def overtake(self):
-        """Give up the silent upstreams, since another one answers."""
-        for contest in self.contests:
-            if not contest.done():
-                contest.set_result(None)
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -20,7 +20,7 @@
 from wharf_gateway.routing.upstream_selector import UpstreamSelector
 from wharf_gateway.stages.preparation import Preparation
 from wharf_gateway.stages.preparation_failure import PreparationFailure
-from wharf_gateway.takeover import MAX_SENDS, TakenOver, Takeover
+from wharf_gateway.takeover import MAX_SENDS, Takeover
 from wharf_gateway.upstream_failure import UpstreamFailure
 
 __all__ = ["RequestRunner"]
@@ -185,14 +185,9 @@
         refusal = self._limit_waits.refusal_at_once(context, answer)
         if refusal is not None:
             return refusal
-        return await self._send_to_upstreams(
-            context, responder, EventSplitter(), answer
-        )
-
-    async def _send_to_upstreams(self, context, responder, splitter, answer):
-        """Send the request until it is answered; return the last refusal, or None."""
-        most = context.route.max_attempts
-        while context.sends < MAX_SENDS and context.attempts < most:
+        splitter = EventSplitter()
+        attempts = 0
+        while context.sends < MAX_SENDS and attempts < context.route.max_attempts:
             if self._is_too_late_to_send(context):
                 return answer if context.sends else GatewayResponse.stopping()
             if context.is_suspect:
@@ -221,10 +216,8 @@
             splitter.discard_partial()
             with self._crash_guard.running(context, service):
                 result = await self._attempt(context, state, responder, splitter)
-            context.attempts += result.counts
+            attempts += result.counts
             self._meter.count("wharf_attempts", result.outcome)
-            if result.others is not None:
-                return await result.others
             if result.answer is None:
                 return None
             if not (result.not_run and context.may_have_run):
@@ -242,28 +235,6 @@
             )
         return answer
 
-    async def _ask_others(self, context, state, responder, splitter):
-        """Send a request to others than its silent upstream, as `_send_to_upstreams`.
-
-        The upstream gets no new requests for a while.
-        """
-        state.record_unreachable(self._clock())
-        context.attempts += 1
-        detail = "the upstream is silent"
-        log.info(
-            "retry",
-            request=context.details.id,
-            upstream=state.upstream.id,
-            detail=detail,
-            may_have_run=True,
-        )
-        answer = GatewayResponse(502, Code.ANSWER_BROKEN, detail)
-        resumed = EventSplitter(last_id=splitter.last_id)
-        try:
-            return await self._send_to_upstreams(context, responder, resumed, answer)
-        finally:
-            context.attempts -= 1
-
     def _has_retry(self, context, service):
         """Return whether a retry is left; one that takes over has spent its own."""
         has_retry, context.has_retry = context.has_retry, False
@@ -296,30 +267,20 @@
             connection.on_late_head = partial(self._note_late, state)
             self._send(context, state, connection, splitter, started)
             context.may_have_run = True
-            ask_others = partial(self._ask_others, context, state, responder, splitter)
-            head = await self._takeover.head(context, state, connection, ask_others)
+            head = await self._takeover.head(context, state, connection)
             reply = self._dialect.read_response(head)
             context.response_began = True
             self._note_reply(context, state, head, reply, connection, started)
             if reply.not_run:
                 context.may_have_run = ran_before
             result = await self._relay(
-                *(context, state, responder, connection, head, reply, splitter),
-                *(started, ask_others),
+                context, state, responder, connection, head, reply, splitter, started
             )
             failed = _has_failed(result, reply)
             return result
         except HttpCallError as error:
             self._record_loss(context, state, error)
             return self._failure_result(context, state, error)
-        except TakenOver as end:
-            log.info(
-                "attempt_taken_over",
-                request=context.details.id,
-                upstream=upstream.id,
-                seconds=round(self._clock() - started, 3),
-            )
-            return AttemptResult(others=end.others, counts=0)
         except TimeoutError:
             seconds = self._clock() - started
             error = HttpCallError(f"no response within {seconds:.2f} s")
@@ -399,16 +360,7 @@
             state.record_load(reply.running, reply.waiting, self._clock())
 
     async def _relay(
-        self,
-        context,
-        state,
-        responder,
-        connection,
-        head,
-        reply,
-        splitter,
-        started,
-        ask_others,
+        self, context, state, responder, connection, head, reply, splitter, started
     ):
         if reply.not_run:
             await connection.body()
@@ -417,17 +369,9 @@
             return await self._relay_failure(context, state, connection, head, reply)
         if context.route.kind is RouteKind.STREAM:
             return await self._relay_stream(
-                context,
-                state,
-                responder,
-                connection,
-                head,
-                splitter,
-                started,
-                ask_others,
+                context, state, responder, connection, head, splitter, started
             )
         body = await connection.body()
-        context.overtake()
         self._note_answered(context, state, started)
         responder.answer(head.status, self._dialect.caller_fields(head.headers), body)
         self._log_answer(context, state, head.status, started)
@@ -451,50 +395,34 @@
         )
 
     async def _relay_stream(
-        self,
-        context,
-        state,
-        responder,
-        connection,
-        head,
-        splitter,
-        started,
-        ask_others,
+        self, context, state, responder, connection, head, splitter, started
     ):
         pace = EventPace(stall_seconds(context.route), self._clock())
-        next_events = partial(self._next_events, connection, splitter)
-        takeover = self._takeover
-        while events := await takeover.events(context, pace, next_events, ask_others):
+        while data := await self._takeover.next_part(context, pace, connection):
             received_at = self._clock()
-            context.overtake()
-            if context.response_latency is None:
-                self._note_answered(context, state, started)
-            if not responder.is_started:
-                self._drop_inputs(context)
-                responder.begin(head.status, self._dialect.caller_fields(head.headers))
-            await responder.send(events)
-            pace.record(received_at, self._clock())
+            events = splitter.feed(data)
+            if len(splitter.buffer) > self._max_event_bytes:
+                raise AnswerTooLargeError(f"event over {self._max_event_bytes} bytes")
+            if events:
+                if context.response_latency is None:
+                    self._note_answered(context, state, started)
+                if not responder.is_started:
+                    self._drop_inputs(context)
+                    responder.begin(
+                        head.status, self._dialect.caller_fields(head.headers)
+                    )
+                await responder.send(events)
+                pace.record(received_at, self._clock())
         if splitter.buffer:
             raise HttpCallError("the stream ended in the middle of an event")
         if context.response_latency is None and connection.is_close_delimited:
             raise HttpCallError("the connection ended before the first event")
-        context.overtake()
         if not responder.is_started:
             responder.begin(head.status, self._dialect.caller_fields(head.headers))
         responder.end()
         self._log_answer(context, state, head.status, started, pace.blocked)
         return AttemptResult()
 
-    async def _next_events(self, connection, splitter):
-        """Return the next whole events of a stream, or no bytes at its end."""
-        while data := await connection.next_part():
-            events = splitter.feed(data)
-            if len(splitter.buffer) > self._max_event_bytes:
-                raise AnswerTooLargeError(f"event over {self._max_event_bytes} bytes")
-            if events:
-                return events
-        return b""
-
     def _not_run_result(self, context, state, head):
         now = self._clock()
         if head.status == MISDIRECTED_REQUEST:
--- a/packages/gateway/src/wharf_gateway/takeover.py
+++ b/packages/gateway/src/wharf_gateway/takeover.py
@@ -4,7 +4,7 @@
 
 from wharf_gateway.patience import caller_patience, response_timeout
 
-__all__ = ["MAX_SENDS", "Takeover", "TakenOver"]
+__all__ = ["MAX_SENDS", "Takeover"]
 
 # Attempts that certainly did not run, such as refused connections, don't count towards
 # the route's limit. This limit includes them.
@@ -16,27 +16,15 @@
 LATE_SECONDS = 0.1
 
 
-class TakenOver(Exception):  # noqa: N818
-    """Another upstream answers in place of a silent one.
-
-    `others` is the task that relays its response; it returns a refusal if the response
-    breaks off, or None.
-    """
-
-    def __init__(self, others):
-        super().__init__("another upstream answers")
-        self.others = others
-
-
 class Takeover:
-    """Wait for an upstream until another one answers in its place.
+    """Wait for an upstream as long as no other one can take over.
 
     Pauses of this process don't count as silence of the upstream: the wait begins anew.
-    `selector` and `budgets` tell whether another one can be asked. That spends its
-    retry at once, and says so in `context.has_retry`. `prepare(context)` runs the steps
-    of a request again and returns a refusal or None; `drop_inputs(context)` frees their
-    results. `is_too_late(context)` returns whether this process stops before another
-    upstream would have answered.
+    `selector` and `budgets` tell whether one can. A takeover spends its retry at once,
+    and says so in `context.has_retry`. `prepare(context)` runs the steps of a request
+    again and returns a refusal or None; `drop_inputs(context)` frees their results.
+    `is_too_late(context)` returns whether this process stops before another upstream
+    would have answered.
     """
 
     def __init__(self, selector, budgets, prepare, drop_inputs, is_too_late, clock):
@@ -47,89 +35,55 @@
         self._is_too_late = is_too_late
         self._clock = clock
 
-    async def head(self, context, state, connection, ask_others):
-        """Return the response's head.
-
-        While it is late, `ask_others()` sends the request elsewhere and returns a
-        refusal, or None if the request has been answered. Raises `TakenOver` once
-        another upstream answers.
-        """
+    async def head(self, context, state, connection):
+        """Return the response's head; raise `TimeoutError` to try another upstream."""
         seconds = response_timeout(context.route, state.latency)
-        is_silent = False
-        while not is_silent:
+        while True:
             began = self._clock()
             try:
                 async with asyncio.timeout(seconds):
                     return await connection.head()
             except TimeoutError:
-                is_silent = not self._is_late(began + seconds)
-        return await self._await_silent(
-            context, connection.head(), float("inf"), ask_others
-        )
+                if self._is_late(began + seconds):
+                    continue
+                if self._takes_over(context):
+                    raise
+            seconds = CHECK_SECONDS
 
-    async def events(self, context, pace, next_events, ask_others):
-        """Return what `next_events()` does, the next events of a stream.
+    async def next_part(self, context, pace, connection):
+        """Return the next bytes; raise `TimeoutError` if another upstream takes over.
 
-        While no other upstream goes on, a stalled stream is kept until its caller has
-        given it up; then this raises `TimeoutError`. Raises `TakenOver` once another
-        upstream goes on.
+        While none can, a stalled stream is kept until its caller has given it up.
         """
         is_stalled = False
         while not is_stalled:
             due = max(pace.stalled_at, self._clock())
             try:
                 async with asyncio.timeout_at(due):
-                    return await next_events()
+                    return await connection.next_part()
             except TimeoutError:
                 is_stalled = not self._is_late(due)
                 if not is_stalled:
                     pace.begin_anew(self._clock())
         given_up_at = pace.last_at + caller_patience(context.route)
-        return await self._await_silent(context, next_events(), given_up_at, ask_others)
-
-    async def _await_silent(self, context, sign, given_up_at, ask_others):
-        """Return the result of `sign`, which a silent upstream may yet give."""
-        sign = asyncio.ensure_future(sign)
+        part = asyncio.ensure_future(connection.next_part())
         try:
-            # If this process was paused, the sign may be there already.
-            await asyncio.wait((sign,), timeout=0)
-            while not sign.done():
-                if self._clock() >= given_up_at:
-                    raise TimeoutError
-                is_ready = await self._is_ready_elsewhere(context, sign, given_up_at)
-                if is_ready and self._takes_over(context):
-                    await self._contest(context, sign, ask_others)
-                    continue
-                left = given_up_at - self._clock()
-                await asyncio.wait((sign,), timeout=max(0.0, min(CHECK_SECONDS, left)))
-            return sign.result()
-        finally:
-            await _cancel(sign)
-
-    async def _contest(self, context, sign, ask_others):
-        """Ask others until one answers, all refuse, or the silent upstream goes on.
-
-        Raises `TakenOver` in the first case.
-        """
-        latency, began = context.response_latency, context.response_began
-        others = asyncio.ensure_future(ask_others())
-        is_overtaken = asyncio.get_running_loop().create_future()
-        context.contests.append(is_overtaken)
-        try:
-            await asyncio.wait(
-                (sign, others, is_overtaken), return_when=asyncio.FIRST_COMPLETED
-            )
+            return await self._part_of_stalled(context, part, given_up_at)
         finally:
-            context.contests.remove(is_overtaken)
-            if not is_overtaken.done():
-                await _cancel(others)
-        if is_overtaken.done():
-            raise TakenOver(others)
-        context.response_latency, context.response_began = latency, began
-        if latency is not None:
-            self._drop_inputs(context)  # those that were made for the others
-        if not others.cancelled():
-            others.result()
+            await _cancel(part)
+
+    async def _part_of_stalled(self, context, part, given_up_at):
+        # If this process was paused, the part may be there already.
+        await asyncio.wait((part,), timeout=0)
+        while not part.done():
+            if self._clock() >= given_up_at:
+                raise TimeoutError
+            is_ready = await self._is_ready_elsewhere(context, part, given_up_at)
+            if is_ready and self._takes_over(context):
+                raise TimeoutError
+            left = given_up_at - self._clock()
+            await asyncio.wait((part,), timeout=max(0.0, min(CHECK_SECONDS, left)))
+        return part.result()
 
     async def _is_ready_elsewhere(self, context, part, given_up_at):
         """Run the request's steps again; return whether an upstream could go on.
