Let one loop in virtual time serve loopback too, and say cut for reset

The re-reading's finds: LoopbackTimeLoop wrote VirtualTimeLoop again and now derives from it; three docstrings still said that a cut response resets its connection. Behaviour is meant to be the same. Measured: test_entry_search.py (the loop's tests), test_unanswered_requests, test_connection_ends and test_fuzz_callers passed; lint clean. Left: supervision.py stands in daemon and gateway, as neither may import the other; gateway and runner each make an AnswerRecorder.

--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -27,7 +27,7 @@
     """Parse requests and pass them to `site.handle`, one at a time.
 
     A request that was read whole is answered before the connection closes, unless the
-    caller closed it first or the handler reset a stream that it had begun. Any other
+    caller closed it first or the handler cut a response that it had begun. Any other
     end is passed to `site.record_unanswered(request, reason)`. A handler that fails is
     passed to `site.answer_failure(request, responder, error)`. The connection's end is
     passed to `site.record_end(end, request)`: a `ConnectionEnd` and the request that it
--- a/packages/gateway/src/wharf_gateway/http/responder.py
+++ b/packages/gateway/src/wharf_gateway/http/responder.py
@@ -9,7 +9,7 @@
 class Responder:
     """Write the response to one request, at once or as a chunked stream.
 
-    `is_over` says that the response is complete, or was begun and then reset.
+    `is_over` says that the response is complete, or was begun and then cut.
     """
 
     def __init__(self, connection, keep_alive):
@@ -44,7 +44,7 @@
             self._connection.close_after_response()
 
     def abort(self):
-        """Reset the connection, so that the caller sees an incomplete response."""
+        """End the connection, so that the caller sees an incomplete response."""
         self.keep_alive = False
         self.is_over = self.is_started
         self._connection.abort()
--- a/packages/gateway/src/wharf_gateway/http/unanswered_reason.py
+++ b/packages/gateway/src/wharf_gateway/http/unanswered_reason.py
@@ -8,7 +8,7 @@
 class UnansweredReason(StrEnum):
     """Why the connection of a request that was read whole ended without a response.
 
-    A caller that left first and a stream that was begun and then reset aren't among
+    A caller that left first and a response that was begun and then cut aren't among
     these.
     """
 
--- a/packages/standins/src/wharf_standins/loopback_time.py
+++ b/packages/standins/src/wharf_standins/loopback_time.py
@@ -1,20 +1,15 @@
 """An event loop with a virtual clock for processes that talk over loopback."""
 
-import asyncio
-from selectors import DefaultSelector
+from wharf_standins.virtual_time import SkippingSelector, VirtualTimeLoop
 
 __all__ = ["LoopbackTimeLoop"]
 
 SETTLE_POLLS = 3
 
 
-class _SettlingSelector(DefaultSelector):
+class _SettlingSelector(SkippingSelector):
     """Advance a virtual clock once no file is ready after a few polls."""
 
-    def __init__(self):
-        super().__init__()
-        self.now = 0.0
-
     def select(self, timeout=None):
         """Return the ready files; without any, advance the clock by the timeout."""
         if timeout is None:
@@ -26,20 +21,15 @@
         return []
 
 
-class LoopbackTimeLoop(asyncio.SelectorEventLoop):
+class LoopbackTimeLoop(VirtualTimeLoop):
     """Run both ends of loopback connections in virtual time.
 
     All peers must run on this loop, since the clock doesn't wait for others.
     """
 
     def __init__(self):
-        self._settling_selector = _SettlingSelector()
-        super().__init__(self._settling_selector)
-
-    def time(self):
-        """Return the seconds of virtual time since the start."""
-        return self._settling_selector.now
+        super().__init__(_SettlingSelector())
 
     def pause(self, seconds):
         """Advance the clock as if the process had been suspended."""
-        self._settling_selector.now += seconds
+        self._skipping_selector.now += seconds
--- a/packages/standins/src/wharf_standins/virtual_time.py
+++ b/packages/standins/src/wharf_standins/virtual_time.py
@@ -3,10 +3,10 @@
 import asyncio
 from selectors import DefaultSelector
 
-__all__ = ["VirtualTimeLoop"]
+__all__ = ["SkippingSelector", "VirtualTimeLoop"]
 
 
-class _SkippingSelector(DefaultSelector):
+class SkippingSelector(DefaultSelector):
     """Advance a virtual clock by each timeout instead of waiting."""
 
     def __init__(self):
@@ -24,8 +24,8 @@
 class VirtualTimeLoop(asyncio.SelectorEventLoop):
     """Run coroutines deterministically in virtual time; they must do no real I/O."""
 
-    def __init__(self):
-        self._skipping_selector = _SkippingSelector()
+    def __init__(self, selector=None):
+        self._skipping_selector = selector or SkippingSelector()
         super().__init__(self._skipping_selector)
 
     def time(self):
