--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -461,6 +461,7 @@
         self._rng = Random(7)
         self.results = {}
         self.sent = {}
+        self.keys = {}
 
     async def send(self, gateway, path, key=None, deadline_ms=1500, method="POST"):
         """Send one request; return its id and status, None if there is no answer."""
@@ -473,6 +474,7 @@
         if key:
             lines.append(f"Authorization: Bearer {key}")
         self.sent[call] = self._record.now()
+        self.keys[call] = key
         self._record.add("sent", id=call, gateway=gateway.name, path=path, key=key)
         status = None
         try:
@@ -484,9 +486,13 @@
             self._record.add("lost", id=call, error=type(error).__name__)
         else:
             self._record.add("answer", id=call, status=status)
+            self.check(call, status, body)
         self.results[call] = status
         return call, status
 
+    def check(self, call, status, body):
+        """Look at an answer."""
+
 
 def free_ports(host, count):
     """Return free ports of an address."""
@@ -532,13 +538,17 @@
     } | options
 
 
-def configuration(version, routes, services, keys):
-    """Return a version of the configuration."""
+def configuration(version, routes, services, keys, others=()):
+    """Return a version of the configuration; a second tenant holds `others`."""
     return {
         "version": version,
         "routes": routes,
         "services": services,
-        "tenants": [{"name": "smiths", "apiKeys": list(keys)}],
+        "tenants": [
+            {"name": name, "apiKeys": list(held)}
+            for name, held in (("smiths", keys), ("farriers", others))
+            if held
+        ],
         "limits": {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": 1048576,
@@ -562,6 +572,8 @@
 
     async def run():
         ends = []
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         with tempfile.TemporaryDirectory() as temporary:
             try:
                 async with asyncio.timeout(most):
@@ -576,7 +588,7 @@
 
     try:
         violations = asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.add("not_run", error=repr(error))
         print(f"the case couldn't run: {error!r}")
         sys.exit(2)
