--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -107,8 +107,7 @@
         self._history = []
         self._revision = 10
         self._changed = asyncio.Event()
-        self.is_down = False
-        self.delay_by_kind = {}
+        self._silent = set()
         self.text_by_mark = {}  # JSON texts that stand for a mark in objects
         self.on_status = lambda kind, name, status: None
 
@@ -139,19 +138,20 @@
         """Return an object or None."""
         return self._objects.get((kind, name))
 
+    def silence(self):
+        """Return nothing further on the connections that are open; new ones work."""
+        self._silent |= self.writers
+        self._record.add("silent", connections=len(self.writers))
+
     async def serve(self, reader, writer):
         """Answer the calls of one connection."""
         while True:
             first, fields = await read_head(reader)
             body = await reader.readexactly(int(fields.get("content-length", 0)))
             method, target, _ = first.split(" ")
-            if self.is_down:
-                writer.transport.abort()
-                return
             status, answer = await self._answer(method, target, body)
-            if self.is_down:
-                writer.transport.abort()
-                return
+            if writer in self._silent:
+                continue
             data = json.dumps(answer).encode()
             for mark, text in self.text_by_mark.items():
                 data = data.replace(f'"{mark}"'.encode(), text)
@@ -168,8 +168,6 @@
         options = dict(item.partition("=")[::2] for item in query.split("&") if item)
         kind, _, name = path.removeprefix(PREFIX).strip("/").partition("/")
         name, _, part = name.partition("/")
-        if kind in self.delay_by_kind:
-            await asyncio.sleep(self.delay_by_kind[kind])
         await asyncio.sleep(0.004)
         if method == "GET":
             return await self._read(kind, name, options)
@@ -217,51 +215,13 @@
                 for revision, k, stored, gone in self._history
                 if revision > since and k == kind
             ]
-            if events or clock() >= ends or self.is_down:
+            if events or clock() >= ends:
                 return 200, {"events": events, "asOf": self._revision}
             with suppress(TimeoutError):
                 async with asyncio.timeout(min(0.5, max(0.0, ends - clock()))):
                     await changed.wait()
 
 
-class Proxy(Server):
-    """Forward connections to the store; hold back the bytes of some."""
-
-    def __init__(self, host, target, record):
-        super().__init__(host)
-        self._target = target
-        self._record = record
-        self._silent = set()
-        self.delay = None
-
-    def silence(self):
-        """Let the open connections go silent for good; new ones work."""
-        self._silent |= self.writers
-        self._record.add("silent", connections=len(self.writers))
-
-    async def serve(self, reader, writer):
-        """Forward one connection."""
-        host, _, port = self._target.rpartition(":")
-        far_reader, far_writer = await asyncio.open_connection(host, int(port))
-        try:
-            await asyncio.gather(
-                self._forward(reader, far_writer, writer),
-                self._forward(far_reader, writer, writer),
-            )
-        finally:
-            far_writer.close()
-
-    async def _forward(self, reader, writer, key):
-        while data := await reader.read(65536):
-            if self.delay is not None:
-                await self.delay(data)
-            if key not in self._silent:
-                writer.write(data)
-                await writer.drain()
-        if key not in self._silent:
-            writer.close()
-
-
 class Runner(Server):
     """A runner: one request at a time on a connection, `slots` at once."""
 
