--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -423,10 +423,20 @@
         self.sent = {}
         self.keys = {}
 
-    async def send(self, gateway, path, key=None, deadline_ms=1500, method="POST"):
+    async def send(
+        self,
+        gateway,
+        path,
+        key=None,
+        deadline_ms=1500,
+        method="POST",
+        body=b"",
+        lines=(),
+    ):
         """Send one request; return its id and status, None if there is no answer."""
         call = f"{self._rng.getrandbits(64):016x}"
         lines = [
+            *lines,
             f"Host: {self._host}",
             f"Vanillawharf-Attempt-Id: {call}",
             f"Vanillawharf-Deadline-Ms: {deadline_ms}",
@@ -439,14 +449,14 @@
         status = None
         try:
             async with asyncio.timeout(deadline_ms / 1000 + 1.0):
-                status, _, body = await http(
-                    gateway.address, path, lines, method=method
+                status, _, answer = await http(
+                    gateway.address, path, lines, body, method
                 )
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
             self._record.add("lost", id=call, error=type(error).__name__)
         else:
             self._record.add("answer", id=call, status=status)
-            self.check(call, status, body)
+            self.check(call, status, answer)
         self.results[call] = status
         return call, status
 
