Pass no refusal on to callers that its upstream has not made

What callers saw: an unsafe request, or a stream that may not be resumed, whose upstream answered 408, 429 or 503 without "not executed" was answered with that status. Callers take it for the promise that the request has not run and repeat it: it could run twice.

The status alone was passed on as any other failure.

Change: for a request that must not be repeated, such a status becomes 502 upstream_failed, without the signature and without Retry-After. Requests that may be repeated get it as before.

Ruled out: calls with pieces take 429 and 503 for "full" and are repeated, which is allowed; a sidecar takes both as not run, which docs/UPSTREAMS.md asks of its upstreams.

--- a/packages/gateway/src/wharf_gateway/gateway_response.py
+++ b/packages/gateway/src/wharf_gateway/gateway_response.py
@@ -6,10 +6,12 @@
 from wharf_coordination.code import Code
 from wharf_gateway.http.headers import Headers
 
-__all__ = ["GatewayResponse"]
+__all__ = ["NOT_RUN_STATUSES", "GatewayResponse"]
 
 # After which a caller that a stopping process refuses may retry at another gateway.
 STOPPING_RETRY_SECONDS = 0.1
+# Callers take these for the promise that the request has not run and will not run.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +48,10 @@
     @property
     def body(self):
         """Return the JSON body of the response."""
-        ran = "no" if self.status in (408, 421, 429, 503) or self.status < 500 else None
-        content = {"code": int(self.code), "error": self.code.label}
-        return json.dumps(content | {"ran": ran or "unknown"}).encode()
+        is_not_run = self.status in NOT_RUN_STATUSES or self.status < 500
+        content = {
+            "code": int(self.code),
+            "error": self.code.label,
+            "ran": "no" if is_not_run else "unknown",
+        }
+        return json.dumps(content).encode()
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -10,7 +10,7 @@
 from wharf_gateway.attempt_result import AttemptResult
 from wharf_gateway.event_pace import EventPace
 from wharf_gateway.event_splitter import EventSplitter
-from wharf_gateway.gateway_response import GatewayResponse
+from wharf_gateway.gateway_response import NOT_RUN_STATUSES, GatewayResponse
 from wharf_gateway.http.http_call_error import (
     AnswerTooLargeError,
     HttpCallError,
@@ -407,6 +407,10 @@
                 502, Code.ANSWER_BROKEN, "the response is not signed"
             )
             return AttemptResult(answer, is_final=not context.route.may_repeat)
+        if head.status in NOT_RUN_STATUSES and not context.route.may_repeat:
+            # The upstream doesn't say that it hasn't run the request.
+            detail = f"status {head.status}, but the request may have run"
+            return AttemptResult(GatewayResponse(502, Code.UPSTREAM_FAILED, detail))
         return AttemptResult(
             UpstreamFailure(
                 head.status, self._dialect.caller_fields(head.headers), body
