--- /dev/null
+++ b/packages/gateway/tests/test_small_pieces.py
@@ -0,0 +1,117 @@
+"""Many small pieces of a crowd of callers don't hold up the other callers."""
+
+import asyncio
+
+import pytest
+
+from wharf_gateway.http.headers import Headers
+from wharf_gateway.http_server import HttpServer
+from wharf_gateway.model.caller_limits import CallerLimits
+
+LIMITS = CallerLimits(2000, 1 << 20, header_timeout=5.0, idle_timeout=5.0)
+CROWD = 20
+PIECES = 20_000
+PIECE = b"1\r\nx\r\n"
+# What all callers together may have parsed between two turns of the event loop.
+MOST_PIECES_IN_A_TURN = 10_000
+
+
+class Crowd:
+    """Callers that have sent bodies in tiny chunks, without an end."""
+
+    def __init__(self):
+        self.requests = []
+        self.server = HttpServer("127.0.0.1:0", LIMITS, self.handle)
+        self._writers = []
+
+    async def handle(self, request, responder):
+        if request.path == "/crowd":
+            self.requests.append(request)
+        await request.body_complete.wait()
+        responder.answer(200, Headers(), bytes(request.body))
+
+    @property
+    def parsed(self):
+        return sum(len(request.body) for request in self.requests)
+
+    async def connect(self):
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.server.port)
+        self._writers.append(writer)
+        return reader, writer
+
+    async def send(self):
+        """Send all bodies, and return the streams of their connections."""
+        streams = [await self.connect() for _ in range(CROWD)]
+        for _, writer in streams:
+            writer.write(b"POST /crowd HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n")
+        await until(lambda: len(self.requests) == CROWD)
+        for _, writer in streams:
+            writer.write(PIECE * PIECES)
+        return streams
+
+    async def ask(self):
+        """Return the status of an ordinary request."""
+        reader, writer = await self.connect()
+        writer.write(b"GET / HTTP/1.1\r\n\r\n")
+        async with asyncio.timeout(60):
+            return (await reader.readline()).split()[1]
+
+    def close(self):
+        self.server.stop_accepting()
+        for writer in self._writers:
+            writer.close()
+
+
+@pytest.fixture
+async def crowd():
+    crowd = Crowd()
+    await crowd.server.start()
+    yield crowd
+    crowd.close()
+    await asyncio.sleep(0.03)
+
+
+async def until(holds):
+    """Wait until something holds."""
+    async with asyncio.timeout(60):
+        while not holds():
+            await asyncio.sleep(0.01)
+
+
+async def most_in_a_turn(count, until_count):
+    """Return by how much `count()` grew most between two turns of the loop."""
+    most, last = 0, count()
+    async with asyncio.timeout(60):
+        while last < until_count:
+            await asyncio.sleep(0)
+            most, last = max(most, count() - last), count()
+    return most
+
+
+# Guards against a crowd whose tiny chunks are parsed at once: ordinary requests got no
+# answer within four seconds behind 300 bodies of 100,000 chunks.
+async def test_pieces_of_a_crowd_are_parsed_over_many_turns(crowd):
+    await crowd.send()
+
+    most = await most_in_a_turn(lambda: crowd.parsed, CROWD * PIECES)
+
+    assert most <= MOST_PIECES_IN_A_TURN
+
+
+async def test_ordinary_request_is_answered_before_the_pieces_of_a_crowd(crowd):
+    await crowd.send()
+
+    assert await crowd.ask() == b"200"
+    assert crowd.parsed < CROWD * PIECES / 2
+
+
+async def test_body_in_tiny_chunks_arrives_whole(crowd):
+    streams = await crowd.send()
+    for _, writer in streams:
+        writer.write(b"0\r\n\r\n")
+
+    for reader, _ in streams:
+        async with asyncio.timeout(60):
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert f"Content-Length: {PIECES}".encode().lower() in head.lower()
+            assert await reader.readexactly(PIECES) == b"x" * PIECES
