Test each guard against answers that match no call

Cause: with two guards against late second answers taken out, all tests still passed (trials on a scratch copy). test_late_copy_of_an_answer_is_no_report makes its first call on another pool, so that calls with pieces and reports could have shared connections; and a connection with data behind a response was told by the response that this data began, never by the data alone.

Change: a test for calls with pieces, one for reports, one for data that begins no response. Measured: with fresh connections taken out the first two fail, without the mark on the connection the third; all pass on the code as it is.

--- a/packages/gateway/tests/test_answers_of_upstreams.py
+++ b/packages/gateway/tests/test_answers_of_upstreams.py
@@ -839,3 +839,30 @@
     await client.free(state.upstream.address, ["h/1"])
 
     assert await client.free_bytes(state.upstream) == 1_000_000
+
+
+# Guards against the result of an earlier call with pieces that is taken for another's.
+async def test_late_copy_of_an_answer_is_no_answer_to_the_next_call_with_pieces(
+    entry, make_job
+):
+    results = [b'{"entries":[{"handle":"h/%d"}]}' % number for number in (1, 2)]
+    copies = LateCopies(*(_answer(200, body=result) for result in results))
+    state = await entry.add(copies)
+    client = PieceClient(Dialect(), ConnectionPool(), _now)
+
+    found = [
+        await client.run(state.upstream, [make_job(name, _now() + 1)], 1.0, _now())
+        for name in ("p1", "p2")
+    ]
+
+    assert [answer.unwrap()[0].handle for answer in found] == ["h/1", "h/2"]
+
+
+async def test_late_copy_of_a_report_is_not_the_next_report(entry):
+    """The room for results was the one of an earlier report."""
+    copies = LateCopies(_answer(200, body=b'{"freeMb":9}'), _answer(200, body=REPORT))
+    state = await entry.add(copies)
+    client = PieceClient(Dialect(), ConnectionPool(), _now)
+    await client.free_bytes(state.upstream)
+
+    assert await client.free_bytes(state.upstream) == 1_000_000
--- a/packages/gateway/tests/test_upstream_connection.py
+++ b/packages/gateway/tests/test_upstream_connection.py
@@ -71,6 +71,18 @@
     assert not connection.release(_now())
 
 
+# Guards against a connection that is used again though bytes came after a response.
+# These begin no further one, which alone would end its use.
+async def test_a_connection_with_blank_lines_after_a_response_is_not_reused(ask):
+    _, body, connection = await ask(ANSWER, b"\r\n")
+    async with asyncio.timeout(5.0):
+        while not connection._has_unsolicited:
+            await asyncio.sleep(0.01)
+
+    assert body == b"ok"
+    assert not connection.release(_now())
+
+
 async def test_a_response_without_length_ends_with_the_connection(ask):
     head = b"HTTP/1.1 200 OK\r\nId: 1\r\n\r\n"
 
