--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -114,7 +114,8 @@
 class Upstreams:
     """Servers that send fixed parts; `seen` holds the heads of their requests.
 
-    Parts that are functions are called for what to send.
+    Parts that are functions are called for what to send, and parts that are numbers are
+    seconds of silence.
     """
 
     def __init__(self, raw_server):
@@ -126,6 +127,9 @@
         async def handle(reader, writer):
             self.seen.append(await reader.readuntil(b"\r\n\r\n"))
             for part in parts:
+                if isinstance(part, float):
+                    await asyncio.sleep(part)
+                    continue
                 writer.write(part() if callable(part) else part)
                 await writer.drain()
                 await asyncio.sleep(0.01)
@@ -613,8 +617,9 @@
     return b"7\r\nid: %d\n\n\r\n" % number
 
 
+# One sleep: many short ones take longer in all, beside load much longer.
 def _silence(seconds):
-    return [b""] * round(seconds / 0.01)
+    return [float(seconds)]
 
 
 LAST_CHUNK = b"0\r\n\r\n"
