Count the time in which a daemon's host is suspended

The holder of the lease on rollouts or claims relied on it after others had taken it; its writes are fenced, its orders go by the lease.

The daemon can't import the gateway's loop, hence four lines of its own. Not covered: how much of a lease passes between the last look and a write.

Measured: test_time_of_a_daemon_goes_on_while_its_host_is_suspended failed before (0 s counted) and passes (60 s). No host was suspended.

--- a/packages/daemon/src/wharf_daemon/main.py
+++ b/packages/daemon/src/wharf_daemon/main.py
@@ -3,6 +3,8 @@
 import asyncio
 import signal
 import sys
+import time
+from functools import partial
 from pathlib import Path
 
 import defopt
@@ -109,13 +111,24 @@
 
 def _start(daemon_type, settings):
     try:
-        asyncio.run(_serve(daemon_type, settings))
+        with asyncio.Runner(loop_factory=_boot_time_loop) as runner:
+            runner.run(_serve(daemon_type, settings))
     except OSError as error:
         print(f"{settings.name}: {error}", file=sys.stderr)
         return EXIT_NOT_STARTED
     return EXIT_OK
 
 
+def _boot_time_loop():
+    """Return an event loop whose time goes on while the host is suspended.
+
+    A lease would otherwise be relied on for longer than it was given.
+    """
+    loop = asyncio.SelectorEventLoop()
+    loop.time = partial(time.clock_gettime, time.CLOCK_BOOTTIME)
+    return loop
+
+
 async def _serve(daemon_type, settings):
     log = structlog.get_logger()
     process = daemon_type(settings)
--- a/packages/daemon/tests/test_main.py
+++ b/packages/daemon/tests/test_main.py
@@ -3,11 +3,12 @@
 import asyncio
 import os
 import signal
+import time
 from types import SimpleNamespace
 
 import pytest
 
-from wharf_daemon.main import _serve
+from wharf_daemon.main import EXIT_OK, _serve, _start
 
 START_SECONDS = 0.1
 
@@ -42,3 +43,31 @@
         os.kill(os.getpid(), number)
     await asyncio.wait_for(serving, 5)
     assert settings.calls == ["started", "stopped"]
+
+
+class SuspendedDaemon(SlowDaemon):
+    """Daemon whose host is suspended for a minute as it starts."""
+
+    async def start(self):
+        loop = asyncio.get_running_loop()
+        before = loop.time()
+        self.suspend()
+        self.calls.append(round(loop.time() - before))
+        os.kill(os.getpid(), signal.SIGTERM)
+
+
+# Guards against a lease that a daemon holds for longer than it was given, as the time
+# in which its host was suspended didn't count.
+def test_time_of_a_daemon_goes_on_while_its_host_is_suspended(monkeypatch):
+    read, suspended = time.clock_gettime, []
+
+    def read_clock(clock):
+        is_counted = suspended and clock == time.CLOCK_BOOTTIME
+        return read(clock) + 60.0 * bool(is_counted)
+
+    monkeypatch.setattr(time, "clock_gettime", read_clock)
+    SuspendedDaemon.suspend = staticmethod(lambda: suspended.append(True))
+    settings = SimpleNamespace(name="e", calls=[])
+
+    assert _start(SuspendedDaemon, settings) == EXIT_OK
+    assert settings.calls == [60, "stopped"]
