--- a/packages/gateway/src/wharf_gateway/http/upstream_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/upstream_connection.py
@@ -15,7 +15,7 @@
 from wharf_gateway.http.socket_options import detect_dead_peer, unread_data
 from wharf_gateway.http.unsolicited import Unsolicited
 
-__all__ = ["UpstreamConnection"]
+__all__ = ["MAX_REQUESTS", "UpstreamConnection"]
 
 _BODYLESS_STATUSES = (204, 304)
 # The ids that a connection remembers are bounded by the number of its requests. At this
--- a/packages/gateway/tests/test_upstream_connection.py
+++ b/packages/gateway/tests/test_upstream_connection.py
@@ -9,6 +9,7 @@
 from wharf_gateway.http.connection_pool import ConnectionPool
 from wharf_gateway.http.http_call_error import HttpCallError
 from wharf_gateway.http.unsolicited import Unsolicited
+from wharf_gateway.http.upstream_connection import MAX_REQUESTS
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\nId: 1\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
@@ -163,6 +164,24 @@
     assert ends == [(Unsolicited.IDLE_DATA, False)]
 
 
+# Guards against a connection that remembers the ids of any number of requests.
+async def test_connection_is_closed_after_its_largest_number_of_requests(raw_server):
+    async def handle(reader, writer):
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(ANSWER)
+
+    address, pool = await raw_server(handle), ConnectionPool()
+    for _ in range(MAX_REQUESTS + 1):
+        connection = await pool.acquire(address, _now())
+        connection.send(REQUEST, b"", "Id", "1")
+        await connection.head()
+        await connection.body()
+        pool.release(address, connection, _now())
+    pool.close()
+
+    assert pool.opened == 2
+
+
 async def test_after_a_refused_connection_the_request_was_not_sent():
     with pytest.raises(HttpCallError) as caught:
         await ConnectionPool().acquire("127.0.0.1:1", 0.0)
