--- a/packages/gateway/tests/test_store_client.py
+++ b/packages/gateway/tests/test_store_client.py
@@ -1,5 +1,6 @@
 """Answers of the store in order of its eras, on connections that answer as told."""
 
+import asyncio
 import json
 from types import SimpleNamespace
 
@@ -7,6 +8,7 @@
 from result import Ok
 
 from wharf_adapter import Dialect, names
+from wharf_gateway.http.connection_pool import ConnectionPool
 from wharf_gateway.http.headers import Headers
 from wharf_gateway.http.response_head import ResponseHead
 from wharf_gateway.store.store_client import StoreClient
@@ -134,3 +136,27 @@
 
 async def test_a_write_returns_the_answer(client_of):
     assert isinstance(await client_of((3, 201, {})).create(KIND, "u", {}), Ok)
+
+
+# Guards against the late answer of a call that was given up, taken for the next one's.
+async def test_late_answer_of_a_call_that_timed_out_is_not_the_next_ones(
+    raw_server, eras
+):
+    revisions, answered = iter((9, 11)), asyncio.Event()
+
+    async def handle(reader, writer):
+        while await reader.readuntil(b"\r\n\r\n"):
+            revision = next(revisions)
+            if revision == 9:
+                await answered.wait()
+            body = json.dumps(_page(revision)).encode()
+            head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n"
+            writer.write(head.encode() + body)
+
+    clock = asyncio.get_running_loop().time
+    address = await raw_server(handle)
+    client = StoreClient(address, Dialect(), ConnectionPool(), clock, eras)
+
+    assert (await client.probe(0.2)).is_err()
+    answered.set()
+    assert (await client.probe(5.0)).unwrap().revision == 11
--- a/packages/gateway/tests/test_upstream_connection.py
+++ b/packages/gateway/tests/test_upstream_connection.py
@@ -164,6 +164,26 @@
     assert ends == [(Unsolicited.IDLE_DATA, False)]
 
 
+# Guards against a request on a connection to an incarnation whose address another has.
+async def test_connection_to_another_incarnation_is_not_reused(raw_server):
+    async def handle(reader, writer):
+        while await reader.readuntil(b"\r\n\r\n"):
+            writer.write(ANSWER)
+
+    address, pool = await raw_server(handle), ConnectionPool()
+    connection = await pool.acquire(address, _now(), "first")
+    connection.send(REQUEST, b"", "Id", "1")
+    await connection.head()
+    await connection.body()
+    pool.release(address, connection, _now())
+
+    other = await pool.acquire(address, _now(), "second")
+    other.close()
+
+    assert other is not connection
+    assert connection.is_closed
+
+
 # Guards against a connection that remembers the ids of any number of requests.
 async def test_connection_is_closed_after_its_largest_number_of_requests(raw_server):
     async def handle(reader, writer):
