Heed pieces_per_turn, and go on after a connection that fails in its turn

An empty PieceTurns is false, so that the configured one was replaced by one with the default; and an error while one waiting connection was parsed would have left all others that waited unread for good. Change: the configured turns are used; the next turn is always scheduled while connections wait, and the connection that fails is closed, as the event loop does if a callback with data fails. Measured: both new tests failed before the change (one by the default of 2,000 pieces, one by connections that got no turn) and pass with it.

--- a/packages/gateway/src/wharf_gateway/http/caller_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_connection.py
@@ -511,7 +511,13 @@
         """Parse some of the bytes that were kept; return the number of their pieces."""
         self._waits_turn = False
         self._pieces = 0
-        self._go_on()
+        try:
+            self._go_on()
+        except Exception:
+            # The event loop does the same if a callback with data fails.
+            self._end = ConnectionEnd.FAILED
+            self._transport.abort()
+            raise
         return self._pieces
 
     def _pause(self, rest):
--- a/packages/gateway/src/wharf_gateway/http/caller_guard.py
+++ b/packages/gateway/src/wharf_gateway/http/caller_guard.py
@@ -31,7 +31,7 @@
         record=None,
         turns=None,
     ):
-        self.turns = turns or PieceTurns()
+        self.turns = PieceTurns() if turns is None else turns
         self.budget = budget or ByteBudget(math.inf, DEFAULT_STALL_SECONDS)
         self.max_connections = max_connections
         self.max_header_lines = max_header_lines
@@ -49,9 +49,13 @@
             loop.call_soon(self._run_turn, loop)
 
     def _run_turn(self, loop):
-        self._has_turn = self.turns.run()
-        if self._has_turn:
-            loop.call_soon(self._run_turn, loop)
+        try:
+            self.turns.run()
+        finally:
+            # The others that wait go on if one fails.
+            self._has_turn = len(self.turns) > 0
+            if self._has_turn:
+                loop.call_soon(self._run_turn, loop)
 
     def record(self, cause, connection):
         """Record that a limit was applied to a connection."""
--- a/packages/gateway/src/wharf_gateway/http/piece_turns.py
+++ b/packages/gateway/src/wharf_gateway/http/piece_turns.py
@@ -26,10 +26,12 @@
     ...         return 3
     >>> turns, caller = PieceTurns(pieces=1), Caller()
     >>> turns.add(caller)
-    >>> turns.run(), caller.left
-    (True, 2)
-    >>> turns.run(), caller.left
-    (False, -1)
+    >>> turns.run()
+    >>> len(turns), caller.left
+    (1, 2)
+    >>> turns.run()
+    >>> len(turns), caller.left
+    (0, -1)
     """
 
     def __init__(self, pieces=DEFAULT_PIECES):
@@ -46,11 +48,10 @@
         self._waiting.append(connection)
 
     def run(self):
-        """Parse the pieces of one turn; return whether connections still wait."""
+        """Parse the pieces of one turn."""
         left = self.pieces
         # Those that wait again get their next share in a later turn.
         for _ in range(len(self._waiting)):
             if left <= 0:
                 break
             left -= max(1, self._waiting.popleft().parse_waiting())
-        return bool(self._waiting)
--- a/packages/gateway/tests/test_small_pieces.py
+++ b/packages/gateway/tests/test_small_pieces.py
@@ -4,6 +4,9 @@
 
 import pytest
 
+from wharf_gateway.caller_limit_settings import caller_guard
+from wharf_gateway.http.byte_budget import ByteBudget
+from wharf_gateway.http.caller_guard import CallerGuard
 from wharf_gateway.http.connection_pool import ConnectionPool
 from wharf_gateway.http.headers import Headers
 from wharf_gateway.http_server import HttpServer
@@ -139,3 +142,41 @@
 
     assert b"".join(parts) == b"x" * 1000
     assert len(parts) < 50
+
+
+class Waiting:
+    """A connection that waits for its turn, and fails in it if it has to."""
+
+    def __init__(self, fails=False):
+        self.fails = fails
+        self.turns = 0
+
+    def parse_waiting(self):
+        self.turns += 1
+        if self.fails:
+            raise ValueError("broken")
+        return 1
+
+
+# Guards against a connection that fails and leaves all that wait behind it unread.
+async def test_connections_go_on_after_one_of_them_has_failed():
+    loop, errors = asyncio.get_running_loop(), []
+    loop.set_exception_handler(lambda loop, context: errors.append(context))
+    guard = CallerGuard(ByteBudget(1000, 1.0))
+    waiting = [Waiting(), Waiting(fails=True), Waiting()]
+    for connection in waiting:
+        guard.wait_turn(connection, loop)
+    await asyncio.sleep(0.01)
+    guard.wait_turn(late := Waiting(), loop)
+    await asyncio.sleep(0.01)
+
+    assert [connection.turns for connection in (*waiting, late)] == [1, 1, 1, 1]
+    assert len(errors) == 1
+
+
+# Guards against a setting that has no effect, as an empty queue is false.
+def test_pieces_of_a_turn_are_set(settings):
+    settings = settings.model_copy(update={"pieces_per_turn": 80})
+    guard = caller_guard(settings, None)
+
+    assert (guard.turns.pieces, guard.turns.share) == (80, 10)
