Give a test of full memory a stall time that a pause does not reach

Cause: test_body_that_finds_no_memory_is_refused_and_not_run failed once beside a load of 14 (1 of 7 runs). Its first caller counts as stalled after 0.1 s, and makes room for the second one, which then is not refused. With a pause of 0.15 s put between the two (trial) it failed each time. Change: the stall time is 60 s in this test; with the same pause it passes. The assertions are the same, and the stall itself has its own tests.

--- a/packages/gateway/tests/test_limited_callers.py
+++ b/packages/gateway/tests/test_limited_callers.py
@@ -85,6 +85,7 @@
 
 # Guards against a refused request that runs, or whose connection hangs.
 async def test_body_that_finds_no_memory_is_refused_and_not_run(site, call):
+    site.budget.stall_seconds = 60.0  # a pause of this process is no stall
     await call(post(BODY)[:-1])
     reader, _ = await call(post(BODY)[:-1])
 
