Collect the garbage of a large test behind it

Cause (entry 25, twice seen): test_registration_rate plays 1,000 gateways and leaves a million objects. Their collection came in the set-up of a test of test_restored_platform.py, the next file that allocates much, and took longer than the 2 s that a call to its stand-in store may take. Evidence: a plugin that logs collections (trial) showed one of 2.51 s in the set-up of test_change_after_the_loss_of_others_is_adopted, 1,012,023 objects, on an otherwise passing run. Change: the garbage is collected at the end of the test that leaves it.

--- a/packages/standins/tests/test_registration_rate.py
+++ b/packages/standins/tests/test_registration_rate.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import gc
 from bisect import bisect_right
 from random import Random
 from types import SimpleNamespace
@@ -79,6 +80,13 @@
     return max(bisect_right(times, at + 1.0) - index for index, at in enumerate(times))
 
 
+@pytest.fixture(autouse=True)
+def collect_garbage():
+    """Free a million objects here, which takes seconds, and not in the next test."""
+    yield
+    gc.collect()
+
+
 # Guards against writes that the store refuses as all gateways register at once.
 @pytest.mark.parametrize("size", [3, 100, 1000])
 def test_all_gateways_register_again_within_the_rate(size):
