--- a/review/common-2/stand_ins_2.py
+++ b/review/common-2/stand_ins_2.py
@@ -51,10 +51,21 @@
 # A small deployment: an `edge` machine of the site ondjamba-anvil.
 LIMITS = {"cpuShare": 0.817, "cores": 1, "memoryMb": 300, "maxFds": 4100}
 BOUNDS = {"retryRatio": 0.2, "retrySlack": 56, "budgetWindowS": 10, "graceS": 8}
-CONTRACTS = (
-    "base drain config cost retry recover engine stream tenants places rollout "
-    "platform stages"
-).split()
+CONTRACTS = [
+    "base",
+    "drain",
+    "config",
+    "cost",
+    "retry",
+    "recover",
+    "engine",
+    "stream",
+    "tenants",
+    "places",
+    "rollout",
+    "platform",
+    "stages",
+]
 
 
 def has_trouble():
