Review case 9: a completed rollout is rolled back after a drill

Cause: an open order's target gets nothing and can't be proved while the old version has no upstream, so an order that a restored store shows as running ends as taken back though it was completed. Case: review/9, the store comes back from a copy 3 s old as all processes are killed, right after the acknowledgement.

--- a/review/common-2/stand_ins_2.py
+++ b/review/common-2/stand_ins_2.py
@@ -9,6 +9,7 @@
 import os
 import random
 import re
+import resource
 import shlex
 import signal
 import socket
@@ -33,6 +34,7 @@
     "configuration",
     "crowd_line",
     "has_trouble",
+    "raise_descriptors",
     "read_answer",
     "request_bytes",
     "route",
@@ -82,6 +84,16 @@
     return f" {length}" + ("" if os.environ.get("CROWD") == "plain" else " ")
 
 
+def raise_descriptors(count):
+    """Return whether this process, and those it starts, may open so many files."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    unlimited = resource.RLIM_INFINITY
+    if soft != unlimited and soft < count and (hard == unlimited or hard >= count):
+        resource.setrlimit(resource.RLIMIT_NOFILE, (count, hard))
+    soft, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return soft == unlimited or soft >= count
+
+
 def attempt_id():
     """Return a new id of a client attempt."""
     return uuid.uuid4().hex[:16]
@@ -183,7 +195,9 @@
         self._events = []
         self._revision = 1
         self._changed = asyncio.Condition()
-        self._origin = 0
+        self.era = 1
+        self.is_up = True
+        self.on_status = None
 
     async def put(self, kind, name, spec=None, status=None):
         """Write an object's spec or its status, as the operator and runners do."""
@@ -218,6 +232,17 @@
             async with self._changed:
                 self._changed.notify_all()
 
+    def copy(self):
+        """Return a copy of the objects, the history and the revision."""
+        return dict(self._objects), list(self._events), self._revision
+
+    async def restore(self, copy):
+        """Come back from a copy, in the next era; revisions are given out again."""
+        self._objects, self._events = dict(copy[0]), list(copy[1])
+        self._revision = copy[2]
+        self.era += 1
+        await self.start()
+
     def get(self, kind, name):
         """Return an object, or None."""
         return self._objects.get((kind, name))
@@ -234,7 +259,7 @@
             status, document = await self._write(method, kind, name, part, body, query)
         data = json.dumps(document).encode()
         kind_field = ("Content-Type", "application/json")
-        self.write(writer, status, data, (kind_field, ("Store-Era", "1")))
+        self.write(writer, status, data, (kind_field, ("Store-Era", str(self.era))))
         await writer.drain()
         return True
 
@@ -284,6 +309,8 @@
         if part == "status":
             await self.put(kind, name, status=document.get("status"))
             self.record(f"store: status of {kind}/{name} is {document.get('status')}")
+            if self.on_status is not None:
+                self.on_status(kind, name, document.get("status"))
         else:
             await self.put(kind, name, spec=document.get("spec"))
         return "200 OK", self.get(kind, name)
@@ -304,6 +331,7 @@
         self.runs = []
         self.work_seconds = 0.02
         self.version = "v1"
+        self.state = "ready"
         self.sequence = 0
 
     def entry(self, **changes):
@@ -315,7 +343,7 @@
             "zone": self.zone,
             "version": self.version,
             "slots": 64,
-            "state": "ready",
+            "state": self.state,
             "coldLeftMs": 0,
             "seqNo": self.sequence,
         }
@@ -437,13 +465,18 @@
         """Wait until the gateway says that it is ready; return whether it does."""
         ends = time.monotonic() + START_SECONDS
         while time.monotonic() < ends:
-            with suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
-                async with asyncio.timeout(1.0):
-                    if await self._is_ready():
-                        return True
+            if await self.is_ready():
+                return True
             await asyncio.sleep(0.1)
         return False
 
+    async def is_ready(self):
+        """Return whether the machine says that it is ready."""
+        with suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+            async with asyncio.timeout(1.0):
+                return await self._is_ready()
+        return False
+
     async def _is_ready(self):
         host, _, port = self.ready_address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
