Count only whole answers against a crash, and losses at any place of one for it

Cause: one flag, whether the first event has come, was read as latency and as proof that the request was survived. The first event cleared the part, and losses behind it were no evidence. Ruled out: a crash that isn't recognised (with CRASH=head the part is found).

Change: a loss at any place of an answer is evidence if the process has gone. Signed failures, resumed answers and answers that end with a connection whose upstream doesn't listen any more clear nothing. Parts of whose answers some had come take four crashes, as all streams of an upstream are lost in its crash; parts without any answer are found first. Conclusions wait for the reports of all gateways.

Why this works: requests with a deadly part never end whole, sound ones do between the crashes, which clears what they share.

--- a/packages/coordination/src/wharf_coordination/quarantine/crash.py
+++ b/packages/coordination/src/wharf_coordination/quarantine/crash.py
@@ -19,10 +19,10 @@
     suspect_by_fingerprint: dict[str, CrashSuspect] = field(default_factory=dict)
 
     def add(self, suspects):
-        """Add requests; one whose answer began replaces the same one that waited."""
+        """Add requests; of equal ones, keep the one that is the most likely cause."""
         for suspect in suspects:
             known = self.suspect_by_fingerprint.get(suspect.fingerprint)
-            if known is None or suspect.began:
+            if known is None or _likelihood(suspect) > _likelihood(known):
                 self.suspect_by_fingerprint[suspect.fingerprint] = suspect
 
     @property
@@ -30,3 +30,7 @@
         """Return the requests whose answer had begun, or all if there is none."""
         suspects = list(self.suspect_by_fingerprint.values())
         return [suspect for suspect in suspects if suspect.began] or suspects
+
+
+def _likelihood(suspect):
+    return suspect.began, not suspect.served
--- a/packages/coordination/src/wharf_coordination/quarantine/crash_attribution.py
+++ b/packages/coordination/src/wharf_coordination/quarantine/crash_attribution.py
@@ -8,8 +8,9 @@
 __all__ = ["FAMILIAR_CRASHES", "CrashAttribution"]
 
 CONCLUSIVE_CRASHES = 2
-# For a feature of requests that were answered before the first of the crashes. Shared
-# features are on most upstreams, so that they are present in most crashes.
+# For a feature of requests that were answered before the first of the crashes, or of
+# which parts of answers had come. Shared features are on most upstreams, so that they
+# are present in most crashes.
 FAMILIAR_CRASHES = 4
 # Crashes of different upstreams within this time may have one cause outside them.
 SIMULTANEOUS_SECONDS = 0.1
@@ -22,33 +23,46 @@
 
 @dataclass(slots=True)
 class _Evidence:
-    """Times of the crashes of a feature, and the requests with it."""
+    """Times of the crashes of a feature, and the requests with it.
+
+    `unserved_times` are those at which such a request had no part of its answer.
+    """
 
     position: int
     times: list[float] = field(default_factory=list)
+    unserved_times: list[float] = field(default_factory=list)
     fingerprints: set[str] = field(default_factory=set)
 
+    def add(self, crash, suspect):
+        """Add a crash at which a request with the feature was running."""
+        self.times.append(crash.at)
+        if not suspect.served:
+            self.unserved_times.append(crash.at)
+        self.fingerprints.add(suspect.fingerprint)
+
     @property
     def crashes(self):
         """Return the number of crashes that are apart in time."""
-        count, last = 0, float("-inf")
-        for at in sorted(self.times):
-            if at - last >= SIMULTANEOUS_SECONDS:
-                count, last = count + 1, at
-        return count
+        return _count_apart(self.times)
+
+    @property
+    def unserved_crashes(self):
+        """Return how many of the crashes left such a request without any answer."""
+        return _count_apart(self.unserved_times)
 
 
 @dataclass(slots=True)
 class CrashAttribution:
-    """Find the features whose requests crash every upstream that begins to answer them.
+    """Find the features whose requests crash every upstream that answers them.
 
     A feature is found once upstreams have crashed twice while requests with it, of at
-    least two fingerprints, were the suspects, and none has been answered since the
-    first; for a fingerprint its repeats suffice. A feature of requests that were
-    answered before takes four crashes. A crash explained by one feature doesn't count
-    against others; of equal ones, the most specific is found. At most `max_crashes`
-    crashes, `max_features` answered features and as many answered fingerprints are
-    kept, the newest ones.
+    least two fingerprints, were the suspects, and none has been answered whole since
+    the first; for a fingerprint its repeats suffice. A feature of requests that were
+    answered before, or parts of whose answers had come at the crashes, takes four. A
+    crash explained by one feature doesn't count against others. Features without any
+    answer are found first; of equal ones, the one that the fewest requests had, then
+    the most specific. At most `max_crashes` crashes, `max_features` answered features
+    and as many answered fingerprints are kept, the newest ones.
 
     >>> from wharf_coordination.quarantine import CrashSuspect
     >>> attribution = CrashAttribution()
@@ -71,18 +85,25 @@
         `upstream` names the crashed process. `at` and `now` are in seconds; `at` is an
         observer's estimate, which may differ from those of others.
         """
+        self.add_suspects(upstream, at, suspects, now)
+        return self.attributions(upstream, at)
+
+    def add_suspects(self, upstream, at, suspects, now):
+        """Record requests that were running at a crash, of which more may be told."""
         self._expire(now)
-        crash = self._crash(upstream, at)
-        crash.add(suspects)
+        self._crash(upstream, at).add(suspects)
+
+    def attributions(self, upstream, at) -> list[Attribution]:
+        """Return what is found of the requests that were running at a crash."""
         involved = {
             feature
-            for suspect in crash.suspect_by_fingerprint.values()
+            for suspect in self._crash(upstream, at).suspect_by_fingerprint.values()
             for feature in (*suspect.features, suspect.fingerprint)
         }
         return [found for found in self._attributions() if found.feature in involved]
 
     def record_answered(self, features, at, fingerprint=None):
-        """Record that a request with `features` was answered at the time `at`."""
+        """Record that a request with `features` was answered whole at the time `at`."""
         self._record_answered(self._answered_at_by_feature, features, at)
         if fingerprint is not None:
             # Most fingerprints come once, and would displace the features.
@@ -117,21 +138,30 @@
         found = {}
         while True:
             conclusive = [
-                (evidence.crashes, evidence.position, feature, min(evidence.times))
+                (self._rank(feature, evidence), feature, evidence)
                 for feature, evidence in self._evidence(found).items()
                 if feature not in found and self._is_conclusive(feature, evidence)
             ]
             if not conclusive:
                 return list(found.values())
-            crashes, _, feature, first_at = max(conclusive)
-            found[feature] = Attribution(feature, crashes, first_at)
+            _, feature, evidence = max(conclusive, key=lambda item: item[:2])
+            first_at = min(evidence.times)
+            found[feature] = Attribution(feature, evidence.crashes, first_at)
+
+    def _rank(self, feature, evidence):
+        """Return by what the likeliest of several conclusive features is chosen."""
+        is_new = self.answered_at(feature) is None
+        requests = len(evidence.fingerprints)
+        return is_new, evidence.crashes, -requests, evidence.position
 
     def _is_conclusive(self, feature, evidence):
-        is_familiar = self.answered_at(feature) is not None
-        needed = FAMILIAR_CRASHES if is_familiar else CONCLUSIVE_CRASHES
         is_fingerprint = feature in evidence.fingerprints
-        has_requests = is_fingerprint or len(evidence.fingerprints) > 1
-        return has_requests and evidence.crashes >= needed
+        if not is_fingerprint and len(evidence.fingerprints) < 2:
+            return False
+        is_familiar = self.answered_at(feature) is not None
+        if not is_familiar and evidence.unserved_crashes >= CONCLUSIVE_CRASHES:
+            return True
+        return evidence.crashes >= FAMILIAR_CRASHES
 
     def _evidence(self, found):
         """Return the evidence by feature, without the crashes that `found` explains."""
@@ -146,8 +176,7 @@
                     evidence = evidence_by_feature.setdefault(
                         feature, _Evidence(position)
                     )
-                    evidence.times.append(crash.at)
-                    evidence.fingerprints.add(suspect.fingerprint)
+                    evidence.add(crash, suspect)
         return evidence_by_feature
 
     def _crash(self, upstream, at):
@@ -163,6 +192,15 @@
         self._crashes = [c for c in self._crashes if now - c.at <= EVIDENCE_SECONDS]
 
 
+def _count_apart(times):
+    """Return the number of times that are apart from each other."""
+    count, last = 0, float("-inf")
+    for at in sorted(times):
+        if at - last >= SIMULTANEOUS_SECONDS:
+            count, last = count + 1, at
+    return count
+
+
 def _unexplained(suspects, found):
     """Return the suspects of a crash that count as evidence beyond `found`.
 
--- a/packages/coordination/tests/test_crash_attribution.py
+++ b/packages/coordination/tests/test_crash_attribution.py
@@ -24,8 +24,8 @@
     return record
 
 
-def _request(name, *features, began=True):
-    return CrashSuspect(name, features, began)
+def _request(name, *features, began=True, served=False):
+    return CrashSuspect(name, features, began, served)
 
 
 def test_feature_that_two_requests_share_is_found_at_the_second_crash(crash):
@@ -101,6 +101,35 @@
     assert found == [[], [], [], ["common"]]
 
 
+def test_part_that_crashes_amid_answers_is_found_beside_those_in_progress(crash):
+    """All requests that are being answered are lost with the one that is the cause."""
+    found = []
+    for number in range(1, 5):
+        deadly = _request(f"d{number}", "system", "deadly", served=True)
+        sound = [
+            _request(f"s{number}-{n}", "system", "sound", served=True) for n in range(3)
+        ]
+        found.append(crash(float(number), deadly, *sound))
+
+    assert found == [[], [], [], ["deadly"]]
+
+
+def test_part_without_any_answer_is_found_before_one_with_earlier_answers(
+    crash, attribution
+):
+    """All upstreams were down, so that nothing was answered between the crashes."""
+    attribution.record_answered(["system", "sound"], 0.5)
+    found = []
+    for number in range(1, 6):
+        sound = _request(f"s{number}", "system", "sound", served=True)
+        deadly = _request(f"d{number}", "system", "deadly", served=True)
+        # One of the crashes has another cause.
+        suspects = [sound] if number == 3 else [deadly, sound]
+        found.append(crash(float(number), *suspects))
+
+    assert found == [[], [], [], ["sound"], ["deadly"]]
+
+
 def test_reports_of_one_crash_are_joined(attribution):
     first, second = _request("r1", "deadly"), _request("r2", "deadly")
     attribution.record_crash("u1", 1.0, [first], 1.0)
--- a/packages/gateway/src/wharf_gateway/crash_guard.py
+++ b/packages/gateway/src/wharf_gateway/crash_guard.py
@@ -25,6 +25,7 @@
 )
 from wharf_gateway.peers.turns import Turns
 from wharf_gateway.request_features import all_features
+from wharf_gateway.settling_answers import SettlingAnswers
 
 __all__ = ["CrashGuard"]
 
@@ -32,6 +33,8 @@
 
 # All connections to a crashed upstream break within some milliseconds.
 GATHER_SECONDS = 0.02
+# The other gateways' reports of a crash arrive within this time of the first.
+REPORT_SECONDS = 0.03
 # A gateway that has just linked to a candidate learns of all quarantines this soon.
 NOTICE_INTERVAL_SECONDS = 1.0
 MAX_REPEATED = 64  # quarantines in one notice
@@ -39,20 +42,28 @@
 
 @dataclass(slots=True)
 class _Loss:
-    """Requests that one upstream left unanswered as its connections broke."""
+    """Requests that one upstream left unanswered as its connections broke.
+
+    `ended` are those whose answers ended with their connections, as a crash or the
+    upstream may end them.
+    """
 
     at: float
     suspects: list[CrashSuspect] = field(default_factory=list)
+    ended: list[CrashSuspect] = field(default_factory=list)
 
 
 class CrashGuard:
     """Attribute crashes to features of requests, and refuse requests with these.
 
-    Each gateway tells the others which of its requests an upstream left without an
+    Each gateway tells the others which of its requests an upstream left without a whole
     answer when it crashed. Any gateway that concludes from this that a feature is the
-    cause quarantines it everywhere; one that knows of an answer to such a request
+    cause quarantines it everywhere; one that knows of a whole answer to such a request
     objects, which lifts the quarantine. Two of the gateways that are linked to all
     others repeat what is in quarantine, for those that were away.
+
+    Only an answer that came whole and that its upstream has survived shows that a
+    request is harmless: a crash may come behind any part of an answer, the last too.
     """
 
     def __init__(self, name, pool, peers, clock, meter):
@@ -63,8 +74,10 @@
         self._attribution = CrashAttribution()
         self._quarantine = Quarantine(name)
         self._loss_by_upstream = {}
+        self._settling = SettlingAnswers()
         self._scope_by_context = {}
         self._tasks = set()
+        self._concluding = set()  # processes whose crash is being reported
         self._turns = Turns(NOTICE_INTERVAL_SECONDS, MAX_REPEATED)
         meter.gauge("wharf_quarantined", lambda: {(): len(self._quarantine)})
 
@@ -107,30 +120,29 @@
 
     # What happens to requests.
 
-    def record_answered(self, context, service, now):
-        """Record that an upstream began to answer a request and didn't crash."""
-        features = all_features(service, context)
-        self._attribution.record_answered(features[:-1], now, features[-1])
-        for feature in features:
-            if self._lift_if_disproved(feature, now):
-                self._post_answered(feature, now)
+    def record_answered(self, context, upstream, now):
+        """Record that an upstream answered a request whole."""
+        suspect = _suspect(context, upstream, True)
+        self._settling.add(_process(upstream), suspect, now)
+        self._settle(now)
+
+    def record_ended(self, context, upstream, now):
+        """Record an answer of unknown length, which ended with its connection.
+
+        It is whole unless its upstream has crashed.
+        """
+        self._loss(upstream, now).ended.append(_suspect(context, upstream, True))
 
     def record_loss(self, context, upstream, now):
-        """Record that the connection broke before an answer to a sent request."""
-        *features, fingerprint = all_features(upstream.service, context)
-        suspect = CrashSuspect(fingerprint, tuple(features), context.response_began)
-        name = f"{upstream.id}/{upstream.started_ms}"
-        loss = self._loss_by_upstream.get(name)
-        if loss is None:
-            loss = self._loss_by_upstream[name] = _Loss(now)
-            task = asyncio.ensure_future(self._report(name, upstream))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+        """Record that the connection broke before the end of an answer."""
+        loss = self._loss(upstream, now)
         if len(loss.suspects) < MAX_SUSPECTS:
-            loss.suspects.append(suspect)
+            is_served = context.response_latency is not None
+            loss.suspects.append(_suspect(context, upstream, is_served))
 
     def advance(self, now):
         """Repeat to all gateways what is in quarantine, if they are linked to this."""
+        self._settle(now)
         if not self._turns.is_due(now):
             return
         entries = self._quarantine.entries(now)
@@ -143,20 +155,30 @@
         """Add another gateway's suspects to the evidence."""
         at = now - message.seconds_ago
         self._record_crash(message.upstream, at, message.suspects, now)
+        suspects = self._settling.take(message.upstream, at)
+        if suspects:
+            self._post_crash(message.upstream, at, suspects, now)
 
     def handle_quarantine(self, message, link, now):
         """Apply another gateway's quarantines, or object to them."""
+        self._settle(now)
         for item in message.items:
             entry = _entry(item, now)
             feature = entry.attribution.feature
             if self._attribution.is_disproved(entry.attribution):
                 answered_at = self._attribution.answered_at(feature)
-                link.post(AnsweredNotice(feature, _age(answered_at, now)))
+                age = _age(answered_at, now)
+                link.post(AnsweredNotice(feature, age, is_whole=True))
             else:
                 self._adopt(entry, now)
 
     def handle_answered(self, message, now):
-        """Record an answer that another gateway knows of."""
+        """Record an answer that another gateway knows of.
+
+        Gateways of earlier versions tell of answers that had only begun.
+        """
+        if not message.is_whole:
+            return
         answered_at = now - message.seconds_ago
         self._attribution.record_answered((message.feature,), answered_at)
         if self._lift_if_disproved(message.feature, now) and self._peers.is_candidate:
@@ -221,31 +243,81 @@
         """Tell all gateways of a crash once the upstream is known to be gone."""
         await asyncio.sleep(GATHER_SECONDS)
         loss = self._loss_by_upstream.pop(name)
-        if not await self._pool.is_refused(upstream.address):
-            return
+        is_gone = await self._pool.is_refused(upstream.address)
         now = self._clock()
+        if not is_gone:
+            for suspect in loss.ended:
+                self._count_answer(suspect, loss.at, now)
+            return
+        answered = self._settling.take(name, loss.at)
+        suspects = (*loss.suspects, *loss.ended, *answered)[:MAX_SUSPECTS]
         log.info(
             "upstream_crashed",
             upstream=upstream.id,
-            suspects=len(loss.suspects),
-            began=sum(suspect.began for suspect in loss.suspects),
+            suspects=len(suspects),
+            began=sum(suspect.began for suspect in suspects),
+            served=sum(suspect.served for suspect in suspects),
         )
-        suspects = tuple(loss.suspects)
-        self._peers.post_all(CrashNotice(name, _age(loss.at, now), suspects))
-        self._record_crash(name, loss.at, suspects, now)
+        self._post_crash(name, loss.at, suspects, now)
+
+    def _post_crash(self, name, at, suspects, now):
+        """Tell all gateways, and this one, of requests that a crashed upstream had."""
+        self._peers.post_all(CrashNotice(name, _age(at, now), tuple(suspects)))
+        self._record_crash(name, at, suspects, now)
 
     def _record_crash(self, name, at, suspects, now):
-        found = self._attribution.record_crash(name, at, suspects, now)
-        entries = [self._quarantine.begin(attribution, now) for attribution in found]
+        if not suspects:
+            return
+        self._attribution.add_suspects(name, at, suspects, now)
+        if name not in self._concluding:
+            self._concluding.add(name)
+            self._start(self._conclude(name, at))
         features = {f for s in suspects for f in (*s.features, s.fingerprint)}
-        entries += self._quarantine.record_crash(features, at, now)
-        entries = [entry for entry in entries if entry is not None]
+        self._begin(self._quarantine.record_crash(features, at, now), now)
+
+    async def _conclude(self, name, at):
+        """Draw the conclusions from a crash once all gateways have reported it."""
+        await asyncio.sleep(REPORT_SECONDS)
+        self._concluding.discard(name)
+        now = self._clock()
+        self._settle(now)
+        found = self._attribution.attributions(name, at)
+        entries = [self._quarantine.begin(attribution, now) for attribution in found]
+        self._begin([entry for entry in entries if entry is not None], now)
+
+    def _begin(self, entries, now):
+        """Tell all gateways of quarantines that have just begun here."""
         for entry in entries:
             self._log_entry(entry, now)
         if entries:
             self._post(entries, now)
             self._interrupt(now)
 
+    def _loss(self, upstream, now):
+        """Return what one process has lost just now; it is reported soon."""
+        name = _process(upstream)
+        if name not in self._loss_by_upstream:
+            self._loss_by_upstream[name] = _Loss(now)
+            self._start(self._report(name, upstream))
+        return self._loss_by_upstream[name]
+
+    def _start(self, coroutine):
+        task = asyncio.ensure_future(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _settle(self, now):
+        """Count the answers that their upstreams have survived."""
+        for at, suspect in self._settling.settled(now):
+            self._count_answer(suspect, at, now)
+
+    def _count_answer(self, suspect, at, now):
+        features = suspect.features
+        self._attribution.record_answered(features, at, suspect.fingerprint)
+        for feature in (*features, suspect.fingerprint):
+            if self._lift_if_disproved(feature, now):
+                self._post_answered(feature, now)
+
     def _lift_if_disproved(self, feature, now):
         entry = self._quarantine.entry(feature)
         if entry is None or not self._attribution.is_disproved(entry.attribution):
@@ -259,7 +331,7 @@
 
     def _post_answered(self, feature, now):
         seconds_ago = _age(self._attribution.answered_at(feature), now)
-        self._peers.post_all(AnsweredNotice(feature, seconds_ago))
+        self._peers.post_all(AnsweredNotice(feature, seconds_ago, is_whole=True))
 
     def _interrupt(self, now):
         for context, scope in list(self._scope_by_context.items()):
@@ -279,6 +351,17 @@
         )
 
 
+def _process(upstream):
+    """Return the name of an upstream's process."""
+    return f"{upstream.id}/{upstream.started_ms}"
+
+
+def _suspect(context, upstream, is_served):
+    *features, fingerprint = all_features(upstream.service, context)
+    began = context.response_began
+    return CrashSuspect(fingerprint, tuple(features), began, is_served)
+
+
 def _age(at, now):
     """Return the seconds since `at`, within what messages can say."""
     return min(max(0.0, now - at), MAX_AGE_SECONDS)
--- a/packages/gateway/src/wharf_gateway/peers/messages.py
+++ b/packages/gateway/src/wharf_gateway/peers/messages.py
@@ -201,7 +201,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashNotice:
-    """Report the sender's requests that had no answer when an upstream crashed.
+    """Report the sender's requests that had no whole answer as an upstream crashed.
 
     `upstream` names the crashed process, not only its host.
     """
@@ -236,10 +236,14 @@
 
 @dataclass(frozen=True, slots=True)
 class AnsweredNotice:
-    """Tell that a request with a feature was answered, against its quarantine."""
+    """Tell that a request with a feature was answered, against its quarantine.
+
+    `is_whole` says that the answer came whole and that its upstream survived it.
+    """
 
     feature: str
     seconds_ago: Age
+    is_whole: bool = False
     kind: Literal["answered"] = "answered"
 
 
--- a/packages/gateway/src/wharf_gateway/request_context.py
+++ b/packages/gateway/src/wharf_gateway/request_context.py
@@ -24,7 +24,9 @@
     `response_latency` is the time from the start of the current attempt to its
     response or, for a stream, to its first event; None until then. `response_began`
     says whether the current attempt's upstream has sent the head of its response.
-    `is_suspect` says that an upstream was lost as it began to answer the request.
+    `was_lost` says that an upstream was lost as it answered the request, `is_suspect`
+    that this was before any part of the answer, so that the request goes where it would
+    interrupt the fewest others.
     `began_at` is when the request had been read and its run began.
     `has_retry` says that the retry which follows has been taken from the budget.
     `features_by_service` holds what `request_features` has worked out. `estimate` is
@@ -48,6 +50,7 @@
     sends: int = 0
     response_latency: float | None = None
     response_began: bool = False
+    was_lost: bool = False
     is_suspect: bool = False
     has_retry: bool = False
     began_at: float = 0.0
--- a/packages/gateway/src/wharf_gateway/request_runner.py
+++ b/packages/gateway/src/wharf_gateway/request_runner.py
@@ -34,8 +34,8 @@
 MISDIRECTED_REQUEST = 421
 # A cancelled attempt counts as a failure of its upstream after this long.
 CANCELLED_FAILURE_SECONDS = 0.5
-# A request whose upstream was lost as it began to answer waits for what other gateways
-# know of it before it is sent to the next one.
+# A request whose upstream was lost as it answered waits for what other gateways know of
+# it before it is sent to the next one.
 SUSPECT_DELAY_SECONDS = 0.1
 
 
@@ -199,7 +199,7 @@
         while context.sends < MAX_SENDS and attempts < context.route.max_attempts:
             if self._is_too_late_to_send(context):
                 return answer if context.sends else GatewayResponse.stopping()
-            if context.is_suspect:
+            if context.was_lost:
                 await asyncio.sleep(SUSPECT_DELAY_SECONDS)
             if context.route.steps and context.inputs is None:
                 refusal = await self._prepare(context)
@@ -322,24 +322,33 @@
         self._rollouts.record_attempt(upstream, route, in_flight, failed, seconds, now)
 
     def _record_loss(self, context, state, error):
-        """Record a connection that broke before any part of the answer came."""
-        is_answered = context.response_latency is not None
+        """Record a connection that broke before the end of the answer."""
         is_reset_here = isinstance(error, (AnswerTooLargeError, UnmatchedAnswerError))
-        if not error.was_sent or is_answered or is_reset_here:
+        if not error.was_sent or is_reset_here:
             return
-        context.is_suspect = context.is_suspect or context.response_began
+        if context.response_began:
+            context.was_lost = True
+            context.is_suspect = context.is_suspect or context.response_latency is None
         self._crash_guard.record_loss(context, state.upstream, self._clock())
 
-    def _note_answered(self, context, state, started):
+    def _note_first_part(self, context, state, started):
+        """Record the latency of an answer as its first event, or its body, has come."""
         now = self._clock()
         context.response_latency = now - started
         if self.usage is not None:
             self.usage.answered(context, started, now)
-        self._crash_guard.record_answered(context, state.upstream.service, now)
         state.record_success(context.response_latency)
         if self._expected is not None:
             self._expected.record_latency(context, state, context.response_latency, now)
 
+    def _note_whole(self, context, state, connection):
+        """Record for the crash guard that the whole of an answer has come."""
+        now = self._clock()
+        if connection.is_close_delimited:
+            self._crash_guard.record_ended(context, state.upstream, now)
+        else:
+            self._crash_guard.record_answered(context, state.upstream, now)
+
     def _send(self, context, state, connection, splitter, now):
         inbound, call_id = context.inbound, context.details.id
         headers = inbound.headers
@@ -391,7 +400,8 @@
                 context, state, responder, connection, head, splitter, started
             )
         body = await connection.body()
-        self._note_answered(context, state, started)
+        self._note_first_part(context, state, started)
+        self._note_whole(context, state, connection)
         responder.answer(head.status, self._dialect.caller_fields(head.headers), body)
         self._log_answer(context, state, head.status, started)
         return AttemptResult()
@@ -399,9 +409,6 @@
     async def _relay_failure(self, context, state, connection, head, reply):
         body = await connection.body()
         state.record_failure()
-        if reply.is_signed:
-            now = self._clock()
-            self._crash_guard.record_answered(context, state.upstream.service, now)
         if not reply.is_signed and head.status < 300:
             answer = GatewayResponse(
                 502, Code.ANSWER_BROKEN, "the response is not signed"
@@ -420,6 +427,9 @@
     async def _relay_stream(
         self, context, state, responder, connection, head, splitter, started
     ):
+        # An upstream that only continues an answer may not come to the part on which
+        # the one before it crashed.
+        is_resumed = bool(splitter.last_id or context.details.last_event)
         pace = EventPace(stall_seconds(context.route), self._clock())
         while data := await self._takeover.next_part(context, pace, connection):
             received_at = self._clock()
@@ -428,7 +438,7 @@
                 raise AnswerTooLargeError(f"event over {self._max_event_bytes} bytes")
             if events:
                 if context.response_latency is None:
-                    self._note_answered(context, state, started)
+                    self._note_first_part(context, state, started)
                 if not responder.is_started:
                     self._drop_inputs(context)
                     responder.begin(
@@ -440,6 +450,8 @@
             raise HttpCallError("the stream ended in the middle of an event")
         if context.response_latency is None and connection.is_close_delimited:
             raise HttpCallError("the connection ended before the first event")
+        if context.response_latency is not None and not is_resumed:
+            self._note_whole(context, state, connection)
         if not responder.is_started:
             responder.begin(head.status, self._dialect.caller_fields(head.headers))
         responder.end()
@@ -480,6 +492,7 @@
             state.record_failure()
         else:
             state.record_unreachable(self._clock())
+        features = all_features(state.upstream.service, context)
         log.info(
             "attempt_lost",
             request=context.details.id,
@@ -489,7 +502,7 @@
             began=context.response_began,
             served=context.response_latency is not None,
             prompt=[part.id for part in context.details.prompt],
-            features=_lost_features(context, state, error),
+            features=list(features) if error.was_sent else [],
         )
         if not error.was_sent:
             answer = GatewayResponse.not_run(Code.NO_UPSTREAM, str(error))
@@ -571,12 +584,6 @@
     return not result.not_run and result.answer is not None
 
 
-def _lost_features(context, state, error):
-    if not error.was_sent or context.response_latency is not None:
-        return []
-    return list(all_features(state.upstream.service, context))
-
-
 def _stopped_response(context):
     if context.may_have_run:
         return GatewayResponse(
--- a/packages/gateway/tests/test_crash_guard.py
+++ b/packages/gateway/tests/test_crash_guard.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import cbor2
 import pytest
 
 from wharf_coordination.code import Code
@@ -22,6 +23,7 @@
     QuarantineNotice,
 )
 from wharf_gateway.request_context import RequestContext
+from wharf_gateway.settling_answers import SETTLE_SECONDS
 from wharf_gateway.telemetry.meter import Meter
 
 ROUTE = Route("r", "h", "/", RouteKind.STREAM, 5.0, 1.0, 0, (Target("s"),), 2)
@@ -105,11 +107,27 @@
     async def crash(self, name, upstream_id, context):
         """Let an upstream of a gateway crash while it begins to answer a request."""
         context.response_began = True
-        upstream = Upstream(upstream_id, "s", "a:1", "dc", "v", 1, False, 1)
-        self.guard_by_name[name].record_loss(context, upstream, self.now)
-        await asyncio.sleep(0.05)
+        self.guard_by_name[name].record_loss(context, _upstream(upstream_id), self.now)
+        await self.settle()
+
+    async def settle(self):
+        """Wait until all gateways have told what they know, and a second more."""
+        guards = self.guard_by_name.values()
+        while tasks := [task for guard in guards for task in guard._tasks]:
+            await asyncio.wait(tasks)
         self.now += 1.0
 
+    def answer(self, name, context, upstream_id="u0"):
+        """Let a gateway get a whole answer from an upstream that goes on."""
+        guard = self.guard_by_name[name]
+        guard.record_answered(context, _upstream(upstream_id), self.now)
+        self.now += SETTLE_SECONDS
+        guard.advance(self.now)
+
+
+def _upstream(upstream_id):
+    return Upstream(upstream_id, "s", "a:1", "dc", "v", 1, False, 1)
+
 
 @pytest.fixture
 def group():
@@ -158,7 +176,7 @@
 
 async def test_gateway_with_an_earlier_answer_objects(group, ask):
     """The part was new to those that saw the crashes, not to another."""
-    group.guard_by_name["g5"].record_answered(ask("r0", "common"), "s", group.now)
+    group.answer("g5", ask("r0", "common"))
     group.now += 1.0
     await group.crash("g3", "u1", ask("r1", "common"))
     await group.crash("g4", "u2", ask("r2", "common"))
@@ -169,7 +187,7 @@
 async def test_equal_requests_that_another_gateway_answered_are_not_blocked(group, ask):
     """It had not heard of the crash, so that it had not remembered its answers."""
     await group.crash("g3", "u1", ask("same", "part"))
-    group.guard_by_name["g5"].record_answered(ask("same", "part"), "s", group.now)
+    group.answer("g5", ask("same", "part"))
     group.now += 1.0
     await group.crash("g4", "u2", ask("same", "part"))
 
@@ -183,7 +201,7 @@
     group.now += 61.0
     assert group.refusals(context) == [None] * 6
 
-    group.guard_by_name["g5"].record_answered(context, "s", group.now)
+    group.answer("g5", context)
 
     assert [guard.dump(group.now) for guard in group.guard_by_name.values()] == [{}] * 6
 
@@ -252,16 +270,82 @@
     """Only gateways with a request on the crashed upstream report, once each."""
     for number in range(5):
         group.guard_by_name["g3"].record_loss(
-            ask(f"r{number}", "part"),
-            Upstream("u1", "s", "a:1", "dc", "v", 1, False, 1),
-            group.now,
+            ask(f"r{number}", "part"), _upstream("u1"), group.now
         )
-    await asyncio.sleep(0.05)
+    await group.settle()
 
     sent = [message for peers in group.peers_by_name.values() for message in peers.sent]
     assert [type(message) for message in sent] == [CrashNotice] * 2
 
 
+async def test_answer_whose_upstream_crashes_right_behind_it_is_evidence(group, ask):
+    """A crash behind the last byte of an answer cleared the part that caused it."""
+    for number in range(4):
+        group.answer("g4", ask(f"w{number}", "sound"), "u9")
+        upstream, sound = _upstream(f"u{number}"), ask(f"s{number}", "sound")
+        sound.response_began, sound.response_latency = True, 0.1
+        guard = group.guard_by_name["g0"]
+        guard.record_answered(ask(f"d{number}", "deadly"), upstream, group.now)
+        group.now += SETTLE_SECONDS / 2
+        group.guard_by_name["g4"].record_loss(sound, upstream, group.now)
+        await group.settle()
+    for guard in group.guard_by_name.values():
+        guard.advance(group.now)
+
+    assert None not in group.refusals(ask("d9", "deadly"))
+    assert group.refusals(ask("s9", "sound")) == [None] * 6
+
+
+@pytest.mark.parametrize("is_gone", [True, False])
+async def test_answer_that_ends_with_its_connection_may_have_been_cut(
+    group, ask, is_gone
+):
+    """A crash that closes its connections in order passed for the end of an answer."""
+    for number in range(4):
+        await group.crash("g3", f"a{number}", ask(f"x{number}", "other"))
+        group.pool.is_gone = is_gone
+        context = ask(f"r{number}", "part")
+        context.response_began = True
+        upstream = _upstream(f"u{number}")
+        group.guard_by_name["g3"].record_ended(context, upstream, group.now)
+        await group.settle()
+        group.pool.is_gone = True
+
+    is_blocked = None not in group.refusals(ask("r9", "part"))
+    assert is_blocked is is_gone
+
+
+async def test_conclusion_waits_for_the_reports_of_all_gateways(group, ask):
+    """One gateway alone reports more crashes of a sound part than of the cause."""
+    group.answer("g5", ask("w", "sound"))
+    group.answer("g0", ask("w", "sound"))
+    for number in range(4):
+        upstream = _upstream(f"u{number}")
+        for name, part in (("g0", "sound"), ("g1", "deadly")):
+            context = ask(f"{part}{number}", part)
+            context.response_began, context.response_latency = True, 0.1
+            group.guard_by_name[name].record_loss(context, upstream, group.now)
+        await group.settle()
+
+    assert None not in group.refusals(ask("d9", "deadly"))
+    assert group.refusals(ask("s9", "sound")) == [None] * 6
+
+
+async def test_earlier_versions_word_of_an_answer_that_began_clears_nothing(group, ask):
+    """Gateways of earlier versions tell of an answer at its first event."""
+    await group.crash("g3", "u1", ask("r1", "deadly"))
+    await group.crash("g4", "u2", ask("r2", "deadly"))
+    guard = group.guard_by_name["g0"]
+    features = guard.dump(group.now)
+
+    for feature in features:
+        notice = {"kind": "answered", "feature": feature, "seconds_ago": 0.0}
+        guard.handle_answered(decode(cbor2.dumps(notice)).unwrap(), group.now)
+
+    assert features
+    assert guard.dump(group.now).keys() == features.keys()
+
+
 def test_largest_notices_fit_into_a_frame():
     features = tuple(f"{n:032x}" for n in range(32))
     suspects = tuple(CrashSuspect(f"{n:032x}", features) for n in range(64))
--- a/packages/standins/tests/test_deadly_prompt_part.py
+++ b/packages/standins/tests/test_deadly_prompt_part.py
@@ -4,12 +4,14 @@
 import json
 import signal
 from itertools import cycle
+from random import Random
 
 import pytest
 
 from wharf_adapter import names
 from wharf_coordination import Code
 from wharf_gateway.quarantine_keeper import MAX_WRITE_DELAY_SECONDS
+from wharf_standins.soak.crash_place import CrashPlace
 from wharf_standins.soak.crashing_upstream import CrashingUpstream
 from wharf_standins.soak.wire import HOST, configuration
 
@@ -21,9 +23,14 @@
 
 
 @pytest.fixture
-def upstreams():
+def place():
+    return CrashPlace.HEAD
+
+
+@pytest.fixture
+def upstreams(place):
     return [
-        CrashingUpstream(f"upstream-{number}", DEADLY_PART, DOWN_SECONDS)
+        CrashingUpstream(f"upstream-{number}", DEADLY_PART, DOWN_SECONDS, place)
         for number in range(UPSTREAM_COUNT)
     ]
 
@@ -107,6 +114,81 @@
     assert sum(len(upstream.crashed_at) for upstream in upstreams) == crashes
 
 
+@pytest.mark.parametrize("place", [place for place in CrashPlace if place != "head"])
+async def test_part_that_crashes_upstreams_amid_their_answers_is_refused(
+    gateways, upstreams
+):
+    """The first event cleared the part, and losses behind it were no evidence, so that
+    it was never found (review case 8).
+    """
+    outcomes, stopped = [], asyncio.Event()
+
+    async def send_sound(gateway, name):
+        number = 0
+        while not stopped.is_set():
+            prompt = f"common:800,subject:200,own-{name}-{number}:50"
+            outcomes.append(await _send(gateway, f"sound-{name}-{number}", prompt))
+            await asyncio.sleep(0.1)
+            number += 1
+
+    tasks = [asyncio.create_task(send_sound(g, g.name)) for g in gateways]
+    await asyncio.sleep(1.0)
+    for number, gateway in zip(range(8), cycle(gateways), strict=False):
+        await _send(gateway, f"deadly-{number}", _deadly_prompt(number))
+        await asyncio.sleep(0.7)
+    crashes = sum(len(upstream.crashed_at) for upstream in upstreams)
+    refused = [
+        await _send(gateway, f"late-{n}", _deadly_prompt(100 + n))
+        for n, gateway in enumerate(gateways)
+    ]
+    stopped.set()
+    await asyncio.gather(*tasks)
+
+    assert refused == [(503, Code.REQUEST_CONDEMNED)] * GATEWAY_COUNT
+    assert 2 <= crashes <= MAX_CRASHES
+    assert sum(len(upstream.crashed_at) for upstream in upstreams) == crashes
+    assert (503, Code.REQUEST_CONDEMNED) not in outcomes
+
+
+async def test_part_of_all_requests_isnt_refused_as_upstreams_crash_at_random(
+    run_gateways,
+):
+    """All requests that are being answered are lost as their upstream crashes, so that
+    what all of them share is in each crash.
+    """
+    upstreams = [
+        CrashingUpstream(f"upstream-{n}", "none-has-it", 0.5, event_seconds=0.2)
+        for n in range(UPSTREAM_COUNT)
+    ]
+    document = configuration(1)
+    for route in document["routes"]:
+        route["isResumable"] = route["name"] == "stream"
+    random, outcomes = Random(1), []
+
+    async def send(gateway, name):
+        prompt = f"common:800,subject:200,own-{name}:50"
+        outcomes.append(await _send(gateway, f"sound-{name}", prompt))
+
+    async with run_gateways(
+        GATEWAY_COUNT, document, upstreams, retry_share=0.2, retry_reserve=56
+    ) as gateways:
+        await _wait_until_ready(gateways)
+        tasks, turns = [], cycle(gateways)
+        for _ in range(8):
+            for _ in range(15):
+                await asyncio.sleep(0.05)
+                gateway, name = next(turns), str(len(tasks))
+                tasks.append(asyncio.create_task(send(gateway, name)))
+            await random.choice(upstreams).crash()
+        await asyncio.gather(*tasks)
+        logs = [gateway.output(400000) for gateway in gateways]
+
+    assert sum(len(upstream.crashed_at) for upstream in upstreams) >= 6
+    assert [log for log in logs if '"quarantine"' in log] == []
+    assert (503, Code.REQUEST_CONDEMNED) not in outcomes
+    assert outcomes.count((200, None)) == len(outcomes)
+
+
 async def test_quarantine_outlives_a_restart_of_all_gateways(gateways, upstreams):
     """What had been learnt was lost, so that engines crashed again (tainted-restarts,
     seed 1: seven crashes).
