Serve the only version that is left, and don't take it back

All gateways are killed as the store comes back from a copy, right after a rollout was completed.

Cause: the copy shows the order as running, and no process remembers its end. A version that a rollout introduces was kept from serving whether or not there was another one, and the end of the order's time took it back for lack of a comparison.

Change: where only the new version of an unfinished order has upstreams, it serves. `rolled_back` isn't written while no upstream of another version is there that takes connections; the rollout is completed at nine tenths of its time unless the version is suspected. Entries that lapsed beside an outage are waited for: for 2.5 s after the store's return or the gateway's start nothing is found to be the only version.

Why this works: what the upstreams' entries show doesn't depend on what a process remembers or a copy holds.

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -5,6 +5,7 @@
 import structlog
 from result import Err, Ok
 
+from wharf_gateway.rollouts.sole_versions import SoleVersions
 from wharf_gateway.rollouts.version_table import VersionTable
 from wharf_gateway.routing.evacuations import Evacuations
 from wharf_gateway.routing.self_reports import SelfReports
@@ -20,6 +21,9 @@
 # registered again within two seconds of its return. After that, a missing upstream is
 # gone.
 EXPIRY_GRACE_SECONDS = 2.0
+# After the store's return, or the start of this process, which may be just behind it,
+# a version without an entry may still come back.
+SOLE_GRACE_SECONDS = 2.5
 # An entry of a process that is gone expires sooner than this after a restoration, since
 # the platform removes it after three heartbeats of silence.
 HELD_SECONDS = 10.0
@@ -51,6 +55,7 @@
         self.state_by_id = {}
         self._states_by_service = {}
         self._versions = VersionTable()
+        self._sole = SoleVersions()
         self._version_by_service = {}
         self._evacuations = Evacuations()
         self.out_data_centres = frozenset()
@@ -63,6 +68,7 @@
         self._held_by_id = {}
         self._listed_era = None
         self._returned_at = float("-inf")
+        self._first_listed_at = None
         self.is_store_readable = lambda: True
         self.removal_callbacks = []
 
@@ -147,10 +153,53 @@
         if service not in self._version_by_service:
             states = self._states_by_service.get(service, {}).values()
             self._version_by_service[service] = self._versions.version(
-                service, [state.upstream.version for state in states]
+                service,
+                [state.upstream.version for state in states],
+                service in self._sole,
             )
         return self._version_by_service[service]
 
+    def advance_versions(self, now):
+        """Use a rollout's new version where no other one is left.
+
+        While entries may be missing that come back, none is found to be the only one.
+        """
+        targets = self._versions.unfinished_targets()
+        services = {s for s, target in targets.items() if self._has_only(s, target)}
+        if not self._is_complete(now):
+            services = {service for service in services if service in self._sole}
+        for service in self._sole.update(services, now):
+            self._version_by_service.pop(service, None)
+            log.info("sole_version", service=service, is_sole=service in self._sole)
+
+    def sole_seconds(self, service, now):
+        """Return for how long only a rollout's new version has been left, or None."""
+        return self._sole.seconds(service, now)
+
+    def can_go_back(self, order, now):
+        """Return whether an upstream of another version than an order's is there."""
+        others = self._others(order.service, order.target)
+        return any(not state.in_backoff(now) for state in others)
+
+    def _has_only(self, service, target):
+        is_used = bool(self._states_by_service.get(service))
+        return is_used and not self._others(service, target)
+
+    def _others(self, service, target):
+        """Return the upstreams of other versions that aren't about to leave."""
+        return [
+            state
+            for state in self._states_by_service.get(service, {}).values()
+            if state.upstream.version != target and not state.upstream.is_draining
+        ]
+
+    def _is_complete(self, now):
+        """Return whether upstreams without an entry are surely gone."""
+        if self._first_listed_at is None or not self.is_store_readable():
+            return False
+        since = max(self._first_listed_at, self._returned_at, self.eras.restored_at)
+        return now - since >= SOLE_GRACE_SECONDS
+
     def apply_order(self, order):
         """Apply an order to move a service to another version, or its new state."""
         self._versions.apply(order)
@@ -210,12 +259,13 @@
         """Replace all upstreams by those of a complete listing."""
         names = {stored.name for stored in objects}
         self.has_listing = True
+        if self._first_listed_at is None:
+            self._first_listed_at = now
         self._held_by_id.clear()
         era = self.eras.current
         is_restored = era != self._listed_era or self._is_just_restored(now)
         self._listed_era = era
-        if recovered_at is not None:
-            self._returned_at = max(recovered_at, self._returned_at)
+        self._note_return(recovered_at)
         for name in list(self.state_by_id):
             if name not in names:
                 self._expire(name, now, recovered_at)
@@ -228,6 +278,7 @@
 
     def update_upstreams(self, objects, now, recovered_at=None):
         """Add, update or remove upstreams whose entries changed."""
+        self._note_return(recovered_at)
         for stored in objects:
             self._held_by_id.pop(stored.name, None)
             if stored.is_deleted:
@@ -287,6 +338,11 @@
             "configuration", version=configuration.version, revision=stored.revision
         )
 
+    def _note_return(self, recovered_at):
+        """Record when the store came back from an outage, if there was one."""
+        if recovered_at is not None:
+            self._returned_at = max(recovered_at, self._returned_at)
+
     def _read_upstream(self, stored, now):
         """Return an entry's upstream, or None if the entry can't be read."""
         match self._dialect.read_upstream(stored, now):
--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_driver.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_driver.py
@@ -65,6 +65,11 @@
             )
         )
 
+    def is_suspected(self, now):
+        """Return whether samples speak against the new version."""
+        view = self.participant.view
+        return bool(view.vetoed) or self.participant.is_suspected(now)
+
     def share(self, now):
         """Return the new version's share of the requests."""
         match self.outcome:
--- a/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
+++ b/packages/gateway/src/wharf_gateway/rollouts/rollout_manager.py
@@ -35,6 +35,10 @@
 # the time after which a silent peer counts as gone leaves room for slow hosts.
 SETTLE_SECONDS = 2 * PEER_TIMEOUT_SECONDS
 NOTICE_INTERVAL_SECONDS = 1.0  # between repetitions of lost outcomes
+# A rollout without another version to go back to ends at this share of its time, if
+# that has been so for long enough that crashed upstreams would be back.
+SOLE_FINISH_SHARE = 0.9
+SOLE_FINISH_SECONDS = 8.0
 
 
 class RolloutManager:
@@ -52,6 +56,10 @@
     listing of the new era lacks. A gateway that was paused, and hadn't listed the store
     since, may have missed that an order was offered again and asserts no outcome.
 
+    Without another version to go back to, a rollout isn't rolled back: that would take
+    the service away, whatever a comparison has shown. The new version serves, and the
+    rollout is finished at the end of its time unless that version is suspected.
+
     A gateway that was paused for as long as peers wait for a silent one may have been
     replaced as the driver. It forgets what it had seen as the driver, and neither
     drives nor applies shares until it has heard its peers again.
@@ -168,6 +176,7 @@
     def advance(self, now):
         """Drive the open rollouts if this gateway is chosen, and send their shares."""
         self._step(now)
+        self._fleet.advance_versions(now)
         self._release_held(now)
         self._repeat_outcomes(now)
         if now < self._settled_at:
@@ -179,7 +188,7 @@
                 self._drive(service, progress, now)
             else:
                 self.driver_by_service.pop(service, None)
-                self._write(progress, progress.order.outcome, "lost by the store")
+                self._write(progress, progress.order.outcome, "lost by the store", now)
 
     def wait_for_peers(self, now):
         """Drive nothing until the peers could be heard, as after the start."""
@@ -198,15 +207,24 @@
             log.warning("rollouts_not_driven", services=services, seconds=now - last)
             self.driver_by_service.clear()
 
-    def _drives(self, service, driver):
-        """Return whether `driver`, None for an ended rollout, still holds here."""
+    def _may_write(self, order, driver, outcome):
+        """Return whether an outcome of `driver`, None if there is none, still holds."""
         now = self._clock()
         self._step(now)
         is_owner = self._owner_of(DRIVER_POOL, now) is None
-        is_same = self.driver_by_service.get(service) is driver
-        return is_owner and is_same and now >= self._settled_at
+        is_same = self.driver_by_service.get(order.service) is driver
+        is_held = self._is_held(order, outcome, now)
+        return is_owner and is_same and not is_held and now >= self._settled_at
+
+    def _is_held(self, order, outcome, now):
+        """Return whether taking a version back would leave the service without any."""
+        is_back = outcome is RolloutOutcome.TAKEN_BACK
+        return is_back and not self._fleet.can_go_back(order, now)
 
     def _drive(self, service, progress, now):
+        if self._fleet.sole_seconds(service, now) is not None:
+            self._drive_sole(service, progress, now)
+            return
         driver = self._driver(service, progress, now)
         if driver is None:
             return
@@ -217,7 +235,24 @@
         notice = ShareNotice(service, progress.order.target, share, elapsed)
         self._peers.post_all(notice)
         outcome = driver.outcome or RolloutOutcome.RUNNING
-        self._write(progress, outcome, driver.reason)
+        self._write(progress, outcome, driver.reason, now)
+
+    def _drive_sole(self, service, progress, now):
+        """Finish a rollout at its end if there is no version to go back to.
+
+        One whose new version is suspected stays open, as the old one may come back.
+        """
+        driver = self.driver_by_service.get(service)
+        is_finished = driver is not None and driver.outcome is RolloutOutcome.FINISHED
+        is_late = now - progress.began_at >= SOLE_FINISH_SHARE * progress.order.duration
+        is_sure = self._fleet.sole_seconds(service, now) >= SOLE_FINISH_SECONDS
+        is_suspected = driver is not None and driver.is_suspected(now)
+        if is_finished or (is_late and is_sure and not is_suspected):
+            self._write(
+                progress, RolloutOutcome.FINISHED, "no other version is left", now
+            )
+        else:
+            self._write(progress, RolloutOutcome.RUNNING, "", now)
 
     def dump(self, now):
         """Return the state of each service's last rollout, for operators."""
@@ -376,12 +411,12 @@
             self.driver_by_service[service] = driver
         return self.driver_by_service[service]
 
-    def _write(self, progress, outcome, reason):
-        if progress.stored is not None:
-            service = progress.stored.service
-            driver = self.driver_by_service.get(service)
-            may_write = partial(self._drives, service, driver)
-            self._writer.write(progress.stored, outcome, reason, may_write)
+    def _write(self, progress, outcome, reason, now):
+        order = progress.stored
+        if order is not None and not self._is_held(order, outcome, now):
+            driver = self.driver_by_service.get(order.service)
+            may_write = partial(self._may_write, order, driver, outcome)
+            self._writer.write(order, outcome, reason, may_write)
 
 
 def _outcome_item(order, position):
