Take a status that isn't 200 to 599 for a broken answer

Cause: the parser reads any three digits, and nothing looked at them. Ruled out: statuses of other lengths or of letters, which the parser refuses.

Change: a connection to an upstream, a step or the store ends the exchange as one that isn't HTTP; a late answer with such a status tells nothing of its upstream. wharfd: the store's client takes no era from such an answer, and the sidecar's probe doesn't count it as one; all else there compares with the statuses that it knows.

--- a/packages/daemon/src/wharf_daemon/sidecar/upstream_client.py
+++ b/packages/daemon/src/wharf_daemon/sidecar/upstream_client.py
@@ -88,8 +88,8 @@
         timeout = aiohttp.ClientTimeout(total=PROBE_TIMEOUT_SECONDS)
         url = f"{self._base_url}/v1/load"
         try:
-            async with self._session.get(url, timeout=timeout):
-                return True
+            async with self._session.get(url, timeout=timeout) as response:
+                return 200 <= response.status <= 599
         except (aiohttp.ClientError, TimeoutError):
             return False
 
--- a/packages/gateway/src/wharf_gateway/http/status.py
+++ b/packages/gateway/src/wharf_gateway/http/status.py
@@ -2,7 +2,16 @@
 
 from http import HTTPStatus
 
-__all__ = ["status_line"]
+__all__ = ["is_final_status", "status_line"]
+
+
+def is_final_status(status):
+    """Return whether a status code is one of a final response, 200 to 599.
+
+    >>> is_final_status(0), is_final_status(103), is_final_status(599)
+    (False, False, True)
+    """
+    return 200 <= status <= 599
 
 
 def status_line(status):
--- a/packages/gateway/src/wharf_gateway/http/upstream_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/upstream_connection.py
@@ -13,6 +13,7 @@
 )
 from wharf_gateway.http.response_head import ResponseHead
 from wharf_gateway.http.socket_options import detect_dead_peer, unread_data
+from wharf_gateway.http.status import is_final_status
 from wharf_gateway.http.unsolicited import Unsolicited
 
 __all__ = ["MAX_REQUESTS", "UpstreamConnection"]
@@ -258,6 +259,11 @@
             self._report_late(status, headers)
             self._note_other_response(status, answer_id)
             return
+        if not is_final_status(status):
+            self._note_unsolicited(Unsolicited.NOT_HTTP, is_cut=True)
+            self._fail(f"{status} is no status of a response")
+            self.close()
+            return
         self._is_close_delimited = (
             status not in _BODYLESS_STATUSES
             and headers.get("content-length") is None
@@ -323,7 +329,7 @@
         self.close()
 
     def _report_late(self, status, headers):
-        if self.on_late_head is not None and status >= 200:
+        if self.on_late_head is not None and is_final_status(status):
             self.on_late_head(ResponseHead(status, headers))
 
     def _complete(self):
--- a/packages/gateway/tests/test_request_runner.py
+++ b/packages/gateway/tests/test_request_runner.py
@@ -279,6 +279,22 @@
     assert (caller.status, caller.ending) == (502, "whole")
 
 
+@pytest.mark.parametrize("status", ["000", "007", "99", "600", "999", "abc", "1000"])
+async def test_answer_whose_status_is_none_is_broken(upstreams, ask, status):
+    """A status of 000 reached the caller as an answer."""
+    fields = "Id: r1\r\nSigned: 1\r\nContent-Length: 2"
+    answer = f"HTTP/1.1 {status} X\r\n{fields}\r\n\r\nno".encode()
+    await upstreams.add(answer)
+    await upstreams.add(SIGNED)
+
+    unsafe = await ask("unsafe")
+
+    assert unsafe.status == 502
+    assert json.loads(unsafe.body)["code"] == Code.ANSWER_BROKEN
+    assert len(upstreams.seen) == 1
+    assert (await ask("safe")).body == b"ok"
+
+
 async def test_unsafe_request_is_retried_when_it_was_not_sent(upstreams, ask):
     await upstreams.add_at("127.0.0.1:1")
     await upstreams.add(SIGNED)
--- a/packages/gateway/tests/test_store_client.py
+++ b/packages/gateway/tests/test_store_client.py
@@ -48,6 +48,25 @@
         pass
 
 
+async def test_answer_without_a_status_tells_nothing(raw_server, eras):
+    """A status of 000 was read, and the era beside it taken for the store's."""
+
+    async def handle(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        fields = b"Store-Era: 9\r\nContent-Length: 2"
+        writer.write(b"HTTP/1.1 000 X\r\n%s\r\n\r\n{}" % fields)
+
+    pool = ConnectionPool()
+    loop = asyncio.get_running_loop()
+    address = await raw_server(handle)
+    client = StoreClient(address, Dialect(), pool, loop.time, eras)
+    answer = await client.list(KIND)
+    pool.close()
+
+    assert answer.is_err()
+    assert eras.current != 9
+
+
 @pytest.fixture
 def eras():
     return StoreEras()
--- a/packages/gateway/tests/test_upstream_connection.py
+++ b/packages/gateway/tests/test_upstream_connection.py
@@ -5,11 +5,14 @@
 import struct
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
+from wharf_gateway.http.answer_limits import AnswerLimits
 from wharf_gateway.http.connection_pool import ConnectionPool
 from wharf_gateway.http.http_call_error import HttpCallError
 from wharf_gateway.http.unsolicited import Unsolicited
-from wharf_gateway.http.upstream_connection import MAX_REQUESTS
+from wharf_gateway.http.upstream_connection import MAX_REQUESTS, UpstreamConnection
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\nId: 1\r\n\r\n"
 ANSWER = b"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok"
@@ -110,6 +113,50 @@
         await ask(part)
 
 
+class Socketless(asyncio.Transport):
+    """A transport that takes all data."""
+
+    def get_extra_info(self, name, default=None):
+        return default
+
+    def write(self, data):
+        pass
+
+    def abort(self):
+        pass
+
+
+def _told_status(status, headers):
+    """Return the status of the response to a request, None if it is broken."""
+    connection = UpstreamConnection(AnswerLimits())
+    connection._transport = Socketless()
+    connection.send(REQUEST, b"", "Id", "1")
+    line = f"HTTP/1.1 {status}\r\n{headers}\r\n\r\n"
+    connection.data_received(line.encode("latin-1"))
+    assert (connection._head is None) or connection._error is None
+    return connection._head and connection._head.status
+
+
+@given(
+    st.integers(0, 9999).map(str)
+    | st.from_regex(r"[0-9]{1,4}( [a-zA-Z ]{0,9})?", fullmatch=True)
+    | st.text(st.characters(min_codepoint=32, max_codepoint=255), max_size=6)
+)
+def test_only_statuses_of_responses_are_told(status):
+    """A status of 000 or 600 passed for one."""
+    told = _told_status(status, "Id: 1\r\nContent-Length: 0")
+
+    assert told is None or (200 <= told <= 599 and int(status[:3]) == told)
+
+
+def test_each_status_of_a_response_is_told():
+    fields = "Id: 1\r\nContent-Length: 0"
+    told = {status: _told_status(f"{status:03} X", fields) for status in range(1000)}
+
+    assert [status for status in told if told[status]] == list(range(200, 600))
+    assert all(status == told[status] for status in range(200, 600))
+
+
 @pytest.mark.parametrize("is_ended_by_upstream", [True, False])
 async def test_connection_that_is_about_to_close_is_not_reused(
     raw_server, is_ended_by_upstream
--- a/packages/platform/src/wharf_platform/object_client.py
+++ b/packages/platform/src/wharf_platform/object_client.py
@@ -116,6 +116,9 @@
             return Err(UnknownOutcome(key, repr(error)))
 
     def _parse_write(self, key, value, response):
+        if not 200 <= response.status <= 599:
+            self.limiter.record_failure()
+            return Err(UnknownOutcome(key, f"status {response.status}"))
         era = self._observe_era(response)
         match response.status:
             case 200:
--- a/packages/standins/tests/test_platform_client.py
+++ b/packages/standins/tests/test_platform_client.py
@@ -154,3 +154,27 @@
     manager = LeaseManager(client, "rollouts", Lease("first"), Random(1))
     assert isinstance(await manager.step(), Err)
     assert not manager.is_held()
+
+
+async def test_answer_without_a_status_is_an_unknown_outcome():
+    """A status of 000 was read, and the era beside it taken for the store's."""
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        fields = b"Store-Era: 9\r\nContent-Length: 0"
+        writer.write(b"HTTP/1.1 000 X\r\n%s\r\n\r\n" % fields)
+        await writer.drain()
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    eras = []
+    async with aiohttp.ClientSession() as session:
+        client = ObjectClient(session, url, limiter=CallLimiter(Random(1)))
+        client.eras.subscribe(eras.append)
+        known = list(eras)
+        answer = await client.put("a", b"1", 0)
+    server.close()
+
+    assert answer.err() == UnknownOutcome("a", "status 0")
+    assert eras == known
