Don't take an answer for whole that a reset of the request's body may follow

An orderly end is an end. But while the upload isn't taken whole, a process that goes resets the connection a moment later. Refusing all such answers would lose those of upstreams that answer early and read on; passing them on at once loses the reset.

Change: an answer that ends with its connection is whole once the upstream's host has acknowledged the whole request; until then it is looked at again every 20 ms, and a reset meanwhile makes it a broken one. Where the kernel doesn't tell, what the process hasn't handed to it counts.

Tests: an upload of 16 MB that is reset 0.1 s behind the orderly end failed before (the part was whole); one that is read on stays whole.

--- a/packages/gateway/src/wharf_gateway/http/socket_options.py
+++ b/packages/gateway/src/wharf_gateway/http/socket_options.py
@@ -1,9 +1,12 @@
 """Options and state of sockets."""
 
+import array
+import fcntl
 import select
 import socket
+import termios
 
-__all__ = ["detect_dead_peer", "unread_data"]
+__all__ = ["detect_dead_peer", "unacknowledged_bytes", "unread_data"]
 
 # A dead peer is detected after about three seconds, the shortest time in which the
 # operators expect an unreachable host to be distinguished from a slow one.
@@ -44,3 +47,16 @@
             return copy.recv(1, socket.MSG_PEEK)
     except OSError:
         return b""
+
+
+def unacknowledged_bytes(transport):
+    """Return how many sent bytes the peer's host hasn't taken, 0 if it isn't known."""
+    sock = transport.get_extra_info("socket")
+    if sock is None or sock.fileno() < 0:
+        return 0
+    count = array.array("i", [0])
+    try:
+        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, count)
+    except OSError:
+        return 0
+    return count[0]
--- a/packages/gateway/src/wharf_gateway/http/upstream_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/upstream_connection.py
@@ -12,7 +12,11 @@
     UnmatchedAnswerError,
 )
 from wharf_gateway.http.response_head import ResponseHead
-from wharf_gateway.http.socket_options import detect_dead_peer, unread_data
+from wharf_gateway.http.socket_options import (
+    detect_dead_peer,
+    unacknowledged_bytes,
+    unread_data,
+)
 from wharf_gateway.http.status import is_final_status
 from wharf_gateway.http.unsolicited import Unsolicited
 
@@ -22,6 +26,8 @@
 # The ids that a connection remembers are bounded by the number of its requests. At this
 # number a new connection is opened for each 256 requests.
 MAX_REQUESTS = 256
+# How often an upstream that has ended its side is asked whether it took the request.
+CHECK_SECONDS = 0.02
 
 
 class UpstreamConnection(asyncio.Protocol):
@@ -53,6 +59,7 @@
         self._is_skipped = False
         self._is_close_delimited = False
         self._is_complete = False
+        self._is_ended = False
         self._error = None
         self._id_field = None
         self._call_id = None
@@ -96,17 +103,42 @@
         self.is_closed = True
         self.is_reusable = False
         self._is_writable.set()
-        if self._is_close_delimited and exc is None:
+        is_cut, self._is_ended = self._is_ended, False
+        if self._is_close_delimited and exc is None and not is_cut:
             self._complete()
         elif not self._is_complete:
             self._fail(f"connection lost: {exc!r}")
 
     def eof_received(self):
-        """Complete a response that ends with the connection."""
+        """Complete a response that ends with the connection.
+
+        Before the upstream's host has taken the whole request, a reset may follow,
+        which shows that the response was cut off.
+        """
         self.is_closed = True
-        if self._is_close_delimited:
+        if not self._is_close_delimited:
+            return False
+        if self._has_taken_request():
             self._complete()
-        return False
+            return False
+        self._is_ended = True
+        asyncio.get_running_loop().call_later(CHECK_SECONDS, self._check_taken)
+        return True
+
+    def _has_taken_request(self):
+        is_sent = not self._transport.get_write_buffer_size()
+        return is_sent and not unacknowledged_bytes(self._transport)
+
+    def _check_taken(self):
+        """Complete an ended response once the request has been taken."""
+        if not self._is_ended or self._error is not None:
+            return
+        if self._has_taken_request():
+            self._is_ended = False
+            self._complete()
+            self._transport.close()
+        else:
+            asyncio.get_running_loop().call_later(CHECK_SECONDS, self._check_taken)
 
     def pause_writing(self):
         """Record that the write buffer is full."""
@@ -167,6 +199,7 @@
         self._interim_heads = 0
         self._is_complete = False
         self._is_close_delimited = False
+        self._is_ended = False
         self._error = None
         self._id_field, self._call_id = id_field, call_id
         self._parser = httptools.HttpResponseParser(self)
--- a/packages/gateway/tests/test_upstream_connection.py
+++ b/packages/gateway/tests/test_upstream_connection.py
@@ -113,6 +113,46 @@
         await ask(part)
 
 
+@pytest.fixture
+async def upload(raw_server):
+    """Send a long body to an upstream that answers at once and ends its side.
+
+    `read(reader)` is what the upstream does before it resets the connection.
+    """
+    pool = ConnectionPool()
+
+    async def run(read):
+        async def handle(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart")
+            writer.write_eof()
+            await read(reader)
+            writer.transport.abort()
+
+        connection = await pool.acquire(await raw_server(handle), _now())
+        length = 16 << 20  # more than the buffers of both ends hold
+        head = REQUEST.replace(b"\r\n\r\n", b"\r\nContent-Length: %d\r\n\r\n" % length)
+        connection.send(head, bytes(length), "Id", "1")
+        await connection.head()
+        return await connection.body()
+
+    yield run
+    pool.close()
+
+
+async def test_response_is_cut_if_its_upstream_ends_and_then_resets_the_upload(upload):
+    """The part that had come was taken for the whole."""
+    with pytest.raises(HttpCallError):
+        await upload(lambda reader: asyncio.sleep(0.1))
+
+
+async def test_response_is_whole_if_its_upstream_ends_and_then_reads_the_upload(upload):
+    async def read(reader):
+        await reader.readexactly(16 << 20)
+
+    assert await upload(read) == b"part"
+
+
 class Socketless(asyncio.Transport):
     """A transport that takes all data."""
 
