Test each guard of the only version that is left

Taking guards out one by one in a scratch copy made no test fail for six of 16: both looks at whether another version is there (each alone suffices in the old tests), a completion that was decided before the old version went, the wait for upstreams that crash at the end of a rollout, the half second beyond the entries' two after an outage, and the readable store. Each has a test now.

--- a/packages/gateway/tests/test_sole_versions.py
+++ b/packages/gateway/tests/test_sole_versions.py
@@ -1,16 +1,18 @@
 """Which version serves, and how a rollout ends, if the old version isn't there."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 import pytest
-from result import Ok
+from result import Err, Ok
 
 from wharf_coordination.rollout_outcome import RolloutOutcome
 from wharf_gateway.fleet import SOLE_GRACE_SECONDS, Fleet
 from wharf_gateway.model.rollout_order import RolloutOrder
 from wharf_gateway.model.upstream import Upstream
 from wharf_gateway.rollouts.rollout_manager import RolloutManager
+from wharf_gateway.store.store_error import StoreUnavailable
 from wharf_gateway.store.store_page import StorePage
 from wharf_gateway.store.stored_object import StoredObject
 
@@ -54,6 +56,8 @@
     versions: tuple = ("v1", "v2")
     now: float = 100.0
     written: list = field(default_factory=list)
+    listings: int = 0
+    on_list: Callable = lambda: None
 
     def start(self):
         """Start a gateway, which lists the store."""
@@ -101,10 +105,13 @@
         return StoredObject(self.order.name, self.order.revision, self.order)
 
     async def list(self, kind):
+        self.listings += 1
+        self.on_list()
         return Ok(StorePage((self._stored_order(),), False, None))
 
     async def replace_status(self, kind, name, status, revision, may_send=None):
-        assert may_send()
+        if not may_send():
+            return Err(StoreUnavailable("not sent"))
         self.written.append(status)
         self.order = replace(self.order, outcome=status, revision=revision + 1)
         self.manager.update_orders([self._stored_order()], self.now)
@@ -245,12 +252,72 @@
     state = site.fleet.state_by_id["v1"]
     state.backoff_until = site.now + 2 * DURATION
 
+    listings = site.listings
     await site.advance(1.5 * DURATION)
     assert TAKEN_BACK not in site.written
+    assert site.listings == listings
     await site.advance(DURATION)
     assert site.written[-1] is TAKEN_BACK
 
 
+async def test_version_is_not_taken_back_if_the_others_go_before_that_is_sent(site):
+    site.start()
+    await site.advance(5.0)
+    site.on_list = lambda: site.show("v2")
+
+    await site.advance(DURATION)
+
+    assert site.listings > 1
+    assert TAKEN_BACK not in site.written
+
+
+async def test_completion_is_written_though_the_old_version_has_gone(site):
+    """The old version may be gone before its end is in the store."""
+    site.start()
+    await site.advance(5.0)
+    site.manager.driver_by_service["s"].outcome = FINISHED
+    site.show("v2")
+
+    await site.advance(0.5)
+
+    assert site.written[-1] is FINISHED
+
+
+async def test_old_version_that_goes_at_the_end_of_a_rollout_is_waited_for(site):
+    """Upstreams that crash are back after some seconds."""
+    site.start()
+    await site.advance(0.8 * DURATION)
+    site.show("v2")
+    await site.advance(5.0)
+    assert site.written == [RUNNING]
+
+    site.show("v1", "v2")
+    await site.advance(1.0)
+
+    assert site.written == [RUNNING, TAKEN_BACK]
+
+
+async def test_old_version_is_waited_for_a_little_longer_than_its_entries(site):
+    site.start()
+    await site.advance(5.0)
+    site.show("v2", recovered_at=site.now)
+
+    served = await site.advance(2.3)
+    site.show("v1", "v2")
+
+    assert "v2" not in served | await site.advance(1.0)
+
+
+async def test_no_version_is_found_to_be_the_only_one_during_an_outage(site):
+    site.start()
+    await site.advance(5.0)
+    site.fleet.is_store_readable = lambda: False
+
+    site.fleet.remove("v1", "another has its address")
+
+    assert await site.advance(5.0) == {None}
+
+
 async def test_version_that_leaves_is_no_version_to_go_back_to(site):
     site.start()
     await site.advance(5.0)
