Let a lost connection, not a look at it, decide about an ended answer

Seen: the test of a reset amid an upload of 16 MB failed in 4 of 7 runs, with a kernel that doesn't tell what is acknowledged. Traced: a write that fails empties the buffer in the step before `connection_lost` is called, and a look between the two took the empty buffer for a request that had been taken.

Change: a transport that is closing is left to `connection_lost`.

--- a/packages/gateway/src/wharf_gateway/http/upstream_connection.py
+++ b/packages/gateway/src/wharf_gateway/http/upstream_connection.py
@@ -132,7 +132,8 @@
 
     def _check_taken(self):
         """Complete an ended response once the request has been taken."""
-        if not self._is_ended or self._error is not None:
+        is_lost = self._transport.is_closing()  # which `connection_lost` is told next
+        if is_lost or not self._is_ended or self._error is not None:
             return
         if error := pending_error(self._transport):
             # The event loop doesn't watch a connection whose peer has ended its side.
