Don't complete a rollout whose version has gone together with the old one

Found in reading the change again: a service whose last upstreams are of the old version, and leave, counted as one of which only the new version is left, so that its rollout was completed at the end without any upstream of it.

Change: the new version has to have an upstream to be the only one.

Test: failed before, passes now.

--- a/packages/gateway/src/wharf_gateway/fleet.py
+++ b/packages/gateway/src/wharf_gateway/fleet.py
@@ -182,8 +182,9 @@
         return any(not state.in_backoff(now) for state in others)
 
     def _has_only(self, service, target):
-        is_used = bool(self._states_by_service.get(service))
-        return is_used and not self._others(service, target)
+        states = self._states_by_service.get(service, {}).values()
+        has_target = any(state.upstream.version == target for state in states)
+        return has_target and not self._others(service, target)
 
     def _others(self, service, target):
         """Return the upstreams of other versions that aren't about to leave."""
--- a/packages/gateway/tests/test_sole_versions.py
+++ b/packages/gateway/tests/test_sole_versions.py
@@ -327,6 +327,19 @@
     assert await site.advance(5.0) == {"v2"}
 
 
+async def test_rollout_isnt_finished_if_its_version_has_gone_too(site):
+    """Upstreams of the old version that leave were taken for the new one's."""
+    site.start()
+    await site.advance(5.0)
+    state = site.fleet.state_by_id["v1"]
+    state.upstream = replace(state.upstream, is_draining=True)
+    site.fleet.remove("v2", "entry removed")
+
+    await site.advance(2 * DURATION)
+
+    assert FINISHED not in site.written
+
+
 @pytest.mark.parametrize("outcome", [None, RUNNING])
 async def test_version_chosen_before_its_order_was_read_is_given_up(site, outcome):
     """The upstreams are listed before the orders, and the new version may be the most
