Divide settling answers in one pass, and skip a non-answer's era in one place

Found in reading the change again. Taking a crashed upstream's answers out compared each kept answer with each taken one by value; one pass divides them now. The store's client in wharfd had a check of the status with a second copy of its last case; the check stands where the era is read, and the last case tells the unknown outcome as before. Behaviour and tests are unchanged.

--- a/packages/gateway/src/wharf_gateway/settling_answers.py
+++ b/packages/gateway/src/wharf_gateway/settling_answers.py
@@ -43,12 +43,10 @@
 
     def take(self, process, crashed_at) -> list[CrashSuspect]:
         """Remove and return the requests that a process answered before its crash."""
-        taken = [
-            answer
-            for answer in self._answers
-            if answer.process == process and answer.at >= crashed_at - SETTLE_SECONDS
-        ]
-        if taken:
-            rest = (answer for answer in self._answers if answer not in taken)
-            self._answers = deque(rest)
+        taken, kept = [], deque()
+        for answer in self._answers:
+            is_late = answer.at >= crashed_at - SETTLE_SECONDS
+            is_taken = is_late and answer.process == process
+            (taken if is_taken else kept).append(answer)
+        self._answers = kept
         return [answer.suspect for answer in taken]
--- a/packages/platform/src/wharf_platform/object_client.py
+++ b/packages/platform/src/wharf_platform/object_client.py
@@ -116,9 +116,6 @@
             return Err(UnknownOutcome(key, repr(error)))
 
     def _parse_write(self, key, value, response):
-        if not 200 <= response.status <= 599:
-            self.limiter.record_failure()
-            return Err(UnknownOutcome(key, f"status {response.status}"))
         era = self._observe_era(response)
         match response.status:
             case 200:
@@ -163,7 +160,8 @@
         return Ok(ReadResponse(subject, response.status, version, body, era))
 
     def _observe_era(self, response):
-        era = _parse_era(response)
+        is_answer = 200 <= response.status <= 599
+        era = _parse_era(response) if is_answer else None
         if era is not None:
             self.eras.on_next(era)
         return era
