--- a/review/12/case.py
+++ b/review/12/case.py
@@ -18,7 +18,8 @@
 COLD_OVERAGE, COLD_SLACK = 1.5, 5
 BOUND = COLD_PER_S * COLD_OVERAGE + COLD_SLACK
 COLD_SECONDS = 3.0
-OUTAGE_SECONDS = 8.0
+OUTAGE_SECONDS = 4.5
+COLD_AFTER_SECONDS = 0.5  # of the outage
 CLIENTS, PER_CLIENT = 16, 5.0  # 80 requests a second in all
 
 CONFIGURATION = {
@@ -79,7 +80,7 @@
             await gateway.until_ready()
         await asyncio.sleep(4)  # longer than contactMs, so that all are in touch
 
-        ends = time.monotonic() + 14
+        ends = time.monotonic() + 10
 
         async def call_again_and_again(number):
             client = Client(gateways[number % 2], record)
@@ -101,12 +102,12 @@
         if HAS_TROUBLE:
             record("store silent")
             store.go_silent()
-        await asyncio.sleep(2)
+        await asyncio.sleep(COLD_AFTER_SECONDS)
         cold = runners[0]
         cold_at = time.monotonic()
         record("cold", cold.name, seconds=COLD_SECONDS)
         await cold.become_cold(COLD_SECONDS)
-        await asyncio.sleep(OUTAGE_SECONDS - 2)
+        await asyncio.sleep(OUTAGE_SECONDS - COLD_AFTER_SECONDS)
         store.come_back()
         record("store back")
         await asyncio.gather(*clients)
