--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,41 +1,51 @@
-"""An old heartbeat is executed after the entry of a leaving runner was removed."""
+"""A part that crashes runners stands behind many others in its prompts."""
 
 import asyncio
 import os
 import random
-import sys
 import time
+from pathlib import Path
 
-HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "common-3"))
-
-from runner import Runner
+from engine import Engine
 from store import Store
 from system import HAS_TROUBLE, Client, GatewayProcess, run
 
-DRAIN_SECONDS = 2.0  # drainMs
 CONTACT_SECONDS = 3.0  # contactMs
-LATE_SECONDS = 5.9  # of the write; the kinds say 1 to 6 s
-LINGER_SECONDS = 4.0  # how long it serves beyond drainMs, "at times many seconds"
-GATEWAYS, PER_GATEWAY = 3, 3.0  # requests a second
+MOST = 3  # requests with the part, later than contactMs after the fifth crash
+WARM_SECONDS, SECONDS = 6, 50  # sound requests alone, then both
+SOUND_PER_S, DEADLY_PER_S = 6.0, 0.5
+# A session: a part for its instructions and one for each turn before this one.
+TURNS = 40
+# PART=early, to compare, has the deadly part among the first ones.
+PLACE = 2 if os.environ.get("PART") == "early" else TURNS - 2
 
 CONFIGURATION = {
     "version": 3,
     "routes": [
         {
-            "name": "hold-place",
-            "hostname": "holds.example",
-            "pathPrefix": "/holds/",
-            "service": "ledger",
-            "routeKind": "unsafe",
-            "timeoutMs": 1500,
-            "sloMs": 125,
-            "maxAttempts": 1,
-            "priority": 0,
+            "name": "condition-report",
+            "hostname": "reports.example",
+            "pathPrefix": "/reports/",
+            "service": "llm",
+            "routeKind": "stream",
+            "timeoutMs": 5000,
+            "sloMs": 1000,
+            "itlTargetMs": 400,
+            "maxAttempts": 2,
+            "priority": 1,
             "isPublic": True,
+            "isSticky": True,
+            "isResumable": True,
+        }
+    ],
+    "services": [
+        {
+            "name": "llm",
+            "healthPath": "/healthz",
+            "maxConns": 370,
+            "engine": {"slots": 64, "kvCapacity": 399952},
         }
     ],
-    "services": [{"name": "ledger", "healthPath": "/healthz", "maxConns": 110}],
     "limits": {
         "maxHeaderBytes": 16384,
         "maxBodyBytes": 4194304,
@@ -43,70 +53,112 @@
         "idleTimeoutMs": 30000,
     },
 }
+SHARED = [f"{0x5C1E07A2 + 977 * n:08x}" for n in range(TURNS)]
+DEADLY = "dead07a2"
+
+
+def prompt(is_deadly):
+    """Return a prompt; those with the deadly part share all other parts."""
+    parts = list(SHARED)
+    if is_deadly:
+        parts[PLACE] = DEADLY
+    parts.append(f"{random.getrandbits(32):08x}")
+    return ",".join(f"{part}:70" for part in parts)
 
 
 async def case(record, folder):
+    """Play the case; return the breaches."""
     store = Store()
     address = await store.start()
     await store.write("config", "main", CONFIGURATION)
-    names = ("i-2b90d4e7", "i-51c3a0f8", "i-7f3a91c2")
-    runners = [
-        Runner(store, name, "ledger", record, f"dc-{n}", work_seconds=0.1)
-        for n, name in enumerate(names, 1)
+    engines = [
+        Engine(store, f"i-{n}f3a91c2", "llm", record, f"dc-{1 + n % 3}", deadly=DEADLY)
+        for n in range(6)
     ]
-    for runner in runners:
-        await runner.start()
+    for engine in engines:
+        await engine.start()
     gateways = [
-        GatewayProcess(f"edge-dc-{n}-1", f"dc-{n}", address, folder)
-        for n in range(1, GATEWAYS + 1)
+        GatewayProcess(f"edge-dc-{n}-1", f"dc-{n}", address, folder) for n in (1, 2, 3)
     ]
+    sent_at = {}
+    sound = set()
+    counts = {"sound": {}, "deadly": {}}
     try:
         for gateway in gateways:
             await gateway.start()
         for gateway in gateways:
             await gateway.until_ready()
         await asyncio.sleep(CONTACT_SECONDS + 1)
-        ends = time.monotonic() + 14
-        counts = {}
 
-        async def call_again_and_again(gateway):
-            client = Client(gateway, record)
-            while time.monotonic() < ends:
-                await asyncio.sleep(random.uniform(0.5, 1.5) / PER_GATEWAY)
-                _, answer = await client.call(
-                    "POST", "holds.example", "/holds/1", 1500, b"{}"
-                )
-                status = None if answer is None else answer.status
-                counts[status] = counts.get(status, 0) + 1
+        async def call(is_deadly):
+            client = Client(random.choice(gateways), record)
+            began = time.monotonic()
+            extra = (
+                ("Vanillawharf-Model", "m"),
+                ("Vanillawharf-Token-Count", f"{70 * TURNS + 70},80"),
+                ("Vanillawharf-Prefix-Hash", prompt(is_deadly)),
+            )
+            attempt, answer = await client.call(
+                "POST", "reports.example", "/reports/1", 5000, b"{}", extra
+            )
             client.close()
+            sent_at[attempt] = began
+            if not is_deadly:
+                sound.add(attempt)
+            status = "cut" if answer is None else answer.status
+            found = counts["deadly" if is_deadly else "sound"]
+            found[status] = found.get(status, 0) + 1
+
+        async def call_again_and_again(rate, is_deadly):
+            tasks = []
+            if is_deadly:
+                await asyncio.sleep(WARM_SECONDS)
+            ends = began_at + WARM_SECONDS + SECONDS
+            while time.monotonic() < ends:
+                tasks.append(asyncio.ensure_future(call(is_deadly)))
+                await asyncio.sleep(random.uniform(0.5, 1.5) / rate)
+            await asyncio.gather(*tasks)
 
-        clients = [asyncio.ensure_future(call_again_and_again(g)) for g in gateways]
-        await asyncio.sleep(1)
-        leaver = runners[-1]
+        began_at = time.monotonic()
+        kinds = [call_again_and_again(SOUND_PER_S, False)]
         if HAS_TROUBLE:
-            leaver.late_seconds = LATE_SECONDS
-        lost_from = time.monotonic()
-        while leaver.late_seconds is not None:
-            await asyncio.sleep(0.02)
-        # The store is stable again: contactMs have passed since the lost answer, and
-        # the heartbeats since then were answered.
-        await asyncio.sleep(CONTACT_SECONDS + 0.2)
-        gone_at = await leaver.leave_without_notice(DRAIN_SECONDS + LINGER_SECONDS)
-        record("store stable for", "", seconds=round(gone_at - lost_from, 2))
-        await asyncio.gather(*clients)
+            kinds.append(call_again_and_again(DEADLY_PER_S, True))
+        await asyncio.gather(*kinds)
     finally:
         for gateway in gateways:
             await gateway.stop()
+    crashes = sorted(at for engine in engines for at in engine.crashes)
+    since = crashes[4] + CONTACT_SECONDS if len(crashes) >= 5 else float("inf")
     late = [
-        (round(at - gone_at, 2), attempt)
-        for at, attempt in leaver.arrivals
-        if at > gone_at + DRAIN_SECONDS
+        attempt
+        for engine in engines
+        for _, attempt in engine.deadly_arrivals
+        if sent_at.get(attempt, 0.0) > since
     ]
-    print(f"answers by status: {counts}")
-    print(f"requests at {leaver.name} later than drainMs after its removal: {late}")
-    if late:
-        return [f"DRAIN: {len(late)} requests reached a runner that had left: {late}"]
-    return []
+    print(
+        f"crashes: {len(crashes)}; sound: {counts['sound']}; deadly: {counts['deadly']}"
+    )
+    print(f"with the part, over {CONTACT_SECONDS} s after the fifth crash: {len(late)}")
+    breaches = []
+    if len(late) > MOST:
+        text = f"BUDGET: {len(late)} requests with a deadly part after the fifth crash"
+        breaches.append(text)
+    begun = {attempt for engine in engines for _, attempt in engine.arrivals}
+
+    def share_begun(since, until):
+        sent = [a for a in sound if since <= sent_at[a] < until]
+        share = sum(a in begun for a in sent) / len(sent) if len(sent) >= 20 else None
+        print(f"sound requests: {len(sent)} sent, share begun {share}")
+        return share
+
+    calm = share_begun(began_at, began_at + WARM_SECONDS)
+    last = crashes[4] if len(crashes) >= 5 else max(crashes, default=float("inf"))
+    ends = began_at + WARM_SECONDS + SECONDS
+    beside = share_begun(last + 2 * CONTACT_SECONDS, ends)
+    if calm is not None and beside is not None and beside < calm / 2:
+        text = f"LOST: sound requests begin {beside:.2f} as often, {calm:.2f} before"
+        breaches.append(text)
+    return breaches
 
 
-run(case, HERE)
+run(case, Path(__file__).parent)
--- a/review/common-3/store.py
+++ b/review/common-3/store.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import time
+from contextlib import suppress
 from urllib.parse import parse_qs, unquote, urlsplit
 
 from wire import answer_bytes, read_message, serve
@@ -30,7 +31,8 @@
     async def start(self, host="127.0.0.1"):
         """Listen on a free port; return the address."""
         self._server = await serve(self._serve, host, 0)
-        return "%s:%d" % self._server.sockets[0].getsockname()[:2]
+        port = self._server.sockets[0].getsockname()[1]
+        return f"{host}:{port}"
 
     async def write(self, kind, name, spec):
         """Write as the operator or a runner; wait while the store is away."""
@@ -134,7 +136,11 @@
             return 409, known
         if method != "POST" and known is None:
             return 404, {}
-        if revision is not None and known and int(revision) != known["metadata"]["revision"]:
+        if (
+            revision is not None
+            and known
+            and int(revision) != known["metadata"]["revision"]
+        ):
             return 409, known
         if method == "DELETE":
             self.remove(kind, name)
@@ -153,7 +159,5 @@
             left = ends - time.monotonic()
             if found or left <= 0:
                 return 200, {"events": found, "asOf": self.revision}
-            try:
+            with suppress(TimeoutError):
                 await asyncio.wait_for(self._changed.wait(), left)
-            except TimeoutError:
-                pass
--- a/review/common-3/system.py
+++ b/review/common-3/system.py
@@ -11,15 +11,20 @@
 import tempfile
 import time
 import tomllib
+from contextlib import suppress
 from pathlib import Path
 
 from wire import read_message, request_bytes
 
 ROOT = Path(__file__).resolve().parents[2]
+CONTRACTS = [
+    *("base", "drain", "config", "cost", "retry", "recover", "engine"),
+    *("stream", "tenants", "places", "rollout", "platform", "stages"),
+]
 HAS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
-class CannotRun(Exception):
+class CannotRunError(Exception):
     """The case couldn't run: no build, or the system didn't come up."""
 
 
@@ -27,35 +32,30 @@
     """Lines of what was sent, answered and run, with the seconds since the start."""
 
     def __init__(self, path):
-        self._file = open(path, "w")
+        self._file = path.open("w")  # noqa: SIM115
         self._start = time.monotonic()
 
     def __call__(self, event, who="", **values):
+        """Write a line."""
         rest = " ".join(f"{k}={v}" for k, v in values.items())
         at = time.monotonic() - self._start
         self._file.write(f"{at:9.3f} {event} {who} {rest}\n")
 
     def close(self):
+        """Close the file."""
         self._file.close()
 
 
-def free_port(host="127.0.0.1"):
-    """Return a port that nothing listens on."""
-    with socket.socket() as sock:
-        sock.bind((host, 0))
-        return sock.getsockname()[1]
-
-
 def free_ports(count, host="127.0.0.1"):
-    """Return different free ports."""
-    socks = [socket.socket() for _ in range(count)]
-    try:
-        for sock in socks:
-            sock.bind((host, 0))
-        return [sock.getsockname()[1] for sock in socks]
-    finally:
-        for sock in socks:
-            sock.close()
+    """Return different free ports below those that the kernel gives to callers."""
+    found = []
+    while len(found) < count:
+        port = random.randrange(20_000, 32_000)
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind((host, port))
+            if port not in found:
+                found.append(port)
+    return found
 
 
 def _fill(text, values):
@@ -73,7 +73,7 @@
 
 
 class GatewayProcess:
-    """One gateway, started as `deploy/system.toml` says with settings of a small site."""
+    """One gateway, started as the deploy file says, with settings of a small site."""
 
     def __init__(self, name, zone, store, folder, **changes):
         self.name = name
@@ -102,8 +102,7 @@
                 "maxFds": 4100,
                 "linkMbps": 1000.0,
             },
-            "contracts": "base drain config cost retry recover engine stream tenants "
-            "places rollout platform stages".split(),
+            "contracts": CONTRACTS,
         }
         template = (ROOT / self._role["template"]).read_text()
         settings = _fill(template, values)
@@ -141,7 +140,7 @@
             if self.process.returncode is not None:
                 break
             await asyncio.sleep(0.1)
-        raise CannotRun(f"{self.name} isn't ready: {self.log_tail()}")
+        raise CannotRunError(f"{self.name} isn't ready: {self.log_tail()}")
 
     async def is_ready(self):
         """Ask as the platform's balancer does."""
@@ -157,7 +156,9 @@
 
     def log_tail(self, size=2000):
         """Return the last of what the process has logged."""
-        return self._log.read_text(errors="replace")[-size:] if self._log.exists() else ""
+        return (
+            self._log.read_text(errors="replace")[-size:] if self._log.exists() else ""
+        )
 
     async def stop(self):
         """End the process."""
@@ -221,9 +222,9 @@
 
     try:
         if not (ROOT / "target/deps/wharf_gateway").exists():
-            raise CannotRun("the build of the deploy file is missing")
+            raise CannotRunError("the build of the deploy file is missing")
         breaches = asyncio.run(whole())
-    except (CannotRun, TimeoutError, OSError) as error:
+    except Exception as error:  # whatever it is, nothing was shown
         record("cannot run", "", why=repr(error))
         print("the case couldn't run:", repr(error))
         code = 2
--- a/review/common-3/wire.py
+++ b/review/common-3/wire.py
@@ -35,12 +35,17 @@
     return line, fields
 
 
+async def read_line(reader):
+    """Return a whole line."""
+    return await reader.readuntil(b"\n")
+
+
 async def read_message(reader):
     """Return the next request or answer, with its whole body."""
     line, fields = await read_head(reader)
     if fields.get("transfer-encoding", "").lower() == "chunked":
         parts = []
-        while size := int((await reader.readline()).split(b";")[0], 16):
+        while size := int((await read_line(reader)).split(b";")[0], 16):
             parts.append(await reader.readexactly(size))
             await reader.readexactly(2)
         await reader.readline()
